--- /dev/null
+++ b/src/callers/caller-session.ts
@@ -0,0 +1,314 @@
+/** One caller's connection: its session, its transaction, and the way of each statement to a home. */
+import { randomUUID } from 'node:crypto'
+import type { Group, Kind } from '../core/config/index.ts'
+import { RequestError } from '../core/errors/index.ts'
+import { createRequestKey, fingerprintOf } from '../ledger/request-key.ts'
+import { textColumn } from '../mysql/answer-writer.ts'
+import type { ClientHandler, ClientHello } from '../mysql/server.ts'
+import { EMPTY_ANSWER, type Answer, type Statement } from '../mysql/types.ts'
+import type { HomeReply } from '../routing/types.ts'
+import type { HomeRequests } from '../routing/home-requests.ts'
+import { isSessionToken, type SessionTokens } from '../sessions/session-token.ts'
+import { laterPosition, LOG_START, type LogPosition } from '../upstreams/position.ts'
+import { hintSchema, readHint, readHintValues, type Hint } from './hint.ts'
+import { classifyStatement, readSetting, type StatementClass } from './statement-class.ts'
+
+/** Options of {@link createCallerSession}. */
+export interface CallerSessionOptions {
+  host: string
+  client: ClientHello
+  tokens: SessionTokens
+  requests: HomeRequests
+  /** Returns a group in force. */
+  findGroup: (name: string) => Group | undefined
+}
+
+/** A caller's connection, as dumps show it. */
+export interface CallerState {
+  connection: number
+  service: string
+  group: string
+  session: string
+  inTransaction: boolean
+  busy: boolean
+  statements: number
+}
+
+/** A caller's connection. */
+export interface CallerSession extends ClientHandler {
+  state: () => CallerState
+}
+
+/** A transaction of the caller. */
+interface CallerTransaction {
+  id: string
+  home: string
+  statements: Statement[]
+  writes: boolean
+}
+
+/** Time a statement without a declared kind may take, in milliseconds. */
+const DEFAULT_DEADLINE_MS = 5000
+
+/**
+ * Creates the handler of a caller's connection.
+ *
+ * @param options - the caller and the way to homes
+ * @returns the handler
+ */
+export function createCallerSession (options: CallerSessionOptions): CallerSession {
+  const { client, tokens, requests, host } = options
+  const service = client.user
+  let groupName = client.database
+  let defaults: Hint = readHintValues(client.attributes)
+  let sessionId: string = randomUUID()
+  let sessionGiven = false
+  let floors = new Map<string, LogPosition>()
+  let transaction: CallerTransaction | undefined
+  let nextTransaction = 1
+  let statements = 0
+  let busy = false
+
+  const raiseFloor = (floor: LogPosition | undefined): void => {
+    if (floor !== undefined) {
+      floors.set(groupName, laterPosition(floor, floors.get(groupName) ?? LOG_START))
+    }
+  }
+
+  const findGroup = (): Group => {
+    const group = options.findGroup(groupName)
+    if (group === undefined) {
+      throw new RequestError('not-run', 'UnknownGroup', { group: groupName })
+    }
+    return group
+  }
+
+  const findKind = (hint: Hint): Kind | undefined => {
+    if (hint.kind === undefined) {
+      return undefined
+    }
+    const kinds = findGroup().services[service]?.kinds ?? {}
+    const kind = kinds[hint.kind]
+    if (kind === undefined) {
+      throw new RequestError('not-run', 'UnknownKind', { kind: hint.kind, service, known: Object.keys(kinds) })
+    }
+    return kind
+  }
+
+  /** Makes a session the connection's own: a token brings its floors, an id alone brings nothing. */
+  const enterSession = (handle: string): void => {
+    const token = isSessionToken(handle) ? tokens.open(handle, service) : undefined
+    const id = token?.id ?? handle
+    if (id !== sessionId) {
+      sessionId = id
+      floors = new Map()
+    }
+    sessionGiven = token === undefined
+    Object.entries(token?.floors ?? {}).forEach(([group, floor]) => {
+      floors.set(group, laterPosition(floor, floors.get(group) ?? LOG_START))
+    })
+  }
+
+  const base = (kind: Kind | undefined) => ({
+    group: groupName, service, deadlineMs: kind?.deadlineMs ?? DEFAULT_DEADLINE_MS
+  })
+
+  const rollBack = async (): Promise<void> => {
+    const ended = transaction
+    transaction = undefined
+    if (ended !== undefined) {
+      await requests.sendTo(ended.home, { ...base(undefined), type: 'rollback', transactionId: ended.id }).catch(() => {})
+    }
+  }
+
+  const executePlain = async (statement: Statement, hint: Hint): Promise<Answer> => {
+    const group = findGroup()
+    checkSize(statement, group)
+    const kind = findKind(hint)
+    if (transaction !== undefined) {
+      return await executeInTransaction(transaction, statement, kind)
+    }
+    const isWrite = kind?.access !== 'read'
+    const needsKey = isWrite && kind?.repeatable !== true
+    const { reply } = await requests.send({
+      ...base(kind),
+      type: 'execute',
+      kind: hint.kind,
+      statement,
+      floor: floors.get(groupName) ?? LOG_START,
+      readIndex: sessionGiven,
+      key: isWrite ? hint.key ?? (needsKey ? createRequestKey() : undefined) : undefined
+    })
+    return finish(reply, group)
+  }
+
+  const executeInTransaction = async (
+    open: CallerTransaction, statement: Statement, kind: Kind | undefined
+  ): Promise<Answer> => {
+    try {
+      const request = { ...base(kind), type: 'transaction-execute', transactionId: open.id, statement } as const
+      const reply = await requests.sendTo(open.home, request)
+      open.statements.push(statement)
+      open.writes ||= kind?.access !== 'read'
+      return finish(reply, findGroup())
+    } catch (thrown) {
+      if (isTransactionOver(thrown)) {
+        transaction = undefined
+        throw asTransactionLost(thrown)
+      }
+      throw thrown
+    }
+  }
+
+  const finish = (reply: HomeReply, group: Group): Answer => {
+    raiseFloor(reply.floor)
+    const { answer } = reply
+    if (answer.type === 'rows' && answer.rows.length > group.limits.answerRows) {
+      throw new RequestError('ran', 'AnswerTooLarge', { rows: answer.rows.length, limit: group.limits.answerRows })
+    }
+    return answer
+  }
+
+  const begin = async (): Promise<Answer> => {
+    await rollBack()
+    const id = `${host}:${client.connectionId}:${nextTransaction++}:${randomUUID()}`
+    const { home } = await requests.send({ ...base(undefined), type: 'begin', transactionId: id })
+    transaction = { id, home, statements: [], writes: false }
+    return EMPTY_ANSWER
+  }
+
+  const commit = async (hint: Hint): Promise<Answer> => {
+    const ending = transaction
+    transaction = undefined
+    if (ending === undefined) {
+      return EMPTY_ANSWER
+    }
+    const key = hint.key ?? createRequestKey()
+    const fingerprint = fingerprintOf(ending.statements)
+    const keyed = { ...base(undefined), key, fingerprint }
+    try {
+      const reply = await requests.sendTo(ending.home, {
+        ...keyed, type: 'commit', transactionId: ending.id, writes: ending.writes || hint.key !== undefined
+      })
+      raiseFloor(reply.floor)
+    } catch (thrown) {
+      if (!(thrown instanceof RequestError) || thrown.verdict !== 'may-have-run' || !ending.writes) {
+        throw isTransactionOver(thrown) ? asTransactionLost(thrown) : thrown
+      }
+      const { reply } = await requests.send({ ...keyed, type: 'settle' })
+      raiseFloor(reply.floor)
+    }
+    return EMPTY_ANSWER
+  }
+
+  const set = async (sql: string): Promise<Answer> => {
+    const setting = readSetting(sql)
+    if (setting.type === 'refused') {
+      throw new RequestError('not-run', 'UnsupportedStatement', { reason: setting.reason })
+    }
+    if (setting.type === 'hint') {
+      const value = setting.value === '' ? undefined : setting.value
+      const result = hintSchema.safeParse({ ...defaults, [setting.name]: value })
+      if (!result.success) {
+        throw new RequestError('not-run', 'MalformedHint', { reason: `unknown name worksward_${setting.name}` })
+      }
+      defaults = result.data
+    }
+    return EMPTY_ANSWER
+  }
+
+  const showToken = (): Answer => {
+    const token = tokens.seal({ id: sessionId, service, floors: Object.fromEntries(floors) })
+    return { type: 'rows', columns: [textColumn('@@worksward_session')], rows: [[Buffer.from(token)]] }
+  }
+
+  const selectDatabase = async (database: string): Promise<void> => {
+    if (transaction !== undefined) {
+      throw new RequestError('not-run', 'UnsupportedStatement', { reason: 'a transaction is open' })
+    }
+    const group = options.findGroup(database)
+    if (group?.services[service] === undefined) {
+      throw new RequestError('not-run', 'UnknownGroup', { group: database })
+    }
+    groupName = database
+  }
+
+  const handlers: Record<StatementClass, (statement: Statement, hint: Hint) => Promise<Answer>> = {
+    begin: async () => await begin(),
+    commit: async (_statement, hint) => await commit(hint),
+    rollback: async () => {
+      await rollBack()
+      return EMPTY_ANSWER
+    },
+    set: async ({ sql }) => await set(sql),
+    'session-token': async () => showToken(),
+    use: async ({ sql }) => {
+      await selectDatabase(/USE\s+`?([^`;\s]+)/i.exec(sql)?.[1] ?? '')
+      return EMPTY_ANSWER
+    },
+    refused: async () => {
+      throw new RequestError('not-run', 'UnsupportedStatement', { reason: 'connections are shared between callers' })
+    },
+    'implicit-commit': async (statement, hint) => {
+      if (transaction !== undefined) {
+        throw new RequestError('not-run', 'UnsupportedStatement', { reason: 'it would commit the open transaction' })
+      }
+      return await executePlain(statement, hint)
+    },
+    plain: executePlain
+  }
+
+  return {
+    execute: async (statement) => {
+      statements++
+      busy = true
+      try {
+        const hint = { ...defaults, ...readHint(statement.sql) }
+        if (hint.session !== undefined) {
+          enterSession(hint.session)
+        }
+        return await handlers[classifyStatement(statement.sql)](statement, hint)
+      } finally {
+        busy = false
+      }
+    },
+    selectDatabase,
+    reset: async () => {
+      await rollBack()
+      defaults = readHintValues(client.attributes)
+      sessionId = randomUUID()
+      sessionGiven = false
+      floors = new Map()
+    },
+    close: () => { void rollBack() },
+    state: () => ({
+      connection: client.connectionId,
+      service,
+      group: groupName,
+      session: sessionId,
+      inTransaction: transaction !== undefined,
+      busy,
+      statements
+    })
+  }
+}
+
+function checkSize ({ sql }: Statement, group: Group): void {
+  const bytes = Buffer.byteLength(sql)
+  if (bytes > group.limits.statementBytes) {
+    throw new RequestError('not-run', 'StatementTooLarge', { bytes, limit: group.limits.statementBytes })
+  }
+}
+
+/** Whether a failure means that the transaction is gone: its home or its connection is. */
+function isTransactionOver (thrown: unknown): thrown is RequestError {
+  return thrown instanceof RequestError &&
+    ['TransactionLost', 'PeerUnavailable', 'ConnectionLost', 'UnknownGroup'].includes(thrown.entry)
+}
+
+/** An uncommitted transaction whose home is gone is rolled back, whatever the link's own verdict. */
+function asTransactionLost (thrown: RequestError): RequestError {
+  return thrown.entry === 'TransactionLost'
+    ? thrown
+    : new RequestError('not-run', 'TransactionLost', { reason: thrown.message })
+}
--- /dev/null
+++ b/src/callers/index.ts
@@ -0,0 +1,115 @@
+/** Plug-in `callers`: takes callers over the MySQL protocol. */
+import type { ProxySettings } from '../core/config/index.ts'
+import { describeThrown, RequestError, WorkswardError } from '../core/errors/index.ts'
+import { registerPlugin } from '../core/kernel/index.ts'
+import { pause } from '../core/time/deadline.ts'
+import { MYSQL_ERROR } from '../mysql/consts.ts'
+import { listenMysql, type ClientHello, type Refusal } from '../mysql/server.ts'
+import { createSessionTokens } from '../sessions/session-token.ts'
+import { createCallerSession, type CallerSession, type CallerState } from './caller-session.ts'
+
+/** Service of the plug-in. */
+export interface Callers {
+  /** Port on which callers are taken. */
+  port: number
+  /** Callers that are connected. */
+  connections: () => CallerState[]
+}
+
+declare module '../core/kernel/index.ts' {
+  interface Services { callers: Callers }
+}
+
+/** Bytes a command may have at most, whatever the group's own limit. */
+const COMMAND_BYTES = 16_000_000
+const DRAIN_POLL_MS = 10
+
+/** A caller that is connected. */
+interface ConnectedCaller {
+  session: CallerSession
+  client: ClientHello
+}
+
+registerPlugin({
+  name: 'callers',
+  needs: ['configuration', 'routing', 'membership'],
+  start: async (context) => {
+    const settings = context.settings as ProxySettings
+    const configuration = context.use('configuration')
+    const requests = context.use('routing')
+    const membership = context.use('membership')
+    const tokens = createSessionTokens(settings.peers.key)
+    const callers = new Set<ConnectedCaller>()
+    let stopping = false
+
+    const server = await listenMysql({
+      address: settings.host.address,
+      port: settings.listen.callers,
+      statementBytes: COMMAND_BYTES,
+      findPasswordHash: (user, database) => {
+        const hash = configuration.group(database)?.services[user]?.passwordHash
+        return hash === undefined ? undefined : Buffer.from(hash, 'hex')
+      },
+      admit: async () => stopping || !configuration.ready
+        ? { code: 1053, message: `proxy ${settings.host.name} takes no callers now` }
+        : undefined,
+      serve: (client) => {
+        const session = createCallerSession({
+          host: settings.host.name, client, tokens, requests, findGroup: configuration.group
+        })
+        const caller = { session, client }
+        callers.add(caller)
+        return {
+          ...session,
+          close: () => {
+            callers.delete(caller)
+            session.close()
+          }
+        }
+      },
+      toRefusal
+    })
+
+    /** Ends callers that are between requests and outside a transaction. */
+    const endIdle = (): void => {
+      for (const { session, client } of callers) {
+        const { busy, inTransaction } = session.state()
+        if (!busy && !inTransaction) {
+          client.end()
+        }
+      }
+    }
+
+    return {
+      service: { port: server.port, connections: () => [...callers].map(({ session }) => session.state()) },
+      dump: () => ({ port: server.port, stopping, connections: callers.size }),
+      drain: async () => {
+        stopping = true
+        server.stopAccepting()
+        await membership.leave()
+        const until = performance.now() + settings.stopMs
+        while (callers.size > 0 && performance.now() < until) {
+          endIdle()
+          await pause(DRAIN_POLL_MS)
+        }
+        context.logger.log('info', 'callers.drained', { left: callers.size })
+      },
+      close: async () => {
+        callers.forEach(({ client }) => client.destroy())
+        await server.close()
+      }
+    }
+  }
+})
+
+/** Every error tells the verdict, so that the caller knows whether it may send the request again. */
+function toRefusal (thrown: unknown): Refusal {
+  if (thrown instanceof RequestError) {
+    const verdict = thrown.entry === 'StatementFailed' ? '' : ` [verdict: ${thrown.verdict}]`
+    return { code: thrown.mysqlCode, message: `${thrown.message}${verdict}` }
+  }
+  if (thrown instanceof WorkswardError) {
+    return { code: thrown.mysqlCode, message: thrown.message }
+  }
+  return { code: MYSQL_ERROR.unknown, message: `${describeThrown(thrown)} [verdict: may-have-run]` }
+}
--- /dev/null
+++ b/src/cli/proxy/index.ts
@@ -0,0 +1,18 @@
+/** `worksward-proxy`: takes callers and is home to some groups. */
+import { loadFile, proxySettingsSchema } from '../../core/config/index.ts'
+import { createLogger } from '../../core/logger/index.ts'
+import { createDialer } from '../../core/wire/dialer.ts'
+import { startProxy } from '../../processes/proxy.ts'
+import { runProgram, serveUntilStopped } from '../run-command.ts'
+
+await runProgram('worksward-proxy', (program) => {
+  program.command('<settings>', 'Run a proxy with a YAML settings file').action(async (file: string) => {
+    const settings = loadFile(file, proxySettingsSchema)
+    const logger = createLogger({ level: settings.log.level, fields: { host: settings.host.name } })
+    const kernel = await startProxy(settings, { logger, dialer: createDialer(settings.host.address) })
+    const callers = kernel.use('callers').port
+    const peers = kernel.use('peers').port
+    logger.log('info', 'process.started', { role: 'proxy', callers, peers, http: kernel.use('operators').port })
+    serveUntilStopped(kernel, logger)
+  })
+})
--- /dev/null
+++ b/src/cli/run-command.ts
@@ -0,0 +1,89 @@
+/** What all programs share: options, errors with hints, exit codes, signals. */
+import { cac, type CAC } from 'cac'
+import { writeSync } from 'node:fs'
+import { WorkswardError, describeThrown } from '../core/errors/index.ts'
+import type { Kernel } from '../core/kernel/index.ts'
+import type { Logger } from '../core/logger/index.ts'
+
+/** Exit code for a wrong command line or file. */
+export const EXIT_BAD_INPUT = 2
+const EXIT_FAILED = 1
+const VERSION = '0.1.0'
+const STANDARD_ERROR = 2
+
+/**
+ * Runs a program.
+ *
+ * @param name - its name
+ * @param define - adds commands to the command line
+ * @param argv - the arguments, as the process got them
+ */
+export async function runProgram (name: string, define: (program: CAC) => void, argv = process.argv): Promise<void> {
+  const program = cac(name)
+  define(program)
+  program.help()
+  program.version(VERSION)
+  try {
+    program.parse(argv, { run: false })
+    if (program.options['help'] === true || program.options['version'] === true) {
+      return
+    }
+    if (program.matchedCommand === undefined) {
+      throw new WorkswardError('InvalidCommand', { reason: describeUnknown(program) })
+    }
+    await program.runMatchedCommand()
+  } catch (thrown) {
+    reportFailure(name, thrown)
+  }
+}
+
+/**
+ * Prints an error with its hint and sets the exit code.
+ *
+ * @param name - name of the program
+ * @param thrown - the error
+ */
+export function reportFailure (name: string, thrown: unknown): void {
+  const known = thrown instanceof WorkswardError
+  const title = known ? `${thrown.title}: ` : ''
+  const hint = known ? `\n  hint: ${thrown.hint}` : ''
+  writeSync(STANDARD_ERROR, `${name}: ${title}${describeThrown(thrown)}${hint}\n`)
+  const badInput = known && ['InvalidSettings', 'UnreadableFile', 'InvalidCommand'].includes(thrown.entry)
+  const usage = thrown instanceof Error && thrown.name === 'CACError'
+  process.exitCode = badInput || usage ? EXIT_BAD_INPUT : EXIT_FAILED
+}
+
+/**
+ * Keeps a process running until it is told to stop: SIGTERM and SIGINT stop it as planned, SIGUSR2 dumps its state.
+ *
+ * @param kernel - the running process
+ * @param logger - for events
+ */
+export function serveUntilStopped (kernel: Kernel, logger: Logger): void {
+  let stopping = false
+  const stop = (signal: string): void => {
+    if (stopping) {
+      return
+    }
+    stopping = true
+    logger.log('info', 'process.stopping', { signal })
+    kernel.stop().then(() => {
+      logger.log('info', 'process.stopped')
+      process.exit(0)
+    }, (thrown: unknown) => {
+      logger.log('error', 'process.stop-failed', { reason: describeThrown(thrown) })
+      process.exit(EXIT_FAILED)
+    })
+  }
+  process.on('SIGTERM', () => stop('SIGTERM'))
+  process.on('SIGINT', () => stop('SIGINT'))
+  process.on('SIGUSR2', () => { process.stdout.write(JSON.stringify(kernel.dump(), null, 2) + '\n') })
+}
+
+function describeUnknown (program: CAC): string {
+  const [given] = program.args
+  const known = program.commands.map((command) => command.name).filter((name) => name !== '')
+  return given === undefined
+    ? `a command is missing; there are: ${known.join(', ')}`
+    : `unknown command '${given}'; there are: ${known.join(', ')}`
+}
--- /dev/null
+++ b/src/core/config/index.ts
@@ -0,0 +1,4 @@
+/** Configuration: schemas of settings and declarations, and the loader that checks files against them. */
+export * from './declarations.ts'
+export * from './settings.ts'
+export { loadFile, parseContent } from './load-file.ts'
--- /dev/null
+++ b/src/core/config/load-file.ts
@@ -0,0 +1,68 @@
+/** Reads a YAML file against a schema and reports each mistake with its path, line and reason. */
+import { readFileSync } from 'node:fs'
+import { LineCounter, parseDocument, type Document } from 'yaml'
+import type { z } from 'zod'
+import { WorkswardError, describeThrown, type FileMistake } from '../errors/index.ts'
+
+/**
+ * Reads and checks a YAML file.
+ *
+ * @param file - path of the file
+ * @param schema - what the file must satisfy
+ * @returns the checked content, defaults filled in
+ * @throws WorkswardError `UnreadableFile` or `InvalidSettings`
+ */
+export function loadFile<Schema extends z.ZodType> (file: string, schema: Schema): z.infer<Schema> {
+  return parseContent(file, readText(file), schema)
+}
+
+/**
+ * Checks YAML text.
+ *
+ * @param file - name to give in messages
+ * @param text - the YAML
+ * @param schema - what it must satisfy
+ * @returns the checked content, defaults filled in
+ * @throws WorkswardError `UnreadableFile` or `InvalidSettings`
+ */
+export function parseContent<Schema extends z.ZodType> (file: string, text: string, schema: Schema): z.infer<Schema> {
+  const lines = new LineCounter()
+  const document = parseDocument(text, { lineCounter: lines })
+  const broken = document.errors[0]
+  if (broken !== undefined) {
+    throw new WorkswardError('UnreadableFile', { file, reason: broken.message })
+  }
+  const result = schema.safeParse(document.toJS() ?? {})
+  if (result.success) {
+    return result.data
+  }
+  const mistakes = result.error.issues.map((issue): FileMistake => ({
+    file,
+    path: formatPath(issue.path),
+    line: findLine(document, lines, issue.path),
+    reason: issue.message
+  }))
+  throw new WorkswardError('InvalidSettings', { mistakes })
+}
+
+function readText (file: string): string {
+  try {
+    return readFileSync(file, 'utf8')
+  } catch (thrown) {
+    throw new WorkswardError('UnreadableFile', { file, reason: describeThrown(thrown) })
+  }
+}
+
+function formatPath (path: PropertyKey[]): string {
+  return path.map(String).join('.')
+}
+
+function findLine (document: Document, lines: LineCounter, path: PropertyKey[]): number | undefined {
+  for (let length = path.length; length > 0; length--) {
+    const node = document.getIn(path.slice(0, length), true) as { range?: [number, number, number] } | undefined
+    if (node?.range !== undefined) {
+      return lines.linePos(node.range[0]).line
+    }
+  }
+  return undefined
+}
--- /dev/null
+++ b/src/core/errors/catalogue.ts
@@ -0,0 +1,187 @@
+/**
+ * The one catalogue of errors: every error a person can meet, with a title, a message built from typed
+ * arguments and a hint that tells the reader what to do.
+ */
+
+/** One entry of the catalogue. */
+export interface CatalogueEntry<Arguments> {
+  /** Short title, the same for every occurrence. */
+  title: string
+  /** Builds the message from the arguments of one occurrence. */
+  message: (details: Arguments) => string
+  /** What the reader can do about it. */
+  hint: string
+  /** MySQL error code shown to callers; 1105 (unknown error) when absent. */
+  mysqlCode?: number
+}
+
+/** Declares an entry; it exists to infer the type of the arguments. */
+function entry<Arguments> (definition: CatalogueEntry<Arguments>): CatalogueEntry<Arguments> {
+  return definition
+}
+
+/** Where a mistake in a file is, and why it is one. */
+export interface FileMistake {
+  file: string
+  path: string
+  line?: number
+  reason: string
+}
+
+/** All errors by name. */
+export const catalogue = {
+  InvalidSettings: entry<{ mistakes: FileMistake[] }>({
+    title: 'Invalid file',
+    message: ({ mistakes }) => mistakes.map(describeMistake).join('\n'),
+    hint: 'Correct the named lines; examples/ holds complete files and every field is described in docs/OPERATING.md.'
+  }),
+  UnreadableFile: entry<{ file: string, reason: string }>({
+    title: 'File cannot be read',
+    message: ({ file, reason }) => `${file}: ${reason}`,
+    hint: 'Check the path and that the file is valid YAML.'
+  }),
+  MalformedHint: entry<{ reason: string }>({
+    title: 'Malformed request comment',
+    message: ({ reason }) => `the worksward comment of this statement cannot be read: ${reason}`,
+    hint: "Write it as /*worksward_kind='grid',worksward_session='...'*/ with URL-encoded values.",
+    mysqlCode: 1064
+  }),
+  UnknownKind: entry<{ kind: string, service: string, known: string[] }>({
+    title: 'Unknown request kind',
+    message: ({ kind, service, known }) =>
+      `service ${service} declares no request kind '${kind}'; it declares: ${known.join(', ') || 'none'}`,
+    hint: 'Use a declared kind, or declare this one under the service.',
+    mysqlCode: 1235
+  }),
+  UnknownGroup: entry<{ group: string }>({
+    title: 'Unknown database group',
+    message: ({ group }) => `no database group '${group}' is declared`,
+    hint: 'Connect with the name of a declared group as the database.',
+    mysqlCode: 1049
+  }),
+  AccessDenied: entry<{ user: string }>({
+    title: 'Access denied',
+    message: ({ user }) => `access denied for '${user}'`,
+    hint: 'Check the name and password of the service against its declaration.',
+    mysqlCode: 1045
+  }),
+  StatementTooLarge: entry<{ bytes: number, limit: number }>({
+    title: 'Statement too large',
+    message: ({ bytes, limit }) => `the statement has ${bytes} bytes; the limit is ${limit}`,
+    hint: 'Split the statement, or raise limits.statementBytes.',
+    mysqlCode: 1153
+  }),
+  AnswerTooLarge: entry<{ rows: number, limit: number }>({
+    title: 'Answer too large',
+    message: ({ rows, limit }) => `the answer has ${rows} rows; the limit is ${limit}`,
+    hint: 'Ask for fewer rows, or raise limits.answerRows.',
+    mysqlCode: 1104
+  }),
+  UnsupportedStatement: entry<{ reason: string }>({
+    title: 'Unsupported statement',
+    message: ({ reason }) => `this statement cannot be served: ${reason}`,
+    hint: 'See "What callers may send" in docs/OPERATING.md.',
+    mysqlCode: 1235
+  }),
+  InvalidToken: entry<{ reason: string }>({
+    title: 'Invalid session token',
+    message: ({ reason }) => `the session token is not accepted: ${reason}`,
+    hint: 'Present the token exactly as SELECT @@worksward_session returned it, or start a new session.',
+    mysqlCode: 1235
+  }),
+  Overloaded: entry<{ group: string, reason: string, retryAfterMs: number }>({
+    title: 'Overloaded',
+    message: ({ group, reason, retryAfterMs }) =>
+      `group ${group} cannot take the request: ${reason}; retry after ${retryAfterMs} ms`,
+    hint: 'The request did not run. Come back after the stated time.',
+    mysqlCode: 1040
+  }),
+  NoUpstream: entry<{ group: string, reason: string, retryAfterMs: number }>({
+    title: 'No fit upstream',
+    message: ({ group, reason, retryAfterMs }) =>
+      `no upstream of group ${group} can serve the request: ${reason}; retry after ${retryAfterMs} ms`,
+    hint: 'The request did not run. If it lasts, look at "show upstreams".',
+    mysqlCode: 2003
+  }),
+  DeadlineExceeded: entry<{ deadlineMs: number, stage: string }>({
+    title: 'Deadline exceeded',
+    message: ({ deadlineMs, stage }) => `the deadline of ${deadlineMs} ms passed while ${stage}`,
+    hint: 'The verdict says whether the request may have run; retry only what did not run or is idempotent.',
+    mysqlCode: 3024
+  }),
+  ConnectionLost: entry<{ upstream: string, reason: string }>({
+    title: 'Connection to the upstream lost',
+    message: ({ upstream, reason }) => `the connection to upstream ${upstream} was lost: ${reason}`,
+    hint: 'The verdict says whether the request may have run.',
+    mysqlCode: 2013
+  }),
+  NotAcknowledged: entry<{ group: string, reason: string }>({
+    title: 'Write not acknowledged',
+    message: ({ group, reason }) => `a write to group ${group} could not be acknowledged: ${reason}`,
+    hint: 'The request may have run. Repeat it with the same worksward_key to learn its outcome.',
+    mysqlCode: 1180
+  }),
+  KeyReused: entry<{ key: string }>({
+    title: 'Request key reused',
+    message: ({ key }) => `the request key '${key}' was used for another request; nothing was run`,
+    hint: 'Use a new key for each request, and the same key only to repeat the same request.',
+    mysqlCode: 1062
+  }),
+  KeyExpired: entry<{ key: string, retentionMs: number }>({
+    title: 'Request key too old',
+    message: ({ key, retentionMs }) => `the request key '${key}' is older than ${retentionMs} ms; nothing was run`,
+    hint: 'The record of this key may be gone. Check the data before sending the request under a new key.',
+    mysqlCode: 1235
+  }),
+  TransactionLost: entry<{ reason: string }>({
+    title: 'Transaction rolled back',
+    message: ({ reason }) => `the transaction was rolled back: ${reason}`,
+    hint: 'Nothing of the transaction took effect. Start it again.',
+    mysqlCode: 1213
+  }),
+  StatementFailed: entry<{ code: number, reason: string }>({
+    title: 'Statement failed',
+    message: ({ reason }) => reason,
+    hint: 'The upstream refused the statement; it had no effect.'
+  }),
+  PeerUnavailable: entry<{ peer: string, reason: string }>({
+    title: 'Peer unavailable',
+    message: ({ peer, reason }) => `peer ${peer} cannot be reached: ${reason}`,
+    hint: 'Look at "show proxies"; the request is tried at another home where that is safe.',
+    mysqlCode: 2003
+  }),
+  Stopping: entry<{ host: string }>({
+    title: 'Stopping',
+    message: ({ host }) => `proxy ${host} is stopping and takes no new work`,
+    hint: 'Connect again; the balancer leads to another proxy.',
+    mysqlCode: 1053
+  }),
+  ConfigurationConflict: entry<{ group: string, winner: string, version: number }>({
+    title: 'Conflicting change',
+    message: ({ group, winner, version }) =>
+      `group ${group} was changed meanwhile: change ${winner} made version ${version} and won`,
+    hint: 'Look at the winning change with "worksward query \'show history\'", then apply yours again.'
+  }),
+  PlatformUnavailable: entry<{ operation: string, reason: string }>({
+    title: 'Platform unavailable',
+    message: ({ operation, reason }) => `the platform did not answer ${operation}: ${reason}`,
+    hint: 'Data path and failover go on without it. Try again when the platform answers.'
+  }),
+  InvalidCommand: entry<{ reason: string }>({
+    title: 'Invalid command',
+    message: ({ reason }) => reason,
+    hint: 'See "worksward --help" and docs/OPERATING.md.'
+  })
+} as const
+
+/** Name of a catalogue entry. */
+export type ErrorName = keyof typeof catalogue
+
+/** Arguments of the entry with the given name. */
+export type ErrorDetails<Name extends ErrorName> =
+  (typeof catalogue)[Name] extends CatalogueEntry<infer Details> ? Details : never
+
+function describeMistake ({ file, path, line, reason }: FileMistake): string {
+  const place = line === undefined ? file : `${file}:${line}`
+  return `${place}: ${path || '(root)'}: ${reason}`
+}
--- /dev/null
+++ b/src/core/logger/index.ts
@@ -0,0 +1,77 @@
+/** Structured logs: one line of key=value pairs for each event, with a stable event name. */
+import winston from 'winston'
+
+/** Values a log line may carry. */
+export type LogFields = Record<string, string | number | boolean | undefined>
+
+/** Levels, most urgent first. */
+export const LOG_LEVELS = ['error', 'warn', 'info', 'debug'] as const
+
+/** One of {@link LOG_LEVELS}. */
+export type LogLevel = typeof LOG_LEVELS[number]
+
+/** Writes events. */
+export interface Logger {
+  /**
+   * Writes one event.
+   *
+   * @param level - urgency
+   * @param event - stable event name, listed in docs/EVENTS.md
+   * @param fields - further pairs
+   */
+  log: (level: LogLevel, event: string, fields?: LogFields) => void
+}
+
+/** Options of {@link createLogger}. */
+export interface LoggerOptions {
+  level: LogLevel | 'silent'
+  /** Pairs that stand on every line, such as the host. */
+  fields: LogFields
+  /** Where lines go; the process's standard error when absent. */
+  stream?: NodeJS.WritableStream
+}
+
+/**
+ * Creates a logger.
+ *
+ * @param options - level, common fields and target
+ * @returns the logger
+ */
+export function createLogger (options: LoggerOptions): Logger {
+  const stream = options.stream ?? process.stderr
+  const backend = winston.createLogger({
+    level: options.level === 'silent' ? 'error' : options.level,
+    silent: options.level === 'silent',
+    format: winston.format.printf((info) => String(info.message)),
+    transports: [new winston.transports.Stream({ stream })]
+  })
+  return {
+    log: (level, event, fields = {}) => {
+      if (!backend.isLevelEnabled(level)) {
+        return
+      }
+      const pairs = { time: new Date().toISOString(), level, event, ...options.fields, ...fields }
+      backend.log(level, formatPairs(pairs))
+    }
+  }
+}
+
+/** A logger that writes nothing, for tests and embedded use. */
+export const silentLogger: Logger = { log: () => {} }
+
+/**
+ * Formats pairs as one line.
+ *
+ * @param fields - the pairs; undefined values are left out
+ * @returns `key=value key="value with spaces"`
+ */
+export function formatPairs (fields: LogFields): string {
+  return Object.entries(fields)
+    .filter(([, value]) => value !== undefined)
+    .map(([key, value]) => `${key}=${formatValue(String(value))}`)
+    .join(' ')
+}
+
+function formatValue (value: string): string {
+  return /^[^\s"=]+$/.test(value) ? value : JSON.stringify(value)
+}
--- /dev/null
+++ b/src/embedded/deployment.ts
@@ -0,0 +1,249 @@
+/** A whole deployment in one process on loopback: stand-ins, proxies and keepers, each with a kernel of its own. */
+import { randomUUID } from 'node:crypto'
+import {
+  declarationsSchema, keeperSettingsSchema, proxySettingsSchema, standinSettingsSchema, type Declarations
+} from '../core/config/index.ts'
+import type { Kernel } from '../core/kernel/index.ts'
+import { silentLogger, type Logger } from '../core/logger/index.ts'
+import { pause } from '../core/time/deadline.ts'
+import { createConfigurationStore } from '../configuration/configuration-store.ts'
+import { doubleSha1 } from '../mysql/password.ts'
+import { connectPlatform } from '../platform/index.ts'
+import { startKeeper } from '../processes/keeper.ts'
+import { startProxy } from '../processes/proxy.ts'
+import { startStandins, type Standins } from '../standin/index.ts'
+import type { UpstreamServer } from '../standin/upstream-server.ts'
+import { createNetwork, type Network } from './network.ts'
+import {
+  EMBEDDED_ACCOUNT, EMBEDDED_KINDS, EMBEDDED_PASSWORD, EMBEDDED_SCHEMA, EMBEDDED_SERVICE, type DeploymentSizes
+} from './sizes.ts'
+
+const ADDRESS = '127.0.0.1'
+const PLATFORM = 'platform'
+const PEER_KEY = 'embedded-peer-key-0123456789'
+/** Time the deployment may take to elect its first primaries, in milliseconds. */
+const START_TIMEOUT_MS = 15_000
+
+/** Options of {@link startDeployment}. */
+export interface DeploymentOptions {
+  sizes: DeploymentSizes
+  logger?: Logger
+  /** Changes the declarations before they are applied. */
+  adjust?: (declarations: Declarations) => void
+  /** Whether to wait until every group has a primary. */
+  waitForPrimaries?: boolean
+}
+
+/** A host that runs one process of the product. */
+export interface DeployedHost {
+  name: string
+  failureDomain: string
+  kernel: Kernel
+  /** Port for callers; 0 for a keeper. */
+  callerPort: number
+  httpPort: number
+}
+
+/** A running deployment. */
+export interface Deployment {
+  network: Network
+  standins: Standins
+  proxies: DeployedHost[]
+  keepers: DeployedHost[]
+  declarations: Declarations
+  /** Starts one more proxy. */
+  addProxy: (name: string, failureDomain: string) => Promise<DeployedHost>
+  addKeeper: (name: string, failureDomain: string) => Promise<DeployedHost>
+  /** Starts a proxy in the place of one that was killed, on the same port for callers. */
+  replaceProxy: (index: number, callerPort: number) => Promise<void>
+  /** Kills a process without a planned stop. */
+  kill: (host: DeployedHost) => Promise<void>
+  /** Returns the stand-in of an upstream. */
+  upstream: (group: string, name: string) => UpstreamServer
+  /** Returns the stand-in that leads a group in the highest term. */
+  primaryOf: (group: string) => UpstreamServer
+  /** Waits until every group has a primary that takes writes. */
+  waitForPrimaries: () => Promise<void>
+  close: () => Promise<void>
+}
+
+/**
+ * Starts a deployment.
+ *
+ * @param options - sizes and logs
+ * @returns the running deployment
+ */
+export async function startDeployment (options: DeploymentOptions): Promise<Deployment> {
+  const { sizes, logger = silentLogger } = options
+  const network = createNetwork()
+  const standins = await startStandins(standinSettingsSchema.parse({
+    groups: Object.fromEntries(sizes.groups.map((group) => [group, {
+      ...pickUpstreamSizes(sizes),
+      account: EMBEDDED_ACCOUNT,
+      schema: EMBEDDED_SCHEMA,
+      upstreams: nameUpstreams(group, sizes)
+    }]))
+  }), logger)
+  const platformPort = Number(new URL(standins.platform.endpoint).port)
+  network.name(ADDRESS, platformPort, PLATFORM)
+  const declarations = declare(sizes, standins, network)
+  options.adjust?.(declarations)
+  const platform = {
+    tableEndpoint: standins.platform.endpoint,
+    objectEndpoint: standins.platform.endpoint,
+    accessKey: 'worksward',
+    secretKey: 'worksward-secret',
+    pollMs: 500
+  }
+  await applyFirst(declarations, platform, network)
+
+  const proxies: DeployedHost[] = []
+  const keepers: DeployedHost[] = []
+  const seeds: string[] = []
+
+  const common = (name: string, failureDomain: string) => ({
+    host: { name, address: ADDRESS, failureDomain },
+    platform,
+    peers: { key: PEER_KEY, seeds: [...seeds], heartbeatMs: 100 },
+    log: { level: 'silent' as const }
+  })
+  const register = (host: DeployedHost, role: 'proxy' | 'keeper'): DeployedHost => {
+    const { port } = host.kernel.use('peers')
+    network.name(ADDRESS, port, host.name)
+    seeds.push(`${ADDRESS}:${port}`)
+    const { name, failureDomain } = host
+    standins.platform.setHost({ host: name, role, failureDomain, address: ADDRESS, port, state: 'live' })
+    return host
+  }
+
+  const launchProxy = async (name: string, failureDomain: string, callers = 0): Promise<DeployedHost> => {
+    const settings = proxySettingsSchema.parse({
+      ...common(name, failureDomain), listen: { callers, peers: 0, http: 0 }
+    })
+    const kernel = await startProxy(settings, { logger, dialer: network.dialerOf(name) })
+    const callerPort = kernel.use('callers').port
+    return register({ name, failureDomain, kernel, callerPort, httpPort: kernel.use('operators').port }, 'proxy')
+  }
+  const addProxy = async (name: string, failureDomain: string): Promise<DeployedHost> => {
+    const host = await launchProxy(name, failureDomain)
+    proxies.push(host)
+    return host
+  }
+  const addKeeper = async (name: string, failureDomain: string): Promise<DeployedHost> => {
+    const settings = keeperSettingsSchema.parse({ ...common(name, failureDomain), listen: { peers: 0, http: 0 } })
+    const kernel = await startKeeper(settings, { logger, dialer: network.dialerOf(name) })
+    const host = { name, failureDomain, kernel, callerPort: 0, httpPort: kernel.use('operators').port }
+    keepers.push(register(host, 'keeper'))
+    return host
+  }
+
+  const domainOf = (index: number): string => sizes.failureDomains[index % sizes.failureDomains.length]!
+  for (let index = 0; index < sizes.proxies; index++) {
+    await addProxy(`proxy-${index + 1}`, domainOf(index))
+  }
+  for (let index = 0; index < sizes.keepers; index++) {
+    await addKeeper(`keeper-${index + 1}`, domainOf(index))
+  }
+
+  const findUpstream = (group: string, name: string): UpstreamServer => standins.groups.get(group)!.get(name)!
+  const primaryOf = (group: string): UpstreamServer => [...standins.groups.get(group)!.values()]
+    .filter(({ upstream }) => upstream.status().role === 'primary')
+    .sort((left, right) => right.upstream.status().term - left.upstream.status().term)[0]!
+
+  const waitForPrimaries = async (): Promise<void> => {
+    const until = performance.now() + START_TIMEOUT_MS
+    while (!sizes.groups.every((group) => followersOf(standins, group) === sizes.upstreamsPerGroup - 1)) {
+      if (performance.now() > until) {
+        throw new Error('the deployment has not elected its primaries in time')
+      }
+      await pause(10)
+    }
+  }
+
+  const deployment: Deployment = {
+    network,
+    standins,
+    proxies,
+    keepers,
+    declarations,
+    addProxy,
+    addKeeper,
+    replaceProxy: async (index, callerPort) => {
+      const { name, failureDomain } = proxies[index]!
+      proxies[index] = await launchProxy(`${name}-next`, failureDomain, callerPort)
+    },
+    kill: async (host) => {
+      network.isolate(host.name)
+      await host.kernel.close()
+    },
+    upstream: findUpstream,
+    primaryOf,
+    waitForPrimaries,
+    close: async () => {
+      await Promise.all([...proxies, ...keepers].map(async ({ kernel }) => await kernel.close()))
+      await standins.close()
+    }
+  }
+  if (options.waitForPrimaries !== false) {
+    await waitForPrimaries()
+    await waitUntilReady(deployment)
+  }
+  return deployment
+}
+
+function followersOf (standins: Standins, group: string): number {
+  const statuses = [...standins.groups.get(group)!.values()].map(({ upstream }) => upstream.status())
+  const primary = statuses.find(({ role, term, fencedTerm }) => role === 'primary' && fencedTerm === term)
+  return statuses.filter(({ role, term }) => role === 'replica' && term === primary?.term).length
+}
+
+async function waitUntilReady ({ proxies }: Deployment): Promise<void> {
+  const until = performance.now() + START_TIMEOUT_MS
+  const isReady = ({ kernel }: DeployedHost): boolean =>
+    kernel.use('configuration').ready && kernel.use('membership').present('proxy').length >= proxies.length
+  while (!proxies.every(isReady)) {
+    if (performance.now() > until) {
+      throw new Error('the proxies have not become ready in time')
+    }
+    await pause(10)
+  }
+}
+
+function pickUpstreamSizes ({ slots, connections, connectMs, readMs, writeMs, lagMs }: DeploymentSizes) {
+  return { slots, connections, connectMs, readMs, writeMs, lagMs }
+}
+
+function nameUpstreams (group: string, { upstreamsPerGroup }: DeploymentSizes): Array<{ name: string, port: number }> {
+  return Array.from({ length: upstreamsPerGroup }, (_value, index) => ({ name: `${group}-${index + 1}`, port: 0 }))
+}
+
+function declare (sizes: DeploymentSizes, standins: Standins, network: Network): Declarations {
+  const groups = sizes.groups.map((group) => {
+    const servers = [...standins.groups.get(group)!]
+    servers.forEach(([name, { port }]) => network.name(ADDRESS, port, name))
+    const upstreams = servers.map(([name, { port }], index) => ({
+      name, address: ADDRESS, port, failureDomain: sizes.failureDomains[index % sizes.failureDomains.length]!
+    }))
+    const passwordHash = doubleSha1(EMBEDDED_PASSWORD).toString('hex')
+    return [group, {
+      upstreams,
+      account: EMBEDDED_ACCOUNT,
+      services: { [EMBEDDED_SERVICE]: { passwordHash, kinds: EMBEDDED_KINDS } },
+      limits: { connections: sizes.connections, slots: sizes.slots }
+    }] as const
+  })
+  return declarationsSchema.parse({ groups: Object.fromEntries(groups) })
+}
+
+async function applyFirst (
+  declarations: Declarations, platform: { tableEndpoint: string }, network: Network
+): Promise<void> {
+  const settings = proxySettingsSchema.shape.platform.parse(platform)
+  const connection = connectPlatform(settings, network.dialerOf('operator'))
+  const store = createConfigurationStore(connection.table, connection.objects)
+  const groups = Object.entries(declarations.groups).map(([name, group]) => ({ name, group, baseVersion: 0 }))
+  await store.accept(groups, {
+    changeId: randomUUID(), operator: 'embedded', at: new Date().toISOString(), reason: 'first deployment'
+  })
+  connection.close()
+}
--- /dev/null
+++ b/src/failover/group-watch.ts
@@ -0,0 +1,234 @@
+/** Watches one group: probes its upstreams, suspects its primary, and acts when that is certain enough. */
+import type { Group, KeeperSettings } from '../core/config/index.ts'
+import type { Logger } from '../core/logger/index.ts'
+import { pause } from '../core/time/deadline.ts'
+import type { Dialer } from '../core/wire/dialer.ts'
+import { GroupView, type Leadership } from '../upstreams/group-view.ts'
+import { electPrimary, follow } from './election.ts'
+import { createSuspicion, REQUIRED_DOMAINS, type Observation } from './suspicion.ts'
+
+/** Options of {@link createGroupWatch}. */
+export interface GroupWatchOptions {
+  name: string
+  group: Group
+  settings: KeeperSettings
+  dialer: Dialer
+  logger: Logger
+  /** Place of this keeper among the keepers of the group; the first acts first. */
+  rank: () => number
+  /** Tells the other keepers of the group what was seen. */
+  spreadEvidence: (observation: Observation) => void
+  /** Tells homes and keepers of a new primary. */
+  announce: (leadership: Leadership) => void
+}
+
+/** A watched group. */
+export interface GroupWatch {
+  readonly view: GroupView
+  /** Takes what somebody else has seen. */
+  hear: (observation: Observation) => void
+  /** Takes word of a new primary. */
+  hearLeadership: (leadership: Leadership) => void
+  /** Makes another primary on an operator's word; returns what came of it. */
+  promote: (upstream?: string) => Promise<string>
+  update: (group: Group) => void
+  dump: () => unknown
+  close: () => void
+}
+
+/** Rounds after which all upstreams are probed, not the primary alone. */
+const FULL_ROUND = 5
+/** Rounds for which a half-finished fencing is left to its maker. */
+const STUCK_ROUNDS = 15
+/** Greatest random addition to a wait, as a part of it. */
+const JITTER = 0.5
+
+/**
+ * Starts watching a group.
+ *
+ * @param options - the group, and whom to tell
+ * @returns the watch
+ */
+export function createGroupWatch (options: GroupWatchOptions): GroupWatch {
+  const { name, logger, settings } = options
+  const { probeMs, timeoutMs, failures: failuresNeeded, staggerMs } = settings.watch
+  const suspicion = createSuspicion()
+  let group = options.group
+  let failures = 0
+  let round = 0
+  let stuckRounds = 0
+  let electing = false
+  const state = { closed: false }
+  let reportedTerm = -1
+  let promotions = 0
+
+  const view = new GroupView({
+    name,
+    group,
+    dialer: options.dialer,
+    statusTimeoutMs: timeoutMs,
+    onLeadership: ({ term, primary }) => {
+      failures = 0
+      suspicion.clear()
+      logger.log('info', 'failover.leadership', { group: name, term, primary })
+    }
+  })
+
+  const probePrimary = async (): Promise<void> => {
+    const { primary, term } = view.leadership
+    const channel = view.upstreams.get(primary)?.channel
+    if (channel === undefined) {
+      return
+    }
+    try {
+      await channel.fresh()
+      failures = 0
+    } catch (thrown) {
+      failures += isRefusal(thrown) ? failuresNeeded : 1
+      if (failures >= failuresNeeded && term === view.leadership.term) {
+        const observation = { upstream: primary, term, failureDomain: settings.host.failureDomain }
+        suspicion.observe(observation)
+        options.spreadEvidence(observation)
+      }
+    }
+  }
+
+  const probeAll = async (): Promise<void> => {
+    const channels = view.replicaNames.map((replica) => view.upstreams.get(replica)!.channel)
+    await Promise.allSettled(channels.map(async (channel) => await channel.fresh()))
+  }
+
+  /** Why a new primary is needed, if it is. */
+  const findReason = (): string | undefined => {
+    const { primary, term } = view.leadership
+    if (term === 0) {
+      return 'no primary was ever made'
+    }
+    if (view.upstreams.get(primary)?.deposed === true && stuckRounds > STUCK_ROUNDS) {
+      return 'the primary was fenced and has no successor'
+    }
+    if (failures >= failuresNeeded && suspicion.domains(primary, term) >= REQUIRED_DOMAINS) {
+      return `the primary does not answer observers in ${REQUIRED_DOMAINS} failure domains`
+    }
+    return undefined
+  }
+
+  const elect = async (reason: string, preferred: string | undefined, planned: boolean): Promise<string> => {
+    if (electing) {
+      return 'another change of primary is in progress'
+    }
+    electing = true
+    try {
+      logger.log('warn', 'failover.started', { group: name, reason, term: view.leadership.term })
+      const result = await electPrimary({ view, preferred, planned })
+      if (result.type === 'failed') {
+        logger.log('warn', 'failover.failed', { group: name, term: result.term, reason: result.reason })
+        await pause(Math.random() * staggerMs)
+        return result.reason
+      }
+      promotions++
+      view.announce(result)
+      options.announce(result)
+      logger.log('info', 'failover.done', { group: name, term: result.term, primary: result.primary })
+      return `${result.primary} is primary in term ${result.term}`
+    } finally {
+      electing = false
+    }
+  }
+
+  const actIfNeeded = async (): Promise<void> => {
+    const reason = findReason()
+    if (reason === undefined || electing) {
+      return
+    }
+    const { term } = view.leadership
+    if (group.duties.promotion !== 'act') {
+      if (group.duties.promotion === 'observe' && reportedTerm !== term) {
+        reportedTerm = term
+        logger.log('warn', 'failover.would-promote', { group: name, term, reason })
+      }
+      return
+    }
+    await pause(options.rank() * staggerMs * (1 + Math.random() * JITTER))
+    if (!state.closed && view.leadership.term === term && findReason() !== undefined) {
+      await elect(reason, undefined, false)
+    }
+  }
+
+  /** A primary that leaves hands over to a replica that stays. */
+  const handOverIfLeaving = async (): Promise<void> => {
+    const { primary } = view.leadership
+    const duties = group.duties.draining === 'act' && group.duties.promotion === 'act'
+    if (!duties || options.rank() !== 0 || electing || view.usablePrimary === undefined || !view.isLeaving(primary)) {
+      return
+    }
+    const successor = view.replicaNames.find((replica) => view.takesWork(replica))
+    if (successor !== undefined) {
+      await elect(`primary ${primary} is leaving`, successor, true)
+    }
+  }
+
+  /** Lets upstreams follow that do not: one that came back, or one whose keeper died half-way. */
+  const repair = async (): Promise<void> => {
+    const { primary, term } = view.leadership
+    if (group.duties.promotion !== 'act' || term === 0 || electing) {
+      return
+    }
+    let stuck = view.upstreams.get(primary)?.deposed === true
+    for (const replica of view.replicaNames) {
+      const upstream = view.upstreams.get(replica)!
+      const status = upstream.channel.latest?.status
+      if (status === undefined || !upstream.reachable) {
+        continue
+      }
+      stuck ||= status.fencedTerm > term
+      if (status.term < term || status.primary !== primary) {
+        await follow(upstream, primary, term)
+      }
+    }
+    stuckRounds = stuck ? stuckRounds + 1 : 0
+    if (stuckRounds > STUCK_ROUNDS && options.rank() === 0 && view.usablePrimary !== undefined) {
+      stuckRounds = 0
+      await elect('an upstream was fenced by an election that did not end', primary, false)
+    }
+  }
+
+  const watch = async (): Promise<void> => {
+    while (!state.closed) {
+      round++
+      const full = round % FULL_ROUND === 0 || view.usablePrimary === undefined
+      await Promise.allSettled([probePrimary(), full ? probeAll() : undefined])
+      await actIfNeeded()
+      if (full) {
+        await repair()
+        await handOverIfLeaving()
+      }
+      await pause(probeMs)
+    }
+  }
+  void watch()
+
+  return {
+    view,
+    hear: (observation) => suspicion.observe(observation),
+    hearLeadership: (leadership) => view.announce(leadership),
+    promote: async (upstream) => {
+      const target = upstream ?? view.replicaNames.find((replica) => view.takesWork(replica))
+      return await elect('an operator ordered it', target, true)
+    },
+    update: (changed) => {
+      group = changed
+      view.update(changed)
+    },
+    dump: () => ({ view: view.dump(), failures, electing, promotions, duty: group.duties.promotion }),
+    close: () => {
+      state.closed = true
+      view.close()
+    }
+  }
+}
+
+/** A refused connection says that the process is down; there is no need to ask again. */
+function isRefusal (thrown: unknown): boolean {
+  return thrown instanceof Error && /ECONNREFUSED|ECONNRESET|broke before the answer/.test(thrown.message)
+}
--- /dev/null
+++ b/src/failover/suspicion.ts
@@ -0,0 +1,53 @@
+/** Who has seen a primary fail. A promotion needs observers in two failure domains: one cut link is no reason. */
+
+/** Time for which an observation counts, in milliseconds. */
+const OBSERVATION_MS = 1000
+/** Failure domains that must agree. */
+export const REQUIRED_DOMAINS = 2
+
+/** An observation of a failure. */
+export interface Observation {
+  upstream: string
+  term: number
+  failureDomain: string
+}
+
+/** Collects observations of one group. */
+export interface Suspicion {
+  /** Takes an observation made now. */
+  observe: (observation: Observation) => void
+  /**
+   * Counts the failure domains that have lately seen an upstream fail in a term.
+   *
+   * @param upstream - the upstream
+   * @param term - the term
+   * @returns their number
+   */
+  domains: (upstream: string, term: number) => number
+  /** Forgets all, after the upstream answered. */
+  clear: () => void
+}
+
+/**
+ * Creates an empty collection.
+ *
+ * @returns the collection
+ */
+export function createSuspicion (): Suspicion {
+  const seenAt = new Map<string, number>()
+  const keyOf = ({ upstream, term, failureDomain }: Observation): string => `${upstream}\0${term}\0${failureDomain}`
+  return {
+    observe: (observation) => seenAt.set(keyOf(observation), performance.now()),
+    domains: (upstream, term) => {
+      const now = performance.now()
+      for (const [key, at] of seenAt) {
+        if (now - at > OBSERVATION_MS) {
+          seenAt.delete(key)
+        }
+      }
+      const prefix = `${upstream}\0${term}\0`
+      return [...seenAt.keys()].filter((key) => key.startsWith(prefix)).length
+    },
+    clear: () => seenAt.clear()
+  }
+}
--- /dev/null
+++ b/src/load/summary.ts
@@ -0,0 +1,102 @@
+/** Figures from a history: throughput, latency, and the gap of a failover as callers see it. */
+import { build, type Histogram } from 'hdr-histogram-js'
+import type { HistoryEvent } from './history.ts'
+
+/** Figures of one run. */
+export interface Summary {
+  operations: number
+  done: number
+  notRun: number
+  mayHaveRun: number
+  perSecond: number
+  readP50Ms: number
+  readP99Ms: number
+  writeP50Ms: number
+  writeP99Ms: number
+}
+
+const MICROSECONDS = 1000
+const HIGHEST_MICROSECONDS = 60_000_000
+
+/**
+ * Creates a histogram of times.
+ *
+ * @returns the histogram, in microseconds
+ */
+export function createTimeHistogram (): Histogram {
+  return build({
+    lowestDiscernibleValue: 1,
+    highestTrackableValue: HIGHEST_MICROSECONDS,
+    numberOfSignificantValueDigits: 3
+  })
+}
+
+/**
+ * Records a time.
+ *
+ * @param histogram - where to record it
+ * @param durationMs - the time, in milliseconds
+ */
+export function recordTime (histogram: Histogram, durationMs: number): void {
+  histogram.recordValue(Math.min(HIGHEST_MICROSECONDS, Math.max(1, Math.round(durationMs * MICROSECONDS))))
+}
+
+/**
+ * Reads a percentile.
+ *
+ * @param histogram - a histogram of times
+ * @param percentile - 0 to 100
+ * @returns milliseconds with two decimals
+ */
+export function percentileMs (histogram: Histogram, percentile: number): number {
+  return Math.round(histogram.getValueAtPercentile(percentile) / MICROSECONDS * 100) / 100
+}
+
+/**
+ * Sums a run up.
+ *
+ * @param events - the run
+ * @returns its figures
+ */
+export function summarize (events: HistoryEvent[]): Summary {
+  const reads = createTimeHistogram()
+  const writes = createTimeHistogram()
+  const done = events.filter(({ outcome }) => outcome.type === 'done')
+  for (const event of done) {
+    const isWrite = event.operation.type === 'purchase' || event.operation.type === 'transfer'
+    recordTime(isWrite ? writes : reads, event.endedAt - event.startedAt)
+  }
+  const lastEnd = events.reduce((latest, { endedAt }) => Math.max(latest, endedAt), 1)
+  const refusedAs = (verdict: string): number =>
+    events.filter(({ outcome }) => outcome.type === 'refused' && outcome.verdict === verdict).length
+  return {
+    operations: events.length,
+    done: done.length,
+    notRun: refusedAs('not-run'),
+    mayHaveRun: refusedAs('may-have-run'),
+    perSecond: Math.round(done.length / lastEnd * 1000),
+    readP50Ms: percentileMs(reads, 50),
+    readP99Ms: percentileMs(reads, 99),
+    writeP50Ms: percentileMs(writes, 50),
+    writeP99Ms: percentileMs(writes, 99)
+  }
+}
+
+/**
+ * Finds the gap around a failover: from the last acknowledged write that began before it to the end of the first
+ * acknowledged write that began after it.
+ *
+ * @param events - the run
+ * @param failedAt - when the primary failed, in milliseconds since the run began
+ * @returns the gap in milliseconds, or undefined when no write was acknowledged after it
+ */
+export function failoverGapMs (events: HistoryEvent[], failedAt: number): number | undefined {
+  const writes = events.filter(({ operation, outcome }) =>
+    outcome.type === 'done' && (operation.type === 'purchase' || operation.type === 'transfer'))
+  const before = writes.filter(({ endedAt }) => endedAt <= failedAt).map(({ endedAt }) => endedAt)
+  const after = writes.filter(({ endedAt }) => endedAt > failedAt).map(({ endedAt }) => endedAt)
+  if (after.length === 0) {
+    return undefined
+  }
+  return Math.min(...after) - Math.max(0, ...before)
+}
--- /dev/null
+++ b/src/mysql/client.ts
@@ -0,0 +1,212 @@
+/** One connection to an upstream, with its errors turned into verdicts. */
+import mysql, { type Connection, type FieldPacket, type QueryError } from 'mysql2'
+import { RequestError, type Verdict } from '../core/errors/index.ts'
+import type { Dialer, Endpoint } from '../core/wire/dialer.ts'
+import type { Answer, Cell, Column, Statement } from './types.ts'
+
+/** Where an upstream is and how to log in. */
+export interface UpstreamAccess extends Endpoint {
+  /** Name of the upstream, for messages. */
+  name: string
+  user: string
+  password: string
+  database: string
+}
+
+/** Options of {@link openClient}. */
+export interface ClientOptions {
+  access: UpstreamAccess
+  dialer: Dialer
+  /** Time to connect and log in, in milliseconds. */
+  connectTimeoutMs: number
+}
+
+/** A connection to an upstream. */
+export interface Client {
+  /** False once the connection has failed or been closed. */
+  readonly usable: boolean
+  /**
+   * Runs a statement.
+   *
+   * @param statement - the statement
+   * @param timeoutMs - time after which the connection is given up, in milliseconds
+   * @param lostVerdict - the verdict to give when the connection breaks before the answer
+   * @returns the answer
+   * @throws RequestError `StatementFailed`, `ConnectionLost` or `DeadlineExceeded`
+   */
+  run: (statement: Statement, timeoutMs: number, lostVerdict: Verdict) => Promise<Answer>
+  /** Clears transaction, variables and prepared statements. */
+  reset: (timeoutMs: number) => Promise<void>
+  /** Ends the connection at once. */
+  close: () => void
+  /** Called once when the connection is no longer usable. */
+  onClose: (listener: () => void) => void
+}
+
+const MAXIMUM_PREPARED_STATEMENTS = 200
+
+/**
+ * Connects to an upstream.
+ *
+ * @param options - where, and how
+ * @returns the connection
+ * @throws RequestError `ConnectionLost` with verdict `not-run`
+ */
+export async function openClient ({ access, dialer, connectTimeoutMs }: ClientOptions): Promise<Client> {
+  const connection = mysql.createConnection({
+    user: access.user,
+    password: access.password,
+    database: access.database,
+    stream: () => dialer(access),
+    connectTimeout: connectTimeoutMs,
+    maxPreparedStatements: MAXIMUM_PREPARED_STATEMENTS,
+    supportBigNumbers: true,
+    bigNumberStrings: true,
+    dateStrings: true,
+    disableEval: false
+  } as mysql.ConnectionOptions)
+  await new Promise<void>((resolve, reject) => {
+    const timer = setTimeout(() => fail(new Error('no answer to the connection attempt')), connectTimeoutMs)
+    const fail = (error: Error): void => {
+      clearTimeout(timer)
+      connection.destroy()
+      reject(lost(access.name, error.message, 'not-run'))
+    }
+    connection.once('error', fail)
+    connection.connect((error) => {
+      clearTimeout(timer)
+      if (error !== null && error !== undefined) {
+        fail(error)
+        return
+      }
+      connection.off('error', fail)
+      resolve()
+    })
+  })
+  return wrapConnection(connection, access.name)
+}
+
+function wrapConnection (connection: Connection, upstream: string): Client {
+  let usable = true
+  const listeners: Array<() => void> = []
+  const giveUp = (): void => {
+    if (!usable) {
+      return
+    }
+    usable = false
+    connection.destroy()
+    listeners.forEach((listener) => listener())
+  }
+  const stream = (connection as unknown as { stream: import('node:net').Socket }).stream
+  connection.on('error', giveUp)
+  stream.once('close', giveUp)
+
+  const withTimeout = async <Result>(
+    timeoutMs: number,
+    lostVerdict: Verdict,
+    start: (done: (error: QueryError | null, result?: Result) => void) => void
+  ): Promise<Result> => await new Promise<Result>((resolve, reject) => {
+    if (!usable) {
+      reject(lost(upstream, 'it was closed', 'not-run'))
+      return
+    }
+    const onLost = (): void => finish(() => reject(lost(upstream, 'it broke before the answer', lostVerdict)))
+    const timer = setTimeout(() => {
+      finish(() => reject(new RequestError(lostVerdict, 'DeadlineExceeded', {
+        deadlineMs: timeoutMs, stage: `waiting for upstream ${upstream}`
+      })))
+      giveUp()
+    }, timeoutMs)
+    let finished = false
+    const finish = (settle: () => void): void => {
+      if (finished) {
+        return
+      }
+      finished = true
+      clearTimeout(timer)
+      listeners.splice(listeners.indexOf(onLost), 1)
+      settle()
+    }
+    listeners.push(onLost)
+    start((error, result) => finish(() => {
+      if (error === null) {
+        resolve(result as Result)
+        return
+      }
+      reject(toError(error, upstream, lostVerdict))
+    }))
+  })
+
+  return {
+    get usable () { return usable },
+    run: async (statement, timeoutMs, lostVerdict) =>
+      await withTimeout<Answer>(timeoutMs, lostVerdict, (done) => startStatement(connection, statement, done)),
+    reset: async (timeoutMs) => {
+      await withTimeout<void>(timeoutMs, 'not-run', (done) => connection.reset((error) => done(error)))
+    },
+    close: giveUp,
+    onClose: (listener) => { usable ? listeners.push(listener) : listener() }
+  }
+}
+
+function startStatement (
+  connection: Connection,
+  { sql, values }: Statement,
+  done: (error: QueryError | null, result?: Answer) => void
+): void {
+  const onResult = (error: QueryError | null, result: unknown, fields?: FieldPacket[]): void => {
+    if (error !== null) {
+      done(error)
+      return
+    }
+    done(null, toAnswer(result, fields))
+  }
+  if (values === undefined) {
+    connection.query({ sql, rowsAsArray: true, typeCast: false }, onResult)
+    return
+  }
+  connection.execute({ sql, values: values as never, rowsAsArray: true }, onResult)
+}
+
+function toAnswer (result: unknown, fields: FieldPacket[] | undefined): Answer {
+  const isProcedure = Array.isArray(fields?.[0])
+  if (isProcedure) {
+    return toAnswer((result as unknown[])[0], fields![0] as unknown as FieldPacket[])
+  }
+  if (fields === undefined || !Array.isArray(result)) {
+    const { affectedRows, insertId } = result as { affectedRows: number, insertId: number }
+    return { type: 'done', affectedRows, insertId }
+  }
+  return { type: 'rows', columns: fields.map(toColumn), rows: result.map((row: unknown[]) => row.map(toCell)) }
+}
+
+function toColumn (field: FieldPacket): Column {
+  const definition = field as unknown as Column
+  return {
+    name: definition.name,
+    type: definition.type,
+    flags: Number(definition.flags),
+    characterSet: definition.characterSet,
+    columnLength: definition.columnLength,
+    decimals: definition.decimals
+  }
+}
+
+function toCell (value: unknown): Cell {
+  if (value === null || value === undefined) {
+    return null
+  }
+  return Buffer.isBuffer(value) ? value : Buffer.from(String(value))
+}
+
+function toError (error: QueryError, upstream: string, lostVerdict: Verdict): RequestError {
+  const fromServer = error.errno !== undefined && error.errno > 0 && error.sqlState !== undefined && !error.fatal
+  if (fromServer) {
+    return new RequestError('not-run', 'StatementFailed', { code: error.errno!, reason: error.message })
+  }
+  return lost(upstream, error.message, lostVerdict)
+}
+
+function lost (upstream: string, reason: string, verdict: Verdict): RequestError {
+  return new RequestError(verdict, 'ConnectionLost', { upstream, reason })
+}
--- /dev/null
+++ b/src/peers/index.ts
@@ -0,0 +1,57 @@
+/** Plug-in `peers`: owns the links to other processes and the handlers for their requests. */
+import type { MemberSettings } from '../core/config/index.ts'
+import { registerPlugin } from '../core/kernel/index.ts'
+import type { Endpoint } from '../core/wire/dialer.ts'
+import { createPeerClient } from './peer-client.ts'
+import { listenForPeers } from './peer-server.ts'
+import type { PeerHandler } from './types.ts'
+
+/** Service of the plug-in. */
+export interface Peers {
+  /** Port on which this process answers peers. */
+  port: number
+  /** Sends a request; see {@link PeerClient.request}. */
+  request: (endpoint: Endpoint, type: string, body: unknown, timeoutMs: number) => Promise<unknown>
+  /** Registers the handler for a type of request. */
+  handle: (type: string, handler: PeerHandler) => void
+  /** Requests of peers in progress here. */
+  readonly inProgress: number
+}
+
+declare module '../core/kernel/index.ts' {
+  interface Services { peers: Peers }
+}
+
+registerPlugin({
+  name: 'peers',
+  needs: [],
+  start: async (context) => {
+    const settings = context.settings as MemberSettings
+    const handlers = new Map<string, PeerHandler>()
+    const { key } = settings.peers
+    const host = settings.host.name
+    const server = await listenForPeers({
+      host, key, handlers, address: settings.host.address, port: settings.listen.peers, logger: context.logger
+    })
+    const client = createPeerClient({ host, key, dialer: context.dialer })
+    return {
+      service: {
+        port: server.port,
+        request: client.request,
+        handle: (type, handler) => handlers.set(type, handler),
+        get inProgress () { return server.inProgress }
+      },
+      dump: () => ({
+        port: server.port,
+        linksIn: server.links,
+        linksOut: client.links,
+        inProgress: server.inProgress,
+        lateAnswers: client.lateAnswers
+      }),
+      close: async () => {
+        client.close()
+        await server.close()
+      }
+    }
+  }
+})
--- /dev/null
+++ b/src/peers/peer-client.ts
@@ -0,0 +1,194 @@
+/** The asking side of peer links: one link to each peer, many requests at a time. */
+import type { Socket } from 'node:net'
+import { RequestError, type ErrorDetails, type ErrorName, type Verdict } from '../core/errors/index.ts'
+import { formatEndpoint, type Dialer, type Endpoint } from '../core/wire/dialer.ts'
+import { attachFrames, type FrameStream } from '../core/wire/frames.ts'
+import { createNonce, proveKey, sameProof } from './authentication.ts'
+import { challengeSchema, replyFrameSchema, welcomeSchema, type ReplyFrame } from './types.ts'
+
+/** Options of {@link createPeerClient}. */
+export interface PeerClientOptions {
+  host: string
+  key: string
+  dialer: Dialer
+}
+
+/** Asks peers. */
+export interface PeerClient {
+  /**
+   * Sends a request and waits for its answer.
+   *
+   * @param endpoint - the peer
+   * @param type - type of the request
+   * @param body - its content
+   * @param timeoutMs - greatest wait; an answer that comes later is dropped
+   * @returns the body of the answer
+   * @throws RequestError with verdict `not-run` when it was not sent, `may-have-run` when the answer is missing
+   */
+  request: (endpoint: Endpoint, type: string, body: unknown, timeoutMs: number) => Promise<unknown>
+  /** Answers that came after their request was given up. */
+  readonly lateAnswers: number
+  /** Open links. */
+  readonly links: number
+  close: () => void
+}
+
+/** Time to connect and authenticate, in milliseconds. */
+const CONNECT_TIMEOUT_MS = 500
+
+/** Links kept open; the least recently used is closed beyond that. */
+const KEPT_LINKS = 64
+
+/** A request that waits for its answer. */
+interface PendingRequest {
+  resolve: (body: unknown) => void
+  reject: (error: RequestError) => void
+  timer: NodeJS.Timeout
+}
+
+/** How far the handshake of a link has come. */
+type LinkStage = 'challenge' | 'welcome' | 'open'
+
+/** An authenticated link. */
+interface OpenLink {
+  socket: Socket
+  frames: FrameStream
+  pending: Map<number, PendingRequest>
+}
+
+/**
+ * Creates the asking side.
+ *
+ * @param options - identity, key and dialer
+ * @returns the client; links are opened when needed
+ */
+export function createPeerClient (options: PeerClientOptions): PeerClient {
+  const links = new Map<string, Promise<OpenLink>>()
+  const sockets = new Set<Socket>()
+  let nextId = 1
+  let lateAnswers = 0
+
+  const takeReply = (link: OpenLink, reply: ReplyFrame): void => {
+    const pending = link.pending.get(reply.id)
+    if (pending === undefined) {
+      lateAnswers++
+      return
+    }
+    link.pending.delete(reply.id)
+    clearTimeout(pending.timer)
+    if (reply.failure === undefined) {
+      pending.resolve(reply.body)
+      return
+    }
+    const { verdict, entry, details } = reply.failure
+    pending.reject(new RequestError(verdict, entry as ErrorName, details as ErrorDetails<ErrorName>))
+  }
+
+  const open = async (endpoint: Endpoint, name: string): Promise<OpenLink> => {
+    const socket = options.dialer(endpoint)
+    sockets.add(socket)
+    const link = await authenticate(socket, options, name, takeReply)
+    return link
+  }
+
+  const linkTo = (endpoint: Endpoint): Promise<OpenLink> => {
+    const name = formatEndpoint(endpoint)
+    const existing = links.get(name)
+    if (existing !== undefined) {
+      links.delete(name)
+      links.set(name, existing)
+      return existing
+    }
+    const opening = open(endpoint, name)
+    links.set(name, opening)
+    const forget = (): void => {
+      if (links.get(name) === opening) {
+        links.delete(name)
+      }
+    }
+    opening.then((link) => link.socket.once('close', () => {
+      sockets.delete(link.socket)
+      forget()
+    }), forget)
+    void closeIdleLinks(links)
+    return opening
+  }
+
+  return {
+    get lateAnswers () { return lateAnswers },
+    get links () { return links.size },
+    request: async (endpoint, type, body, timeoutMs) => {
+      const name = formatEndpoint(endpoint)
+      const link = await linkTo(endpoint)
+      return await new Promise((resolve, reject) => {
+        const id = nextId++
+        const timer = setTimeout(() => {
+          link.pending.delete(id)
+          reject(unavailable(name, 'no answer in time', 'may-have-run'))
+        }, timeoutMs)
+        link.pending.set(id, { resolve, reject, timer })
+        link.frames.send({ id, type, body })
+      })
+    },
+    close: () => sockets.forEach((socket) => socket.destroy())
+  }
+}
+
+async function closeIdleLinks (links: Map<string, Promise<OpenLink>>): Promise<void> {
+  for (const opening of [...links.values()].slice(0, Math.max(0, links.size - KEPT_LINKS))) {
+    const link = await opening.catch(() => undefined)
+    if (link?.pending.size === 0) {
+      link.socket.destroy()
+    }
+  }
+}
+
+async function authenticate (
+  socket: Socket, { host, key }: PeerClientOptions, name: string, takeReply: (link: OpenLink, reply: ReplyFrame) => void
+): Promise<OpenLink> {
+  return await new Promise((resolve, reject) => {
+    const nonce = createNonce()
+    const pending = new Map<number, PendingRequest>()
+    let stage: LinkStage = 'challenge'
+    const fail = (reason: string): void => {
+      clearTimeout(timer)
+      socket.destroy()
+      const verdict: Verdict = 'may-have-run'
+      pending.forEach((request) => {
+        clearTimeout(request.timer)
+        request.reject(unavailable(name, reason, verdict))
+      })
+      pending.clear()
+      reject(unavailable(name, reason, 'not-run'))
+    }
+    const timer = setTimeout(() => fail('no answer to the connection attempt'), CONNECT_TIMEOUT_MS)
+    socket.on('error', (error) => fail(error.message))
+    socket.once('close', () => fail('the link was closed'))
+
+    const stages: Record<LinkStage, (value: unknown) => void> = {
+      challenge: (value) => {
+        const challenge = challengeSchema.parse(value)
+        frames.send({ type: 'hello', host, proof: proveKey(key, 'client', challenge.nonce, host), nonce })
+        stage = 'welcome'
+      },
+      welcome: (value) => {
+        const welcome = welcomeSchema.parse(value)
+        if (!sameProof(proveKey(key, 'server', nonce, welcome.host), welcome.proof)) {
+          fail('it does not know the key')
+          return
+        }
+        clearTimeout(timer)
+        frames.trust()
+        stage = 'open'
+        resolve(link)
+      },
+      open: (value) => takeReply(link, replyFrameSchema.parse(value))
+    }
+    const frames = attachFrames(socket, (value) => stages[stage](value))
+    const link: OpenLink = { socket, frames, pending }
+  })
+}
+
+function unavailable (peer: string, reason: string, verdict: Verdict): RequestError {
+  return new RequestError(verdict, 'PeerUnavailable', { peer, reason })
+}
--- /dev/null
+++ b/src/peers/peer-server.ts
@@ -0,0 +1,115 @@
+/** The answering side of peer links. */
+import { createServer, type Server, type Socket } from 'node:net'
+import { toRequestError } from '../core/errors/index.ts'
+import type { Logger } from '../core/logger/index.ts'
+import { attachFrames, type FrameStream } from '../core/wire/frames.ts'
+import { createNonce, proveKey, sameProof } from './authentication.ts'
+import { helloSchema, requestFrameSchema, type PeerHandler, type ReplyFrame } from './types.ts'
+
+/** Options of {@link listenForPeers}. */
+export interface PeerServerOptions {
+  host: string
+  address: string
+  port: number
+  key: string
+  logger: Logger
+  /** Handlers by request type. */
+  handlers: Map<string, PeerHandler>
+}
+
+/** A listening peer server. */
+export interface PeerServer {
+  port: number
+  /** Requests in progress. */
+  readonly inProgress: number
+  readonly links: number
+  close: () => Promise<void>
+}
+
+/** Time for the handshake, in milliseconds. */
+const HANDSHAKE_TIMEOUT_MS = 2000
+
+/**
+ * Starts listening.
+ *
+ * @param options - address, key and handlers
+ * @returns the server
+ */
+export async function listenForPeers (options: PeerServerOptions): Promise<PeerServer> {
+  const sockets = new Set<Socket>()
+  const progress = { count: 0 }
+  const server: Server = createServer({ noDelay: true }, (socket) => {
+    sockets.add(socket)
+    socket.once('close', () => sockets.delete(socket))
+    serveLink(socket, options, progress)
+  })
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(options.port, options.address, resolve)
+  })
+  const bound = server.address()
+  return {
+    port: typeof bound === 'object' && bound !== null ? bound.port : options.port,
+    get inProgress () { return progress.count },
+    get links () { return sockets.size },
+    close: async () => {
+      const closed = new Promise<void>((resolve) => server.close(() => resolve()))
+      sockets.forEach((socket) => socket.destroy())
+      await closed
+    }
+  }
+}
+
+function serveLink (socket: Socket, options: PeerServerOptions, progress: { count: number }): void {
+  const { logger, key, host } = options
+  const nonce = createNonce()
+  let peerHost: string | undefined
+  const timer = setTimeout(() => socket.destroy(new Error('no handshake')), HANDSHAKE_TIMEOUT_MS)
+  socket.once('close', () => clearTimeout(timer))
+  socket.on('error', (error) => logger.log('warn', 'peer.link-error', {
+    peer: peerHost ?? socket.remoteAddress, reason: error.message
+  }))
+
+  const greet = (value: unknown): void => {
+    const hello = helloSchema.parse(value)
+    if (!sameProof(proveKey(key, 'client', nonce, hello.host), hello.proof)) {
+      logger.log('warn', 'peer.refused', { peer: hello.host, reason: 'wrong key' })
+      socket.destroy()
+      return
+    }
+    clearTimeout(timer)
+    peerHost = hello.host
+    frames.trust()
+    frames.send({ type: 'welcome', host, proof: proveKey(key, 'server', hello.nonce, host) })
+  }
+
+  const frames: FrameStream = attachFrames(socket, (value) => {
+    if (peerHost === undefined) {
+      greet(value)
+      return
+    }
+    const { id, type, body } = requestFrameSchema.parse(value)
+    const link = { host: peerHost, onClose: (listener: () => void) => socket.once('close', listener) }
+    progress.count++
+    void answer(options, type, body, link)
+      .then((reply) => frames.send({ ...reply, id }))
+      .finally(() => { progress.count-- })
+  })
+  socket.setMaxListeners(0)
+  frames.send({ type: 'challenge', nonce })
+}
+
+async function answer (
+  { handlers }: PeerServerOptions, type: string, body: unknown, link: Parameters<PeerHandler>[1]
+): Promise<Omit<ReplyFrame, 'id'>> {
+  try {
+    const handle = handlers.get(type)
+    if (handle === undefined) {
+      throw new Error(`no handler for ${type}`)
+    }
+    return { body: await handle(body, link) }
+  } catch (thrown) {
+    const { verdict, entry, details } = toRequestError(thrown, 'may-have-run')
+    return { failure: { verdict, entry, details } }
+  }
+}
--- /dev/null
+++ b/src/processes/keeper.ts
@@ -0,0 +1,22 @@
+/** The process `worksward-keeper`. */
+import '../configuration/index.ts'
+import '../failover/index.ts'
+import '../membership/index.ts'
+import '../operators/index.ts'
+import '../peers/index.ts'
+import '../platform/index.ts'
+import type { KeeperSettings } from '../core/config/index.ts'
+import { startKernel, type Kernel, type KernelOptions } from '../core/kernel/index.ts'
+
+/**
+ * Starts a keeper.
+ *
+ * @param settings - its settings
+ * @param options - logger and dialer
+ * @returns the running kernel
+ */
+export async function startKeeper (
+  settings: KeeperSettings, options: Pick<KernelOptions, 'logger' | 'dialer'>
+): Promise<Kernel> {
+  return await startKernel({ ...options, settings, plugins: ['failover', 'operators'] })
+}
--- /dev/null
+++ b/src/processes/proxy.ts
@@ -0,0 +1,23 @@
+/** The process `worksward-proxy`. */
+import '../callers/index.ts'
+import '../configuration/index.ts'
+import '../membership/index.ts'
+import '../operators/index.ts'
+import '../peers/index.ts'
+import '../platform/index.ts'
+import '../routing/index.ts'
+import type { ProxySettings } from '../core/config/index.ts'
+import { startKernel, type Kernel, type KernelOptions } from '../core/kernel/index.ts'
+
+/**
+ * Starts a proxy.
+ *
+ * @param settings - its settings
+ * @param options - logger and dialer
+ * @returns the running kernel
+ */
+export async function startProxy (
+  settings: ProxySettings, options: Pick<KernelOptions, 'logger' | 'dialer'>
+): Promise<Kernel> {
+  return await startKernel({ ...options, settings, plugins: ['callers', 'operators'] })
+}
--- /dev/null
+++ b/src/routing/group-home.ts
@@ -0,0 +1,301 @@
+/** Serves the requests of one database group at one of its homes. */
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+import { uniformInt } from 'pure-rand/distribution/uniformInt'
+import type { Group, Kind } from '../core/config/index.ts'
+import { kindSchema } from '../core/config/index.ts'
+import { RequestError } from '../core/errors/index.ts'
+import type { Logger } from '../core/logger/index.ts'
+import { Deadline, pause } from '../core/time/deadline.ts'
+import type { Dialer } from '../core/wire/dialer.ts'
+import { keyCreatedAt, MAXIMUM_KEY_LENGTH } from '../ledger/request-key.ts'
+import { EMPTY_ANSWER } from '../mysql/types.ts'
+import { createConnectionPool, type ConnectionPool } from '../upstreams/connection-pool.ts'
+import { GroupView, type Leadership } from '../upstreams/group-view.ts'
+import { createRetryBudget } from './retry-budget.ts'
+import { chooseUpstream, findReadIndex, serveRead, type ReadOptions } from './read-route.ts'
+import { createTransactions } from './transactions.ts'
+import { serveWrite } from './write-route.ts'
+import { textColumn } from '../mysql/answer-writer.ts'
+import type { CommitRequest, ExecuteRequest, ExplainRequest, HomeReply, HomeRequest } from './types.ts'
+
+/** Options of {@link createGroupHome}. */
+export interface GroupHomeOptions {
+  name: string
+  group: Group
+  dialer: Dialer
+  logger: Logger
+  failureDomain: string
+  /** Seed of the choice between replicas. */
+  seed: number
+  /** Told when an upstream stops answering, so that keepers learn of it. */
+  onEvidence?: (upstream: string, term: number) => void
+}
+
+/** Counts of one group at one home. */
+export interface GroupCounts {
+  readsOnReplicas: number
+  readsOnPrimary: number
+  writes: number
+  replays: number
+  retries: number
+  refused: number
+  transactions: number
+}
+
+/** One group at one of its homes. */
+export interface GroupHome {
+  readonly view: GroupView
+  readonly counts: GroupCounts
+  /**
+   * Serves a request.
+   *
+   * @param request - the request
+   * @returns the reply
+   * @throws RequestError
+   */
+  serve: (request: HomeRequest) => Promise<HomeReply>
+  /** Takes over changed declarations. */
+  update: (group: Group) => void
+  /** Requests and transactions in progress. */
+  readonly busy: number
+  dump: () => unknown
+  close: () => void
+}
+
+/** Time a status question may take, in milliseconds. */
+const STATUS_TIMEOUT_MS = 250
+/** Time between two looks at the upstreams while requests are in progress, in milliseconds. */
+const WATCH_MS = 100
+const RETRY_PAUSE_MS = 5
+/** The kind of a statement that declares none: a write that is not repeatable. */
+const DEFAULT_KIND: Kind = kindSchema.parse({ access: 'write' })
+
+/**
+ * Creates the home of a group.
+ *
+ * @param options - the group and how to reach it
+ * @returns the home
+ */
+export function createGroupHome (options: GroupHomeOptions): GroupHome {
+  const { name, dialer, logger } = options
+  const generator = xoroshiro128plus(options.seed)
+  const random = (): number => uniformInt(generator, 0, 0xffff) / 0x10000
+  const pools = new Map<string, ConnectionPool>()
+  const budget = createRetryBudget()
+  const counts: GroupCounts = {
+    readsOnReplicas: 0, readsOnPrimary: 0, writes: 0, replays: 0, retries: 0, refused: 0, transactions: 0
+  }
+  let group = options.group
+  let inProgress = 0
+
+  const onLeadership = ({ term, primary }: Leadership): void => {
+    logger.log('info', 'group.leadership', { group: name, term, primary })
+    pools.forEach((pool, upstream) => {
+      if (upstream !== primary) {
+        pool.abort()
+      }
+    })
+  }
+  const onUnreachable = (upstream: string, reason: string): void => {
+    logger.log('warn', 'upstream.unreachable', { group: name, upstream, reason })
+    pools.get(upstream)?.abort()
+    options.onEvidence?.(upstream, view.leadership.term)
+  }
+  const view = new GroupView({
+    name, group, dialer, statusTimeoutMs: STATUS_TIMEOUT_MS, onLeadership, onUnreachable
+  })
+  const transactions = createTransactions({ view, pools, greatestMs: () => group.limits.transactionMs })
+
+  const shareOf = (): number => {
+    const { connections, reservedConnections, homes } = group.limits
+    return Math.max(1, Math.floor((connections - reservedConnections) / homes))
+  }
+  const fillPools = (): void => {
+    for (const [upstream, pool] of pools) {
+      if (!view.upstreams.has(upstream)) {
+        pool.close()
+        pools.delete(upstream)
+      }
+    }
+    for (const upstream of group.upstreams) {
+      const existing = pools.get(upstream.name)
+      existing?.setShare(shareOf())
+      if (existing === undefined) {
+        pools.set(upstream.name, createConnectionPool({
+          group: name,
+          access: { ...upstream, ...group.account, database: name },
+          dialer,
+          share: shareOf(),
+          slots: group.limits.slots,
+          queue: group.limits.queue
+        }))
+      }
+    }
+  }
+  fillPools()
+  const watch = setInterval(() => {
+    if (inProgress > 0) {
+      view.refresh()
+    }
+  }, WATCH_MS)
+  watch.unref()
+
+  const findKind = (request: { service: string, kind?: string }): Kind => {
+    if (request.kind === undefined) {
+      return DEFAULT_KIND
+    }
+    const kinds = group.services[request.service]?.kinds ?? {}
+    const kind = kinds[request.kind]
+    if (kind === undefined) {
+      throw new RequestError('not-run', 'UnknownKind', {
+        kind: request.kind, service: request.service, known: Object.keys(kinds)
+      })
+    }
+    return kind
+  }
+
+  const spendRetry = (): boolean => {
+    const granted = budget.spend()
+    counts.retries += granted ? 1 : 0
+    return granted
+  }
+
+  const readOptions = (
+    request: Omit<ExplainRequest, 'type'> & Partial<Pick<ExecuteRequest, 'statement' | 'readIndex'>>
+  ): ReadOptions => ({
+    view,
+    pools,
+    group,
+    kind: findKind(request),
+    statement: request.statement ?? { sql: '' },
+    floor: request.floor,
+    readIndex: request.readIndex === true,
+    deadline: new Deadline(request.deadlineMs),
+    failureDomain: options.failureDomain,
+    random
+  })
+
+  const executeRead = async (request: ExecuteRequest): Promise<HomeReply> => {
+    const read = readOptions(request)
+    for (;;) {
+      try {
+        const reply = await serveRead(read)
+        counts[reply.fromReplica === true ? 'readsOnReplicas' : 'readsOnPrimary']++
+        return reply
+      } catch (thrown) {
+        const transient = thrown instanceof RequestError && thrown.entry === 'ConnectionLost'
+        if (!transient || read.deadline.passed || !spendRetry()) {
+          throw thrown
+        }
+        await pause(RETRY_PAUSE_MS)
+      }
+    }
+  }
+
+  const executeWrite = async (request: ExecuteRequest, kind: Kind): Promise<HomeReply> => {
+    checkKey(request.key, group)
+    counts.writes++
+    const reply = await serveWrite({
+      view,
+      pools,
+      kind,
+      statement: request.statement,
+      service: request.service,
+      key: request.key,
+      deadline: new Deadline(request.deadlineMs),
+      spendRetry
+    })
+    counts.replays += reply.replayed === true ? 1 : 0
+    return reply
+  }
+
+  const explain = async (request: ExplainRequest): Promise<HomeReply> => {
+    const kind = findKind(request)
+    const choice = kind.access === 'read'
+      ? await chooseUpstream(readOptions(request))
+      : { upstream: view.leadership.primary, fromReplica: false, reason: 'a write goes to the primary' }
+    const row = [name, choice.upstream, choice.fromReplica ? 'replica' : 'primary', choice.reason]
+    return {
+      answer: {
+        type: 'rows',
+        columns: ['group', 'upstream', 'role', 'reason'].map(textColumn),
+        rows: [row.map((cell) => Buffer.from(cell))]
+      }
+    }
+  }
+
+  const commit = async (request: CommitRequest): Promise<HomeReply> => {
+    checkKey(request.key, group)
+    return await transactions.commit(request, new Deadline(request.deadlineMs))
+  }
+
+  const handlers: { [Type in HomeRequest['type']]: (request: Extract<HomeRequest, { type: Type }>) => Promise<HomeReply> } = {
+    execute: async (request) => {
+      const kind = findKind(request)
+      return kind.access === 'read' ? await executeRead(request) : await executeWrite(request, kind)
+    },
+    begin: async (request) => {
+      counts.transactions++
+      return await transactions.begin(request.transactionId, request.service, new Deadline(request.deadlineMs))
+    },
+    'transaction-execute': async (request) => await transactions.execute(
+      request.transactionId, request.statement, new Deadline(request.deadlineMs)),
+    commit,
+    rollback: async (request) => await transactions.rollback(request.transactionId),
+    settle: async (request) => await transactions.settle(request, new Deadline(request.deadlineMs)),
+    floor: async (request) => ({
+      answer: EMPTY_ANSWER, floor: await findReadIndex(view, new Deadline(request.deadlineMs))
+    }),
+    explain
+  }
+
+  return {
+    view,
+    counts,
+    serve: async (request) => {
+      budget.earn()
+      inProgress++
+      try {
+        const handle = handlers[request.type] as (request: HomeRequest) => Promise<HomeReply>
+        return await handle(request)
+      } catch (thrown) {
+        counts.refused += thrown instanceof RequestError && thrown.entry === 'Overloaded' ? 1 : 0
+        throw thrown
+      } finally {
+        inProgress--
+      }
+    },
+    update: (changed) => {
+      group = changed
+      view.update(changed)
+      fillPools()
+    },
+    get busy () { return inProgress + transactions.open },
+    dump: () => ({
+      view: view.dump(),
+      pools: Object.fromEntries([...pools].map(([upstream, pool]) => [upstream, pool.state()])),
+      counts,
+      openTransactions: transactions.open,
+      retryBalance: Math.round(budget.balance)
+    }),
+    close: () => {
+      clearInterval(watch)
+      transactions.close()
+      pools.forEach((pool) => pool.close())
+      view.close()
+    }
+  }
+}
+
+function checkKey (key: string | undefined, group: Group): void {
+  if (key === undefined) {
+    return
+  }
+  if (key.length === 0 || key.length > MAXIMUM_KEY_LENGTH) {
+    throw new RequestError('not-run', 'MalformedHint', { reason: `a key has 1 to ${MAXIMUM_KEY_LENGTH} characters` })
+  }
+  const createdAt = keyCreatedAt(key)
+  if (createdAt !== undefined && Date.now() - createdAt > group.keyRetentionMs) {
+    throw new RequestError('not-run', 'KeyExpired', { key, retentionMs: group.keyRetentionMs })
+  }
+}
--- /dev/null
+++ b/src/routing/types.ts
@@ -0,0 +1,101 @@
+/** Requests from a caller's proxy to the home of a database group, and the replies. */
+import type { ErrorDetails, ErrorName, Verdict } from '../core/errors/index.ts'
+import type { Answer, Statement } from '../mysql/types.ts'
+import type { LogPosition } from '../upstreams/position.ts'
+
+/** What every request carries. */
+interface RequestBase {
+  group: string
+  service: string
+  /** Time left to the request, in milliseconds. */
+  deadlineMs: number
+}
+
+/** A statement outside a transaction. */
+export interface ExecuteRequest extends RequestBase {
+  type: 'execute'
+  /** Name of the declared kind; a write when absent. */
+  kind?: string
+  statement: Statement
+  /** What the session has seen. */
+  floor: LogPosition
+  /** Whether the session may have written through another proxy, so that a majority must be asked. */
+  readIndex: boolean
+  /** The caller's request key. */
+  key?: string
+}
+
+/** Opens a transaction. */
+export interface BeginRequest extends RequestBase {
+  type: 'begin'
+  transactionId: string
+}
+
+/** A statement inside a transaction. */
+export interface TransactionRequest extends RequestBase {
+  type: 'transaction-execute'
+  transactionId: string
+  statement: Statement
+}
+
+/** Commits a transaction. */
+export interface CommitRequest extends RequestBase {
+  type: 'commit'
+  transactionId: string
+  /** Key of the transaction. */
+  key: string
+  /** Digest of its statements. */
+  fingerprint: string
+  /** Whether it may have written, so that its key must be entered in the ledger. */
+  writes: boolean
+}
+
+/** Finds out whether a transaction committed, after the answer to its commit was lost. */
+export interface SettleRequest extends RequestBase {
+  type: 'settle'
+  key: string
+  fingerprint: string
+}
+
+/** Rolls a transaction back. */
+export interface RollbackRequest extends RequestBase {
+  type: 'rollback'
+  transactionId: string
+}
+
+/** Finds what a session has seen, for a token. */
+export interface FloorRequest extends RequestBase {
+  type: 'floor'
+}
+
+/** Says which upstream a request would get, and why, without running it. */
+export interface ExplainRequest extends RequestBase {
+  type: 'explain'
+  kind?: string
+  floor: LogPosition
+}
+
+/** Any request to a home. */
+export type HomeRequest =
+  | ExecuteRequest | BeginRequest | TransactionRequest | CommitRequest | RollbackRequest | SettleRequest | FloorRequest
+  | ExplainRequest
+
+/** A reply to a request that succeeded. */
+export interface HomeReply {
+  answer: Answer
+  /** What the session has now seen; absent when nothing was read or written. */
+  floor?: LogPosition
+  /** Upstream that served it. */
+  upstream?: string
+  /** Whether the upstream was a replica. */
+  fromReplica?: boolean
+  /** Whether the answer is the recorded one of an earlier request with the same key. */
+  replayed?: boolean
+}
+
+/** A reply to a request that failed, as it travels between proxies. */
+export interface FailedReply<Name extends ErrorName = ErrorName> {
+  verdict: Verdict
+  entry: Name
+  details: ErrorDetails<Name>
+}
--- /dev/null
+++ b/src/routing/write-route.ts
@@ -0,0 +1,341 @@
+/**
+ * Writes. A write that is not declared repeatable enters its key in the ledger within its own transaction, so that it
+ * runs at most once. Its answer is held back until the change is on a majority. When an answer is lost, the key is
+ * contested on the current primary, which settles whether the write ran.
+ */
+import type { Kind } from '../core/config/index.ts'
+import { RequestError, type Verdict } from '../core/errors/index.ts'
+import { pause, type Deadline } from '../core/time/deadline.ts'
+import {
+  createRequestKey, fingerprintOf, parseLedgerRecord, type KeyedAttempt, type LedgerRecord
+} from '../ledger/request-key.ts'
+import type { Client } from '../mysql/client.ts'
+import { MYSQL_ERROR } from '../mysql/consts.ts'
+import type { Answer, DoneAnswer, RowsAnswer, Statement } from '../mysql/types.ts'
+import type { ConnectionPool } from '../upstreams/connection-pool.ts'
+import type { GroupView, UpstreamView } from '../upstreams/group-view.ts'
+import type { LogPosition } from '../upstreams/position.ts'
+import { callProcedure } from '../upstreams/procedures.ts'
+import { logEnd, parseStatus, type UpstreamStatus } from '../upstreams/status.ts'
+import type { HomeReply } from './types.ts'
+
+/** What a write needs. */
+export interface WriteOptions {
+  view: GroupView
+  pools: Map<string, ConnectionPool>
+  kind: Kind
+  statement: Statement
+  service: string
+  /** The caller's key; one is made when absent. */
+  key?: string
+  deadline: Deadline
+  /** Takes a retry from the budget. */
+  spendRetry: () => boolean
+}
+
+/** The primary a write goes to. */
+interface Target {
+  view: UpstreamView
+  term: number
+}
+
+/** A write that has committed on the primary and waits for its acknowledgement. */
+interface CommittedWrite {
+  answer: Answer
+  place: LogPosition
+  replayed: boolean
+}
+
+/** How long a caller is told to stay away after a refusal, in milliseconds. */
+const RETRY_AFTER_MS = 100
+/** Pause before another try, in milliseconds. */
+const RETRY_PAUSE_MS = 10
+
+/**
+ * Serves a write.
+ *
+ * @param options - the write
+ * @returns answer and the place in the log the session has now seen
+ * @throws RequestError whose verdict says whether the write may have run
+ */
+export async function serveWrite (options: WriteOptions): Promise<HomeReply> {
+  return options.kind.repeatable && options.key === undefined
+    ? await servePlainWrite(options)
+    : await serveKeyedWrite(options)
+}
+
+/** An idempotent write: after any loss it is simply run again, within deadline and budget. */
+async function servePlainWrite (options: WriteOptions): Promise<HomeReply> {
+  const { view, deadline } = options
+  for (;;) {
+    try {
+      const target = await view.primary(deadline)
+      const committed = await runPlainWrite(options, target)
+      await acknowledge(options, target, committed.place)
+      return reply(committed, target)
+    } catch (thrown) {
+      if (!mayTryAgain(thrown, options)) {
+        throw thrown
+      }
+      await pause(RETRY_PAUSE_MS)
+    }
+  }
+}
+
+async function serveKeyedWrite (options: WriteOptions): Promise<HomeReply> {
+  const attempt: KeyedAttempt = {
+    scope: options.service,
+    key: options.key ?? createRequestKey(),
+    fingerprint: fingerprintOf([options.statement]),
+    attempt: 1
+  }
+  for (;;) {
+    try {
+      return await attemptKeyedWrite(options, attempt)
+    } catch (thrown) {
+      if (!(thrown instanceof RequestError) || thrown.verdict !== 'not-run' || !mayTryAgain(thrown, options)) {
+        throw thrown
+      }
+      await pause(RETRY_PAUSE_MS)
+    }
+  }
+}
+
+async function attemptKeyedWrite (options: WriteOptions, attempt: KeyedAttempt): Promise<HomeReply> {
+  const target = await options.view.primary(options.deadline)
+  try {
+    const committed = await runKeyedWrite(options, target, attempt)
+    await acknowledge(options, target, committed.place)
+    return reply(committed, target)
+  } catch (thrown) {
+    if (thrown instanceof RequestError && thrown.verdict === 'may-have-run') {
+      return await settle(options, attempt)
+    }
+    throw thrown
+  }
+}
+
+/**
+ * Finds out whether an attempt ran, after its answer was lost.
+ *
+ * @param options - the request
+ * @param attempt - its attempt
+ * @returns the recorded answer when it ran
+ * @throws RequestError with verdict `not-run` when it did not and never will, `may-have-run` when time ran out
+ */
+export async function settle (
+  options: Pick<WriteOptions, 'view' | 'pools' | 'kind' | 'deadline'>, attempt: KeyedAttempt
+): Promise<HomeReply> {
+  const { view, deadline } = options
+  while (!deadline.passed) {
+    try {
+      const target = await view.primary(deadline)
+      const record = await contest(options, target, attempt)
+      const { status } = await target.view.channel.fresh()
+      await acknowledge(options, target, logEnd(status))
+      return settleByRecord(record, attempt, target, logEnd(status), view.name)
+    } catch (thrown) {
+      if (thrown instanceof RequestError && (thrown.entry === 'TransactionLost' || thrown.entry === 'KeyReused')) {
+        throw thrown
+      }
+      await pause(RETRY_PAUSE_MS)
+    }
+  }
+  throw new RequestError('may-have-run', 'NotAcknowledged', {
+    group: view.name, reason: 'its outcome could not be settled in time'
+  })
+}
+
+/**
+ * Waits until a committed change may be acknowledged.
+ *
+ * @param options - the request
+ * @param target - the primary it was committed on
+ * @param place - where it stands in the log
+ * @throws RequestError with verdict `may-have-run` when the term was superseded or time ran out
+ */
+export async function acknowledge (
+  { view, kind, deadline }: Pick<WriteOptions, 'view' | 'kind' | 'deadline'>, target: Target, place: LogPosition
+): Promise<void> {
+  const refuse = (reason: string): RequestError =>
+    new RequestError('may-have-run', 'NotAcknowledged', { group: view.name, reason })
+  if (place.term !== target.term) {
+    throw refuse('the primary was superseded')
+  }
+  const acknowledged = await ACKNOWLEDGEMENT_HANDLERS[kind.acknowledgement](view, place, deadline)
+  if (!acknowledged) {
+    throw refuse('the primary was superseded, or too few replicas followed in time')
+  }
+}
+
+const ACKNOWLEDGEMENT_HANDLERS: Record<
+  Kind['acknowledgement'], (view: GroupView, place: LogPosition, deadline: Deadline) => Promise<boolean>
+> = {
+  replicated: async (view, place, deadline) => await view.waitForMajority(place, deadline),
+  confirmed: async (view, place, deadline) => {
+    const answers = await view.askMajority(deadline)
+    return answers.every(({ status }) => status.term <= place.term && status.fencedTerm <= place.term)
+  }
+}
+
+/**
+ * Enters an attempt in the ledger on a connection, opening a transaction unless one is open.
+ *
+ * @param client - the connection
+ * @param attempt - the attempt
+ * @param deadline - when to give up
+ * @returns what the ledger says
+ */
+export async function enterLedger (client: Client, attempt: KeyedAttempt, deadline: Deadline): Promise<LedgerRecord> {
+  const call = callProcedure('begin', ledgerArguments(attempt))
+  return parseLedgerRecord(await client.run(call, deadline.leftMs, 'not-run') as RowsAnswer)
+}
+
+/**
+ * Commits the open transaction with the outcome of its attempt.
+ *
+ * @param client - the connection
+ * @param answer - the outcome to record
+ * @param deadline - when to give up
+ * @returns the primary's status after the commit
+ */
+export async function commitLedger (client: Client, answer: Answer, deadline: Deadline): Promise<UpstreamStatus> {
+  const outcome = answer.type === 'done' ? [answer.affectedRows, answer.insertId] : [answer.rows.length, 0]
+  const committed = await client.run(callProcedure('commit', outcome), deadline.leftMs, 'may-have-run')
+  return parseStatus(committed as RowsAnswer)
+}
+
+/**
+ * Decides by the standing record of a key.
+ *
+ * @param record - the record
+ * @param attempt - the attempt that met it
+ * @returns the recorded answer
+ * @throws RequestError with verdict `not-run`
+ */
+export function replayRecord (record: LedgerRecord, attempt: KeyedAttempt): DoneAnswer {
+  if (record.fingerprint !== attempt.fingerprint) {
+    throw new RequestError('not-run', 'KeyReused', { key: attempt.key })
+  }
+  return { type: 'done', affectedRows: record.affectedRows, insertId: record.insertId }
+}
+
+async function runPlainWrite (options: WriteOptions, target: Target): Promise<CommittedWrite> {
+  const { deadline, statement } = options
+  const answer = await onPrimary(options, target, async (client) =>
+    await client.run(statement, deadline.leftMs, 'may-have-run'))
+  const { status } = await deadline.race(target.view.channel.fresh(), 'may-have-run', 'finding where a write stands')
+  return { answer, place: logEnd(status), replayed: false }
+}
+
+async function runKeyedWrite (options: WriteOptions, target: Target, attempt: KeyedAttempt): Promise<CommittedWrite> {
+  const { deadline, statement } = options
+  return await onPrimary(options, target, async (client) => {
+    const record = await enterLedgerFrom(client, attempt, deadline)
+    if (record.outcome === 'exists') {
+      const answer = replayRecord(record, attempt)
+      const { status } = await target.view.channel.fresh()
+      return { answer, place: logEnd(status), replayed: true }
+    }
+    const answer = await runOrRollBack(client, statement, deadline)
+    const status = await commitLedger(client, answer, deadline)
+    return { answer, place: logEnd(status), replayed: false }
+  })
+}
+
+/** Enters the ledger; a tombstone of an earlier attempt is taken over by the next attempt. */
+async function enterLedgerFrom (client: Client, attempt: KeyedAttempt, deadline: Deadline): Promise<LedgerRecord> {
+  const record = await enterLedger(client, attempt, deadline)
+  const takesOver = record.outcome === 'exists' && record.state === 'tombstone' &&
+    record.fingerprint === attempt.fingerprint
+  if (!takesOver) {
+    return record
+  }
+  attempt.attempt = record.attempt + 1
+  return await enterLedgerFrom(client, attempt, deadline)
+}
+
+async function runOrRollBack (client: Client, statement: Statement, deadline: Deadline): Promise<Answer> {
+  try {
+    return await client.run(statement, deadline.leftMs, 'not-run')
+  } catch (thrown) {
+    await client.run({ sql: 'ROLLBACK' }, deadline.leftMs, 'not-run').catch(() => client.close())
+    throw thrown
+  }
+}
+
+async function contest (
+  options: Pick<WriteOptions, 'pools' | 'kind' | 'deadline' | 'view'>, target: Target, attempt: KeyedAttempt
+): Promise<LedgerRecord> {
+  const { deadline } = options
+  return await onPrimary(options, target, async (client) => {
+    const call = callProcedure('contest', ledgerArguments(attempt))
+    return parseLedgerRecord(await client.run(call, deadline.leftMs, 'not-run') as RowsAnswer)
+  })
+}
+
+function settleByRecord (
+  record: LedgerRecord, attempt: KeyedAttempt, target: Target, floor: LogPosition, group: string
+): HomeReply {
+  if (record.state === 'done') {
+    return reply({ answer: replayRecord(record, attempt), place: floor, replayed: true }, target)
+  }
+  throw new RequestError('not-run', 'TransactionLost', {
+    reason: `group ${group} lost the attempt before it committed, and it can no longer commit`
+  })
+}
+
+async function onPrimary<Result> (
+  { pools, kind, deadline, view }: Pick<WriteOptions, 'pools' | 'kind' | 'deadline' | 'view'>,
+  target: Target,
+  work: (client: Client) => Promise<Result>
+): Promise<Result> {
+  const { name } = target.view.declaration
+  const pool = pools.get(name)
+  if (pool === undefined) {
+    throw new RequestError('not-run', 'NoUpstream', {
+      group: view.name, reason: `${name} was removed`, retryAfterMs: RETRY_AFTER_MS
+    })
+  }
+  try {
+    return await pool.run({ access: 'write', priority: kind.priority, deadline }, work)
+  } catch (thrown) {
+    if (thrown instanceof RequestError && thrown.entry === 'ConnectionLost') {
+      view.markUnreachable(name, thrown.message)
+    }
+    if (thrown instanceof RequestError && isReadOnlyRefusal(thrown)) {
+      await target.view.channel.fresh().catch(() => {})
+    }
+    throw thrown
+  }
+}
+
+/** Whether the failure is one that another try can mend, and time and budget allow it. */
+function mayTryAgain (thrown: unknown, { deadline, spendRetry, kind }: WriteOptions): boolean {
+  if (!(thrown instanceof RequestError) || deadline.passed) {
+    return false
+  }
+  const safe: Verdict[] = kind.repeatable ? ['not-run', 'may-have-run'] : ['not-run']
+  const transient = ['ConnectionLost', 'TransactionLost', 'NotAcknowledged'].includes(thrown.entry) ||
+    isReadOnlyRefusal(thrown)
+  return transient && safe.includes(thrown.verdict) && spendRetry()
+}
+
+/** A fenced primary refuses writes; the view has yet to learn of its successor. */
+function isReadOnlyRefusal (error: RequestError): boolean {
+  return error.entry === 'StatementFailed' && error.mysqlCode === MYSQL_ERROR.readOnly
+}
+
+function reply (committed: CommittedWrite, target: Target): HomeReply {
+  return {
+    answer: committed.answer,
+    floor: committed.place,
+    upstream: target.view.declaration.name,
+    fromReplica: false,
+    replayed: committed.replayed
+  }
+}
+
+function ledgerArguments ({ scope, key, fingerprint, attempt }: KeyedAttempt): Array<string | number> {
+  return [scope, key, fingerprint, attempt, Date.now()]
+}
--- /dev/null
+++ b/src/standin/platform-server.ts
@@ -0,0 +1,168 @@
+/** The platform's stand-ins behind one HTTP port, with rate limits, outage, slowness and lost answers. */
+import { createServer, type IncomingMessage, type ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { PARTITIONS, type HostRow } from '../platform/types.ts'
+import { createObjectStore } from './object-store.ts'
+import { createTableService, type TableAnswer } from './table-service.ts'
+
+/** Faults of the platform. */
+export interface PlatformFaults {
+  /** Connections break without an answer, nothing takes effect. */
+  outage: boolean
+  /** Added to each answer, in milliseconds. */
+  slowMs: number
+  /** Answers to writes still to be lost after the write took effect. */
+  loseWriteAnswers: number
+  /** Time until a change of the list of hosts shows, in milliseconds. */
+  hostsLagMs: number
+}
+
+/** Options of {@link servePlatform}. */
+export interface PlatformServerOptions {
+  address: string
+  port: number
+  accessKeys: Record<string, string>
+  readsPerSecond: number
+  writesPerSecond: number
+}
+
+/** Counts of calls. */
+export interface PlatformCounts {
+  reads: number
+  writes: number
+  throttled: number
+}
+
+/** The served platform. */
+export interface PlatformServer {
+  /** URL of both services. */
+  endpoint: string
+  faults: PlatformFaults
+  counts: PlatformCounts
+  /** Changes the list of hosts; it shows after the lag. */
+  setHost: (row: HostRow) => void
+  removeHost: (host: string) => void
+  close: () => Promise<void>
+}
+
+/** Takes a token for a call, or says that there is none. */
+type TakeToken = () => boolean
+
+/**
+ * Starts the platform.
+ *
+ * @param options - address and limits
+ * @returns the platform
+ */
+export async function servePlatform (options: PlatformServerOptions): Promise<PlatformServer> {
+  const table = createTableService()
+  const objects = createObjectStore()
+  const faults: PlatformFaults = { outage: false, slowMs: 0, loseWriteAnswers: 0, hostsLagMs: 0 }
+  const counts: PlatformCounts = { reads: 0, writes: 0, throttled: 0 }
+  const takeRead = createTokens(options.readsPerSecond)
+  const takeWrite = createTokens(options.writesPerSecond)
+  const timers = new Set<NodeJS.Timeout>()
+
+  const callTable = (operation: string, body: Buffer): TableAnswer => {
+    const writes = table.writes(operation)
+    counts[writes ? 'writes' : 'reads']++
+    if (!(writes ? takeWrite() : takeRead())) {
+      counts.throttled++
+      return {
+        status: 400,
+        body: { __type: 'com.amazonaws.dynamodb.v20120810#ProvisionedThroughputExceededException', message: 'slow down' }
+      }
+    }
+    return table.call(operation, JSON.parse(body.toString()))
+  }
+
+  const serve = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+    const chunks: Buffer[] = []
+    for await (const chunk of request) {
+      chunks.push(chunk as Buffer)
+    }
+    const body = Buffer.concat(chunks)
+    if (faults.slowMs > 0) {
+      await sleep(faults.slowMs)
+    }
+    if (faults.outage) {
+      request.socket.destroy()
+      return
+    }
+    if (!isKnownCaller(request, options.accessKeys)) {
+      response.writeHead(403).end()
+      return
+    }
+    const operation = request.headers['x-amz-target']
+    if (typeof operation === 'string') {
+      const name = operation.split('.')[1] ?? ''
+      const answer = callTable(name, body)
+      if (table.writes(name) && faults.loseWriteAnswers > 0) {
+        faults.loseWriteAnswers--
+        request.socket.destroy()
+        return
+      }
+      response.writeHead(answer.status, { 'content-type': 'application/x-amz-json-1.0' })
+      response.end(JSON.stringify(answer.body))
+      return
+    }
+    const url = new URL(request.url ?? '/', 'http://standin')
+    const answer = objects.call(request.method ?? 'GET', url, body)
+    response.writeHead(answer.status, { 'content-type': answer.contentType }).end(answer.body)
+  }
+
+  const server = createServer((request, response) => {
+    serve(request, response).catch(() => request.socket.destroy())
+  })
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(options.port, options.address, resolve)
+  })
+  const later = (change: () => void): void => {
+    if (faults.hostsLagMs === 0) {
+      change()
+      return
+    }
+    const timer = setTimeout(() => {
+      timers.delete(timer)
+      change()
+    }, faults.hostsLagMs)
+    timers.add(timer)
+  }
+
+  return {
+    endpoint: `http://${options.address}:${(server.address() as AddressInfo).port}`,
+    faults,
+    counts,
+    setHost: (row) => later(() => table.put(PARTITIONS.hosts, row.host, JSON.stringify(row))),
+    removeHost: (host) => later(() => table.remove(PARTITIONS.hosts, host)),
+    close: async () => {
+      timers.forEach((timer) => clearTimeout(timer))
+      const closed = new Promise<void>((resolve) => server.close(() => resolve()))
+      server.closeAllConnections()
+      await closed
+    }
+  }
+}
+
+/** The stand-in checks that the access key is known; it leaves the signature to the real service. */
+function isKnownCaller (request: IncomingMessage, accessKeys: Record<string, string>): boolean {
+  const match = /Credential=([^/]+)\//.exec(request.headers.authorization ?? '')
+  return match !== null && accessKeys[match[1]!] !== undefined
+}
+
+function createTokens (perSecond: number): TakeToken {
+  let balance = perSecond
+  let refilledAt = performance.now()
+  return () => {
+    const now = performance.now()
+    balance = Math.min(perSecond, balance + ((now - refilledAt) / 1000) * perSecond)
+    refilledAt = now
+    if (balance < 1) {
+      return false
+    }
+    balance--
+    return true
+  }
+}
--- /dev/null
+++ b/src/standin/request-ledger.ts
@@ -0,0 +1,172 @@
+/** The procedures by which a request runs at most once, and the table they keep. */
+import { Buffer } from 'node:buffer'
+import type { RowsAnswer, Statement } from '../mysql/types.ts'
+import type { Upstream, UpstreamTransaction } from './upstream.ts'
+import { textColumn } from '../mysql/answer-writer.ts'
+
+/** The ledger table. The primary key is what decides between two attempts. */
+export const LEDGER_SCHEMA = [
+  `CREATE TABLE IF NOT EXISTS worksward_ledger (
+    scope TEXT NOT NULL, request_key TEXT NOT NULL, fingerprint TEXT NOT NULL, state TEXT NOT NULL,
+    attempt INTEGER NOT NULL, affected_rows INTEGER NOT NULL DEFAULT 0, insert_id INTEGER NOT NULL DEFAULT 0,
+    created_at INTEGER NOT NULL, PRIMARY KEY (scope, request_key))`
+]
+
+/** A key and the attempt made under it. */
+export interface LedgerAttempt {
+  scope: string
+  key: string
+  fingerprint: string
+  attempt: number
+  createdAt: number
+}
+
+/** A row of the ledger, as the procedures return it. */
+interface LedgerRow {
+  state: string
+  fingerprint: string
+  attempt: number
+  affectedRows: number
+  insertId: number
+}
+
+const FIND = `SELECT state, fingerprint, attempt, affected_rows AS affectedRows, insert_id AS insertId
+  FROM worksward_ledger WHERE scope = ? AND request_key = ?`
+
+/**
+ * Enters an attempt in the ledger, inside the open transaction.
+ *
+ * @param transaction - the transaction
+ * @param attempt - key and attempt
+ * @returns the standing record when the key is taken, or undefined when the attempt may run
+ */
+export function enterAttempt (transaction: UpstreamTransaction, attempt: LedgerAttempt): LedgerRow | undefined {
+  const standing = findRow(transaction, attempt)
+  if (standing === undefined) {
+    transaction.run(insertRow(attempt, 'done'))
+    return undefined
+  }
+  const mayTakeOver = standing.state === 'tombstone' && standing.attempt < attempt.attempt &&
+    standing.fingerprint === attempt.fingerprint
+  if (!mayTakeOver) {
+    return standing
+  }
+  transaction.run({
+    sql: "UPDATE worksward_ledger SET state = 'done', attempt = ? WHERE scope = ? AND request_key = ?",
+    values: [attempt.attempt, attempt.scope, attempt.key]
+  })
+  return undefined
+}
+
+/**
+ * Writes the outcome of the attempt into its record, inside the open transaction.
+ *
+ * @param transaction - the transaction
+ * @param attempt - key and attempt
+ * @param affectedRows - rows the request changed
+ * @param insertId - id the request generated
+ */
+export function recordOutcome (
+  transaction: UpstreamTransaction, attempt: LedgerAttempt, affectedRows: number, insertId: number
+): void {
+  transaction.run({
+    sql: 'UPDATE worksward_ledger SET affected_rows = ?, insert_id = ? WHERE scope = ? AND request_key = ?',
+    values: [affectedRows, insertId, attempt.scope, attempt.key]
+  })
+}
+
+/**
+ * Contests an attempt: a tombstone is entered unless the attempt has committed.
+ *
+ * @param upstream - the primary
+ * @param attempt - key and attempt
+ * @returns the record that stands
+ */
+export async function contestAttempt (upstream: Upstream, attempt: LedgerAttempt): Promise<LedgerRow> {
+  const transaction = await upstream.begin()
+  try {
+    const standing = findRow(transaction, attempt)
+    if (standing === undefined) {
+      transaction.run(insertRow(attempt, 'tombstone'))
+    } else if (standing.state === 'tombstone' && standing.attempt < attempt.attempt) {
+      transaction.run({
+        sql: 'UPDATE worksward_ledger SET attempt = ? WHERE scope = ? AND request_key = ?',
+        values: [attempt.attempt, attempt.scope, attempt.key]
+      })
+    }
+    const row = findRow(transaction, attempt)!
+    transaction.commit()
+    return row
+  } finally {
+    transaction.rollback()
+  }
+}
+
+/**
+ * Deletes old records.
+ *
+ * @param before - creation time, in milliseconds of the epoch
+ * @param limit - greatest number of records to delete
+ * @returns the statement
+ */
+export function sweepStatement (before: number, limit: number): Statement {
+  return {
+    sql: `DELETE FROM worksward_ledger WHERE rowid IN
+      (SELECT rowid FROM worksward_ledger WHERE created_at < ? LIMIT ?)`,
+    values: [before, limit]
+  }
+}
+
+/**
+ * Shows a record as the answer of a procedure.
+ *
+ * @param outcome - `begun`, or `exists` when a record stands
+ * @param row - the record, if there is one
+ * @returns the answer
+ */
+export function ledgerAnswer (outcome: 'begun' | 'exists', row?: LedgerRow): RowsAnswer {
+  return rowAnswer({
+    outcome,
+    state: row?.state ?? '',
+    fingerprint: row?.fingerprint ?? '',
+    attempt: row?.attempt ?? 0,
+    affectedRows: row?.affectedRows ?? 0,
+    insertId: row?.insertId ?? 0
+  })
+}
+
+/**
+ * Shows named values as an answer of one row.
+ *
+ * @param values - the values
+ * @returns the answer
+ */
+export function rowAnswer (values: Record<string, string | number | boolean>): RowsAnswer {
+  const cells = Object.values(values).map((value) =>
+    Buffer.from(String(typeof value === 'boolean' ? Number(value) : value)))
+  return { type: 'rows', columns: Object.keys(values).map(textColumn), rows: [cells] }
+}
+
+function findRow (transaction: UpstreamTransaction, { scope, key }: LedgerAttempt): LedgerRow | undefined {
+  const answer = transaction.run({ sql: FIND, values: [scope, key] })
+  const row = answer.type === 'rows' ? answer.rows[0] : undefined
+  if (row === undefined) {
+    return undefined
+  }
+  const [state, fingerprint, attempt, affectedRows, insertId] = row.map((cell) => cell?.toString() ?? '')
+  return {
+    state: state!,
+    fingerprint: fingerprint!,
+    attempt: Number(attempt),
+    affectedRows: Number(affectedRows),
+    insertId: Number(insertId)
+  }
+}
+
+function insertRow (attempt: LedgerAttempt, state: 'done' | 'tombstone'): Statement {
+  return {
+    sql: `INSERT INTO worksward_ledger (scope, request_key, fingerprint, state, attempt, created_at)
+      VALUES (?, ?, ?, ?, ?, ?)`,
+    values: [attempt.scope, attempt.key, attempt.fingerprint, state, attempt.attempt, attempt.createdAt]
+  }
+}
--- /dev/null
+++ b/src/standin/upstream-session.ts
@@ -0,0 +1,222 @@
+/** One client's connection to a stand-in upstream: statements, transactions and procedures. */
+import { setTimeout as sleep } from 'node:timers/promises'
+import type PQueue from 'p-queue'
+import { tokenizeStatement } from '../mysql/statement-lexer.ts'
+import { EMPTY_ANSWER, type Answer, type Statement } from '../mysql/types.ts'
+import type { ClientHandler } from '../mysql/server.ts'
+import { PROCEDURES, type ProcedureName } from '../upstreams/procedures.ts'
+import { firstWord, isReadStatement } from './database.ts'
+import {
+  contestAttempt, enterAttempt, ledgerAnswer, recordOutcome, rowAnswer, sweepStatement, type LedgerAttempt
+} from './request-ledger.ts'
+import type { Upstream, UpstreamTransaction } from './upstream.ts'
+
+/** Faults that a session can meet. */
+export interface SessionFaults {
+  /** Answers still to be lost after the statement took effect, by procedure or first word. */
+  loseAnswers: Map<string, number>
+}
+
+/** Options of {@link createUpstreamSession}. */
+export interface UpstreamSessionOptions {
+  upstream: Upstream
+  /** Executes at most as many statements at a time as the upstream has slots. */
+  slots: PQueue
+  /** Time a read keeps a slot busy, in milliseconds. */
+  readMs: number
+  /** Time a write keeps a slot busy, in milliseconds. */
+  writeMs: number
+  faults: SessionFaults
+  /** Destroys the connection. */
+  destroy: () => void
+}
+
+/** Longest wait the wait procedure grants, in milliseconds. */
+const MAXIMUM_WAIT_MS = 5000
+/** Time between two looks at whether a frozen upstream runs again, in milliseconds. */
+const FREEZE_POLL_MS = 5
+
+/** State of a session. */
+interface SessionState {
+  options: UpstreamSessionOptions
+  transaction?: UpstreamTransaction
+  /** Ledger entry made by the open transaction. */
+  attempt?: LedgerAttempt
+  closed: boolean
+}
+
+/**
+ * Creates the handler of one connection.
+ *
+ * @param options - upstream, slots and faults
+ * @returns the handler
+ */
+export function createUpstreamSession (options: UpstreamSessionOptions): ClientHandler {
+  const state: SessionState = { options, closed: false }
+  return {
+    execute: async (statement) => {
+      await whileFrozen(state)
+      const answer = await dispatch(state, statement)
+      await whileFrozen(state)
+      loseAnswer(options, statement.sql)
+      return answer
+    },
+    selectDatabase: async () => {},
+    reset: async () => endTransaction(state),
+    close: () => {
+      state.closed = true
+      endTransaction(state)
+    }
+  }
+}
+
+async function whileFrozen (state: SessionState): Promise<void> {
+  while (state.options.upstream.paused && !state.closed) {
+    await sleep(FREEZE_POLL_MS)
+  }
+}
+
+function loseAnswer ({ faults, destroy }: UpstreamSessionOptions, sql: string): void {
+  const label = procedureName(sql) ?? firstWord(sql)
+  const left = faults.loseAnswers.get(label) ?? 0
+  if (left > 0) {
+    faults.loseAnswers.set(label, left - 1)
+    destroy()
+  }
+}
+
+function endTransaction (state: SessionState): void {
+  state.transaction?.rollback()
+  state.transaction = undefined
+  state.attempt = undefined
+}
+
+async function dispatch (state: SessionState, statement: Statement): Promise<Answer> {
+  const word = firstWord(statement.sql)
+  const control = CONTROL_HANDLERS[word]
+  if (control !== undefined) {
+    return await control(state, statement)
+  }
+  const { slots, readMs, writeMs, upstream } = state.options
+  const serviceMs = isReadStatement(statement.sql) ? readMs : writeMs
+  if (serviceMs > 0) {
+    await slots.add(async () => await sleep(serviceMs))
+  }
+  return state.transaction === undefined ? await upstream.run(statement) : state.transaction.run(statement)
+}
+
+const CONTROL_HANDLERS: Record<string, (state: SessionState, statement: Statement) => Promise<Answer>> = {
+  BEGIN: begin,
+  START: begin,
+  COMMIT: async (state) => {
+    state.transaction?.commit()
+    endTransaction(state)
+    return EMPTY_ANSWER
+  },
+  ROLLBACK: async (state) => {
+    endTransaction(state)
+    return EMPTY_ANSWER
+  },
+  SET: async () => EMPTY_ANSWER,
+  CALL: async (state, { sql }) => {
+    const name = (Object.keys(PROCEDURES) as ProcedureName[]).find((key) => PROCEDURES[key] === procedureName(sql))
+    if (name === undefined) {
+      throw new Error(`procedure ${procedureName(sql)} does not exist`)
+    }
+    return await PROCEDURE_HANDLERS[name](state, readArguments(sql))
+  }
+}
+
+async function begin (state: SessionState): Promise<Answer> {
+  endTransaction(state)
+  const transaction = await state.options.upstream.begin()
+  if (state.closed) {
+    transaction.rollback()
+    throw new Error('the connection is gone')
+  }
+  state.transaction = transaction
+  return EMPTY_ANSWER
+}
+
+const PROCEDURE_HANDLERS: Record<ProcedureName, (state: SessionState, args: string[]) => Promise<Answer>> = {
+  status: async (state) => statusAnswer(state),
+  wait: async (state, [term, logTerm, position, timeoutMs]) => {
+    const { upstream } = state.options
+    const { end } = upstream.log
+    const unchanged = upstream.status().term === Number(term) && end.term === Number(logTerm) &&
+      end.position === Number(position)
+    if (unchanged) {
+      await upstream.waitForChange(Math.min(Number(timeoutMs), MAXIMUM_WAIT_MS))
+    }
+    return statusAnswer(state)
+  },
+  fence: async (state, [term]) => {
+    const accepted = state.options.upstream.fence(Number(term))
+    return statusAnswer(state, accepted)
+  },
+  promote: async (state, [term]) => {
+    const accepted = state.options.upstream.promote(Number(term))
+    return statusAnswer(state, accepted)
+  },
+  follow: async (state, [primary, term]) => {
+    const accepted = state.options.upstream.follow(primary!, Number(term))
+    return statusAnswer(state, accepted)
+  },
+  begin: async (state, args) => {
+    const attempt = readAttempt(args)
+    if (state.transaction === undefined) {
+      await begin(state)
+    }
+    const standing = enterAttempt(state.transaction!, attempt)
+    if (standing !== undefined) {
+      endTransaction(state)
+      return ledgerAnswer('exists', standing)
+    }
+    state.attempt = attempt
+    return ledgerAnswer('begun')
+  },
+  commit: async (state, [affectedRows, insertId]) => {
+    if (state.transaction === undefined) {
+      throw new Error('no transaction is open')
+    }
+    if (state.attempt !== undefined) {
+      recordOutcome(state.transaction, state.attempt, Number(affectedRows), Number(insertId))
+    }
+    try {
+      state.transaction.commit()
+    } finally {
+      endTransaction(state)
+    }
+    return statusAnswer(state)
+  },
+  contest: async (state, args) => {
+    if (state.options.upstream.status().role !== 'primary') {
+      throw new Error('the upstream is read-only: it is not the primary')
+    }
+    return ledgerAnswer('exists', await contestAttempt(state.options.upstream, readAttempt(args)))
+  },
+  sweep: async (state, [before, limit]) =>
+    await state.options.upstream.run(sweepStatement(Number(before), Number(limit)))
+}
+
+function statusAnswer (state: SessionState, accepted?: boolean): Answer {
+  const status = state.options.upstream.status()
+  return rowAnswer(accepted === undefined ? status : { ...status, accepted })
+}
+
+function readAttempt ([scope, key, fingerprint, attempt, createdAt]: string[]): LedgerAttempt {
+  return { scope: scope!, key: key!, fingerprint: fingerprint!, attempt: Number(attempt), createdAt: Number(createdAt) }
+}
+
+function procedureName (sql: string): string | undefined {
+  return /^\s*CALL\s+([a-z_]+)/i.exec(sql)?.[1]
+}
+
+function readArguments (sql: string): string[] {
+  const inside = sql.slice(sql.indexOf('(') + 1, sql.lastIndexOf(')'))
+  return tokenizeStatement(inside)
+    .filter((token) => token.text !== ',')
+    .map((token) => token.type === 'SingleQuoted'
+      ? token.text.slice(1, -1).replaceAll("''", "'").replaceAll('\\\\', '\\')
+      : token.text)
+}
