Enter the request key at commit instead of at begin

Change: BEGIN, the statement, then one call that enters the key and commits; a repetition is rolled back by the unique key and its record replayed.

--- a/src/load/faults.ts
+++ b/src/load/faults.ts
@@ -5,7 +5,7 @@
 /** Kinds of faults. */
 export const FAULT_NAMES = [
   'crash-primary', 'pause-primary', 'cut-primary', 'cut-replication', 'lag-replica', 'platform-outage',
-  'platform-slow', 'lose-commit', 'lose-begin', 'lose-promotion', 'kill-proxy', 'isolate-proxy', 'isolate-keeper'
+  'platform-slow', 'lose-commit', 'lose-write', 'lose-promotion', 'kill-proxy', 'isolate-proxy', 'isolate-keeper'
 ] as const
 
 /** One of {@link FAULT_NAMES}. */
@@ -72,7 +72,7 @@
     return () => { standins.platform.faults.slowMs = 0 }
   },
   'lose-commit': (deployment, group) => loseAnswers(deployment, group, 'worksward_commit'),
-  'lose-begin': (deployment, group) => loseAnswers(deployment, group, 'worksward_begin'),
+  'lose-write': (deployment, group) => loseAnswers(deployment, group, 'INSERT'),
   'lose-promotion': async (deployment, group) => {
     const endLoss = loseAnswers(deployment, group, 'worksward_promote')
     const primary = deployment.primaryOf(group)
--- a/src/load/summary.ts
+++ b/src/load/summary.ts
@@ -82,21 +82,24 @@
   }
 }
 
+/** Time after a failure in which its gap is looked for, in milliseconds. */
+const GAP_WINDOW_MS = 10_000
+
 /**
- * Finds the gap around a failover: from the last acknowledged write that began before it to the end of the first
- * acknowledged write that began after it.
+ * Finds the gap around a failover as callers see it: the longest time without an acknowledged write that ends after the
+ * failure.
  *
  * @param events - the run
  * @param failedAt - when the primary failed, in milliseconds since the run began
  * @returns the gap in milliseconds, or undefined when no write was acknowledged after it
  */
 export function failoverGapMs (events: HistoryEvent[], failedAt: number): number | undefined {
-  const writes = events.filter(({ operation, outcome }) =>
-    outcome.type === 'done' && (operation.type === 'purchase' || operation.type === 'transfer'))
-  const before = writes.filter(({ endedAt }) => endedAt <= failedAt).map(({ endedAt }) => endedAt)
-  const after = writes.filter(({ endedAt }) => endedAt > failedAt).map(({ endedAt }) => endedAt)
-  if (after.length === 0) {
-    return undefined
-  }
-  return Math.min(...after) - Math.max(0, ...before)
+  const acknowledgedAt = events
+    .filter(({ operation, outcome }) => outcome.type === 'done' && ['purchase', 'transfer'].includes(operation.type))
+    .map(({ endedAt }) => endedAt)
+    .sort((left, right) => left - right)
+  const gaps = acknowledgedAt
+    .map((endedAt, index) => ({ endedAt, gap: endedAt - (acknowledgedAt[index - 1] ?? 0) }))
+    .filter(({ endedAt }) => endedAt > failedAt && endedAt < failedAt + GAP_WINDOW_MS)
+  return gaps.length === 0 ? undefined : Math.max(...gaps.map(({ gap }) => gap))
 }
--- a/src/platform/index.ts
+++ b/src/platform/index.ts
@@ -10,6 +10,9 @@
 import { createPlatformTable } from './table-client.ts'
 import type { PlatformObjects, PlatformTable } from './types.ts'
 
+/** The client libraries print a note about later versions of Node.js; the supported one is in package.json. */
+process.env['AWS_SDK_JS_NODE_VERSION_SUPPORT_WARNING_DISABLED'] ??= 'true'
+
 /** Service of the plug-in. */
 export interface Platform {
   table: PlatformTable
--- a/src/routing/transactions.ts
+++ b/src/routing/transactions.ts
@@ -10,7 +10,7 @@
 import type { ConnectionPool, PinnedConnection } from '../upstreams/connection-pool.ts'
 import type { GroupView, UpstreamView } from '../upstreams/group-view.ts'
 import { logEnd } from '../upstreams/status.ts'
-import { acknowledge, commitLedger, enterLedger, replayRecord, settle } from './write-route.ts'
+import { acknowledge, commitUnderKey, replayRecord, settle } from './write-route.ts'
 import type { CommitRequest, HomeReply, SettleRequest } from './types.ts'
 
 /** An open transaction. */
@@ -144,16 +144,15 @@
       await pinned.client.run({ sql: 'COMMIT' }, deadline.leftMs, 'not-run')
       return { answer: EMPTY_ANSWER, upstream }
     }
-    const record = await enterLedger(pinned.client, attempt, deadline)
+    const { record, status } = await commitUnderKey(pinned.client, attempt, EMPTY_ANSWER, deadline)
     if (record.outcome === 'exists' && record.state === 'tombstone') {
       throw lost('an earlier attempt under its key was given up; send the transaction again under a new key')
     }
     if (record.outcome === 'exists') {
-      return { answer: replayRecord(record, attempt), replayed: true, upstream }
+      replayRecord(record, attempt)
     }
-    const status = await commitLedger(pinned.client, EMPTY_ANSWER, deadline)
     await acknowledge({ view, kind: COMMIT_KIND, deadline }, target, logEnd(status))
-    return { answer: EMPTY_ANSWER, floor: logEnd(status), upstream }
+    return { answer: EMPTY_ANSWER, floor: logEnd(status), upstream, replayed: record.outcome === 'exists' }
   }
 
   return {
--- a/src/routing/write-route.ts
+++ b/src/routing/write-route.ts
@@ -1,7 +1,7 @@
 /**
- * Writes. A write that is not declared repeatable enters its key in the ledger within its own transaction, so that it
- * runs at most once. Its answer is held back until the change is on a majority. When an answer is lost, the key is
- * contested on the current primary, which settles whether the write ran.
+ * Writes. A write that is not declared repeatable enters its key in the ledger as it commits, in its own transaction,
+ * so that it runs at most once. Its answer is held back until the change is on a majority. When an answer is lost, the
+ * key is contested on the current primary, which settles whether the write ran.
  */
 import type { Kind } from '../core/config/index.ts'
 import { RequestError, type Verdict } from '../core/errors/index.ts'
@@ -178,31 +178,29 @@
   }
 }
 
-/**
- * Enters an attempt in the ledger on a connection, opening a transaction unless one is open.
- *
- * @param client - the connection
- * @param attempt - the attempt
- * @param deadline - when to give up
- * @returns what the ledger says
- */
-export async function enterLedger (client: Client, attempt: KeyedAttempt, deadline: Deadline): Promise<LedgerRecord> {
-  const call = callProcedure('begin', ledgerArguments(attempt))
-  return parseLedgerRecord(await client.run(call, deadline.leftMs, 'not-run') as RowsAnswer)
+/** What came of a commit: the ledger's word, and the primary's status after it. */
+export interface CommitResult {
+  record: LedgerRecord
+  status: UpstreamStatus
 }
 
 /**
- * Commits the open transaction with the outcome of its attempt.
+ * Commits the open transaction and enters its attempt in the ledger, in one step. When the key is taken, the
+ * transaction is rolled back.
  *
  * @param client - the connection
+ * @param attempt - the attempt
  * @param answer - the outcome to record
  * @param deadline - when to give up
- * @returns the primary's status after the commit
+ * @returns what came of it
  */
-export async function commitLedger (client: Client, answer: Answer, deadline: Deadline): Promise<UpstreamStatus> {
+export async function commitUnderKey (
+  client: Client, attempt: KeyedAttempt, answer: Answer, deadline: Deadline
+): Promise<CommitResult> {
   const outcome = answer.type === 'done' ? [answer.affectedRows, answer.insertId] : [answer.rows.length, 0]
-  const committed = await client.run(callProcedure('commit', outcome), deadline.leftMs, 'may-have-run')
-  return parseStatus(committed as RowsAnswer)
+  const call = callProcedure('commit', [...ledgerArguments(attempt), ...outcome])
+  const committed = await client.run(call, deadline.leftMs, 'may-have-run') as RowsAnswer
+  return { record: parseLedgerRecord(committed), status: parseStatus(committed) }
 }
 
 /**
@@ -229,41 +227,58 @@
 }
 
 async function runKeyedWrite (options: WriteOptions, target: Target, attempt: KeyedAttempt): Promise<CommittedWrite> {
-  const { deadline, statement } = options
   return await onPrimary(options, target, async (client) => {
-    const record = await enterLedgerFrom(client, attempt, deadline)
-    if (record.outcome === 'exists') {
-      const answer = replayRecord(record, attempt)
-      const { status } = await target.view.channel.fresh()
-      return { answer, place: logEnd(status), replayed: true }
+    try {
+      return await runAndCommit(options, client, attempt)
+    } catch (thrown) {
+      const replayed = await findReplay(options, client, attempt, thrown)
+      if (replayed !== undefined) {
+        return replayed
+      }
+      throw thrown
     }
-    const answer = await runOrRollBack(client, statement, deadline)
-    const status = await commitLedger(client, answer, deadline)
-    return { answer, place: logEnd(status), replayed: false }
   })
 }
 
-/** Enters the ledger; a tombstone of an earlier attempt is taken over by the next attempt. */
-async function enterLedgerFrom (client: Client, attempt: KeyedAttempt, deadline: Deadline): Promise<LedgerRecord> {
-  const record = await enterLedger(client, attempt, deadline)
-  const takesOver = record.outcome === 'exists' && record.state === 'tombstone' &&
-    record.fingerprint === attempt.fingerprint
-  if (!takesOver) {
-    return record
+async function runAndCommit (
+  options: WriteOptions, client: Client, attempt: KeyedAttempt
+): Promise<CommittedWrite> {
+  const { deadline, statement } = options
+  await client.run({ sql: 'BEGIN' }, deadline.leftMs, 'not-run')
+  const answer = await client.run(statement, deadline.leftMs, 'not-run')
+  const { record, status } = await commitUnderKey(client, attempt, answer, deadline)
+  if (record.outcome !== 'exists') {
+    return { answer, place: logEnd(status), replayed: false }
+  }
+  const givenUpEarlier = record.state === 'tombstone' && record.fingerprint === attempt.fingerprint
+  if (givenUpEarlier) {
+    attempt.attempt = record.attempt + 1
+    return await runAndCommit(options, client, attempt)
   }
-  attempt.attempt = record.attempt + 1
-  return await enterLedgerFrom(client, attempt, deadline)
+  return { answer: replayRecord(record, attempt), place: logEnd(status), replayed: true }
 }
 
-async function runOrRollBack (client: Client, statement: Statement, deadline: Deadline): Promise<Answer> {
-  try {
-    return await client.run(statement, deadline.leftMs, 'not-run')
-  } catch (thrown) {
-    await client.run({ sql: 'ROLLBACK' }, deadline.leftMs, 'not-run').catch(() => client.close())
-    throw thrown
+/** A repetition may fail where the first run succeeded, by a unique key for one; then the record is the answer. */
+async function findReplay (
+  { deadline }: WriteOptions, client: Client, attempt: KeyedAttempt, thrown: unknown
+): Promise<CommittedWrite | undefined> {
+  if (!(thrown instanceof RequestError) || thrown.entry !== 'StatementFailed') {
+    return undefined
+  }
+  await client.run({ sql: 'ROLLBACK' }, deadline.leftMs, 'not-run').catch(() => client.close())
+  if (thrown.mysqlCode === MYSQL_ERROR.readOnly) {
+    return undefined
+  }
+  const call = callProcedure('find', [attempt.scope, attempt.key])
+  const found = await client.run(call, deadline.leftMs, 'not-run') as RowsAnswer
+  const record = parseLedgerRecord(found)
+  if (record.outcome !== 'exists' || record.state !== 'done') {
+    return undefined
   }
+  return { answer: replayRecord(record, attempt), place: logEnd(parseStatus(found)), replayed: true }
 }
 
+/** Tries to enter a tombstone for an attempt, and returns the record that then stands. */
 async function contest (
   options: Pick<WriteOptions, 'pools' | 'kind' | 'deadline' | 'view'>, target: Target, attempt: KeyedAttempt
 ): Promise<LedgerRecord> {
--- a/src/standin/request-ledger.ts
+++ b/src/standin/request-ledger.ts
@@ -1,5 +1,6 @@
 /** The procedures by which a request runs at most once, and the table they keep. */
 import { Buffer } from 'node:buffer'
+import type { UpstreamStatus } from '../upstreams/status.ts'
 import type { RowsAnswer, Statement } from '../mysql/types.ts'
 import type { Upstream, UpstreamTransaction } from './upstream.ts'
 import { textColumn } from '../mysql/answer-writer.ts'
@@ -19,6 +20,9 @@
   fingerprint: string
   attempt: number
   createdAt: number
+  /** Outcome of the request, recorded with its key. */
+  affectedRows: number
+  insertId: number
 }
 
 /** A row of the ledger, as the procedures return it. */
@@ -52,29 +56,13 @@
     return standing
   }
   transaction.run({
-    sql: "UPDATE worksward_ledger SET state = 'done', attempt = ? WHERE scope = ? AND request_key = ?",
-    values: [attempt.attempt, attempt.scope, attempt.key]
+    sql: `UPDATE worksward_ledger SET state = 'done', attempt = ?, affected_rows = ?, insert_id = ?
+      WHERE scope = ? AND request_key = ?`,
+    values: [attempt.attempt, attempt.affectedRows, attempt.insertId, attempt.scope, attempt.key]
   })
   return undefined
 }
 
-/**
- * Writes the outcome of the attempt into its record, inside the open transaction.
- *
- * @param transaction - the transaction
- * @param attempt - key and attempt
- * @param affectedRows - rows the request changed
- * @param insertId - id the request generated
- */
-export function recordOutcome (
-  transaction: UpstreamTransaction, attempt: LedgerAttempt, affectedRows: number, insertId: number
-): void {
-  transaction.run({
-    sql: 'UPDATE worksward_ledger SET affected_rows = ?, insert_id = ? WHERE scope = ? AND request_key = ?',
-    values: [affectedRows, insertId, attempt.scope, attempt.key]
-  })
-}
-
 /**
  * Contests an attempt: a tombstone is entered unless the attempt has committed.
  *
@@ -120,12 +108,16 @@
 /**
  * Shows a record as the answer of a procedure.
  *
- * @param outcome - `begun`, or `exists` when a record stands
+ * @param outcome - `entered`, `exists` when a record stood before, or `absent`
+ * @param status - the upstream's status, shown beside it
  * @param row - the record, if there is one
  * @returns the answer
  */
-export function ledgerAnswer (outcome: 'begun' | 'exists', row?: LedgerRow): RowsAnswer {
+export function ledgerAnswer (
+  outcome: 'entered' | 'exists' | 'absent', status: UpstreamStatus, row?: LedgerRow
+): RowsAnswer {
   return rowAnswer({
+    ...status,
     outcome,
     state: row?.state ?? '',
     fingerprint: row?.fingerprint ?? '',
@@ -147,7 +139,14 @@
   return { type: 'rows', columns: Object.keys(values).map(textColumn), rows: [cells] }
 }
 
-function findRow (transaction: UpstreamTransaction, { scope, key }: LedgerAttempt): LedgerRow | undefined {
+/**
+ * Finds the record of a key.
+ *
+ * @param transaction - where to look
+ * @param attempt - the key
+ * @returns the record, or undefined
+ */
+export function findRow (transaction: Pick<UpstreamTransaction, 'run'>, { scope, key }: LedgerAttempt): LedgerRow | undefined {
   const answer = transaction.run({ sql: FIND, values: [scope, key] })
   const row = answer.type === 'rows' ? answer.rows[0] : undefined
   if (row === undefined) {
@@ -165,8 +164,12 @@
 
 function insertRow (attempt: LedgerAttempt, state: 'done' | 'tombstone'): Statement {
   return {
-    sql: `INSERT INTO worksward_ledger (scope, request_key, fingerprint, state, attempt, created_at)
-      VALUES (?, ?, ?, ?, ?, ?)`,
-    values: [attempt.scope, attempt.key, attempt.fingerprint, state, attempt.attempt, attempt.createdAt]
+    sql: `INSERT INTO worksward_ledger
+      (scope, request_key, fingerprint, state, attempt, affected_rows, insert_id, created_at)
+      VALUES (?, ?, ?, ?, ?, ?, ?, ?)`,
+    values: [
+      attempt.scope, attempt.key, attempt.fingerprint, state, attempt.attempt, attempt.affectedRows, attempt.insertId,
+      attempt.createdAt
+    ]
   }
 }
--- a/src/standin/upstream-session.ts
+++ b/src/standin/upstream-session.ts
@@ -7,7 +7,7 @@
 import { PROCEDURES, type ProcedureName } from '../upstreams/procedures.ts'
 import { firstWord, isReadStatement } from './database.ts'
 import {
-  contestAttempt, enterAttempt, ledgerAnswer, recordOutcome, rowAnswer, sweepStatement, type LedgerAttempt
+  contestAttempt, enterAttempt, findRow, ledgerAnswer, rowAnswer, sweepStatement, type LedgerAttempt
 } from './request-ledger.ts'
 import type { Upstream, UpstreamTransaction } from './upstream.ts'
 
@@ -39,9 +39,10 @@
 /** State of a session. */
 interface SessionState {
   options: UpstreamSessionOptions
+  /** Whether the client has begun a transaction. */
+  begun: boolean
+  /** The transaction, from its first statement on; it has the database to itself. */
   transaction?: UpstreamTransaction
-  /** Ledger entry made by the open transaction. */
-  attempt?: LedgerAttempt
   closed: boolean
 }
 
@@ -52,7 +53,7 @@
  * @returns the handler
  */
 export function createUpstreamSession (options: UpstreamSessionOptions): ClientHandler {
-  const state: SessionState = { options, closed: false }
+  const state: SessionState = { options, begun: false, closed: false }
   return {
     execute: async (statement) => {
       await whileFrozen(state)
@@ -88,7 +89,7 @@
 function endTransaction (state: SessionState): void {
   state.transaction?.rollback()
   state.transaction = undefined
-  state.attempt = undefined
+  state.begun = false
 }
 
 async function dispatch (state: SessionState, statement: Statement): Promise<Answer> {
@@ -102,7 +103,7 @@
   if (serviceMs > 0) {
     await slots.add(async () => await sleep(serviceMs))
   }
-  return state.transaction === undefined ? await upstream.run(statement) : state.transaction.run(statement)
+  return state.begun ? (await openTransaction(state)).run(statement) : await upstream.run(statement)
 }
 
 const CONTROL_HANDLERS: Record<string, (state: SessionState, statement: Statement) => Promise<Answer>> = {
@@ -129,13 +130,21 @@
 
 async function begin (state: SessionState): Promise<Answer> {
   endTransaction(state)
+  state.begun = true
+  return EMPTY_ANSWER
+}
+
+async function openTransaction (state: SessionState): Promise<UpstreamTransaction> {
+  if (state.transaction !== undefined) {
+    return state.transaction
+  }
   const transaction = await state.options.upstream.begin()
   if (state.closed) {
     transaction.rollback()
     throw new Error('the connection is gone')
   }
   state.transaction = transaction
-  return EMPTY_ANSWER
+  return transaction
 }
 
 const PROCEDURE_HANDLERS: Record<ProcedureName, (state: SessionState, args: string[]) => Promise<Answer>> = {
@@ -162,38 +171,38 @@
     const accepted = state.options.upstream.follow(primary!, Number(term))
     return statusAnswer(state, accepted)
   },
-  begin: async (state, args) => {
-    const attempt = readAttempt(args)
-    if (state.transaction === undefined) {
-      await begin(state)
+  commit: async (state, args) => {
+    if (!state.begun) {
+      throw new Error('no transaction is open')
     }
-    const standing = enterAttempt(state.transaction!, attempt)
-    if (standing !== undefined) {
+    const transaction = await openTransaction(state)
+    const attempt = readAttempt(args)
+    try {
+      const standing = attempt.key === '' ? undefined : enterAttempt(transaction, attempt)
+      if (standing !== undefined) {
+        return ledgerAnswer('exists', state.options.upstream.status(), standing)
+      }
+      transaction.commit()
+    } finally {
       endTransaction(state)
-      return ledgerAnswer('exists', standing)
     }
-    state.attempt = attempt
-    return ledgerAnswer('begun')
+    return ledgerAnswer('entered', state.options.upstream.status())
   },
-  commit: async (state, [affectedRows, insertId]) => {
-    if (state.transaction === undefined) {
-      throw new Error('no transaction is open')
-    }
-    if (state.attempt !== undefined) {
-      recordOutcome(state.transaction, state.attempt, Number(affectedRows), Number(insertId))
-    }
+  find: async (state, args) => {
+    const transaction = await state.options.upstream.begin()
     try {
-      state.transaction.commit()
+      const row = findRow(transaction, readAttempt(args))
+      return ledgerAnswer(row === undefined ? 'absent' : 'exists', state.options.upstream.status(), row)
     } finally {
-      endTransaction(state)
+      transaction.rollback()
     }
-    return statusAnswer(state)
   },
   contest: async (state, args) => {
     if (state.options.upstream.status().role !== 'primary') {
       throw new Error('the upstream is read-only: it is not the primary')
     }
-    return ledgerAnswer('exists', await contestAttempt(state.options.upstream, readAttempt(args)))
+    const row = await contestAttempt(state.options.upstream, readAttempt(args))
+    return ledgerAnswer('exists', state.options.upstream.status(), row)
   },
   sweep: async (state, [before, limit]) =>
     await state.options.upstream.run(sweepStatement(Number(before), Number(limit)))
@@ -204,8 +213,17 @@
   return rowAnswer(accepted === undefined ? status : { ...status, accepted })
 }
 
-function readAttempt ([scope, key, fingerprint, attempt, createdAt]: string[]): LedgerAttempt {
-  return { scope: scope!, key: key!, fingerprint: fingerprint!, attempt: Number(attempt), createdAt: Number(createdAt) }
+function readAttempt (args: string[]): LedgerAttempt {
+  const [scope = '', key = '', fingerprint = '', attempt, createdAt, affectedRows, insertId] = args
+  return {
+    scope,
+    key,
+    fingerprint,
+    attempt: Number(attempt),
+    createdAt: Number(createdAt),
+    affectedRows: Number(affectedRows),
+    insertId: Number(insertId)
+  }
 }
 
 function procedureName (sql: string): string | undefined {
--- a/src/upstreams/procedures.ts
+++ b/src/upstreams/procedures.ts
@@ -6,7 +6,7 @@
 
 /** Operations every driver must offer. */
 export const PROCEDURE_NAMES = [
-  'status', 'wait', 'fence', 'promote', 'follow', 'begin', 'commit', 'contest', 'sweep'
+  'status', 'wait', 'fence', 'promote', 'follow', 'commit', 'find', 'contest', 'sweep'
 ] as const
 
 /** One of {@link PROCEDURE_NAMES}. */
@@ -19,8 +19,8 @@
   fence: 'worksward_fence',
   promote: 'worksward_promote',
   follow: 'worksward_follow',
-  begin: 'worksward_begin',
   commit: 'worksward_commit',
+  find: 'worksward_find',
   contest: 'worksward_contest',
   sweep: 'worksward_sweep'
 }
