--- a/src/membership/index.ts
+++ b/src/membership/index.ts
@@ -103,6 +103,9 @@
       if (before !== member.state) {
         context.logger.log('info', 'member.state', { peer: member.host, state: member.state, before })
       }
+      if (member.state === 'suspect' || member.state === 'gone') {
+        peers.disconnect(member)
+      }
       if (member.state === 'suspect') {
         expectRefutation(member)
       }
--- a/src/peers/index.ts
+++ b/src/peers/index.ts
@@ -12,6 +12,8 @@
   port: number
   /** Sends a request; see {@link PeerClient.request}. */
   request: (endpoint: Endpoint, type: string, body: unknown, timeoutMs: number) => Promise<unknown>
+  /** Breaks the link to a peer; see {@link PeerClient.disconnect}. */
+  disconnect: (endpoint: Endpoint) => void
   /** Registers the handler for a type of request. */
   handle: (type: string, handler: PeerHandler) => void
   /** Requests of peers in progress here. */
@@ -38,6 +40,7 @@
       service: {
         port: server.port,
         request: client.request,
+        disconnect: client.disconnect,
         handle: (type, handler) => handlers.set(type, handler),
         get inProgress () { return server.inProgress }
       },
--- a/src/peers/peer-client.ts
+++ b/src/peers/peer-client.ts
@@ -26,6 +26,12 @@
    * @throws RequestError with verdict `not-run` when it was not sent, `may-have-run` when the answer is missing
    */
   request: (endpoint: Endpoint, type: string, body: unknown, timeoutMs: number) => Promise<unknown>
+  /**
+   * Breaks the link to a peer, so that what waits for it fails now.
+   *
+   * @param endpoint - the peer
+   */
+  disconnect: (endpoint: Endpoint) => void
   /** Answers that came after their request was given up. */
   readonly lateAnswers: number
   /** Open links. */
@@ -130,6 +136,9 @@
         link.frames.send({ id, type, body })
       })
     },
+    disconnect: (endpoint) => {
+      links.get(formatEndpoint(endpoint))?.then(({ socket }) => socket.destroy(), () => {})
+    },
     close: () => sockets.forEach((socket) => socket.destroy())
   }
 }
--- a/src/routing/write-route.ts
+++ b/src/routing/write-route.ts
@@ -135,9 +135,7 @@
       await acknowledge(options, target, logEnd(status))
       return settleByRecord(record, attempt, target, logEnd(status), view.name)
     } catch (thrown) {
-      if (thrown instanceof RequestError && (thrown.entry === 'TransactionLost' || thrown.entry === 'KeyReused')) {
-        throw thrown
-      }
+      throwIfFinal(thrown, view.name)
       await pause(RETRY_PAUSE_MS)
     }
   }
@@ -146,6 +144,19 @@
   })
 }
 
+/** Throws what no further try at settling can change. */
+function throwIfFinal (thrown: unknown, group: string): void {
+  if (!(thrown instanceof RequestError)) {
+    throw thrown
+  }
+  if (thrown.entry === 'TransactionLost' || thrown.entry === 'KeyReused') {
+    throw thrown
+  }
+  if (thrown.entry === 'StatementFailed' && !isReadOnlyRefusal(thrown)) {
+    throw new RequestError('may-have-run', 'NotAcknowledged', { group, reason: thrown.message })
+  }
+}
+
 /**
  * Waits until a committed change may be acknowledged.
  *
--- a/src/standin/upstream-session.ts
+++ b/src/standin/upstream-session.ts
@@ -214,7 +214,7 @@
 }
 
 function readAttempt (args: string[]): LedgerAttempt {
-  const [scope = '', key = '', fingerprint = '', attempt, createdAt, affectedRows, insertId] = args
+  const [scope = '', key = '', fingerprint = '', attempt = '0', createdAt = '0', affectedRows = '0', insertId = '0'] = args
   return {
     scope,
     key,
--- a/src/standin/upstream.ts
+++ b/src/standin/upstream.ts
@@ -34,7 +34,6 @@
   readonly name: string
   readonly log = new ReplicationLog()
   readonly incarnation = randomUUID()
-  lagMs: number
   /** Whether it wants no new work. */
   leaving = false
   /** Whether the process is frozen: nothing is applied and nothing answered. */
@@ -44,6 +43,7 @@
   /** Records thrown away because another primary went another way. */
   discardedRecords = 0
 
+  private lag: number
   private term = 0
   private fencedTerm = 0
   private role: 'primary' | 'replica' = 'replica'
@@ -63,13 +63,23 @@
   constructor (options: UpstreamOptions, database: Database) {
     this.options = options
     this.name = options.name
-    this.lagMs = options.lagMs
+    this.lag = options.lagMs
     this.database = database
     this.logger = options.logger ?? silentLogger
     options.schema.concat(LEDGER_SCHEMA).forEach((sql) => database.run({ sql }))
     database.setReadOnly(true)
   }
 
+  /** Time between a change on the primary and its arrival here, in milliseconds. */
+  get lagMs (): number {
+    return this.lag
+  }
+
+  set lagMs (lagMs: number) {
+    this.lag = lagMs
+    this.resume()
+  }
+
   /** What the status procedure shows. */
   status (): UpstreamStatus {
     return {
@@ -228,6 +238,8 @@
 
   /** Applies what has arrived; called again when a fault ends. */
   resume (): void {
+    clearTimeout(this.pumpTimer)
+    this.pumpTimer = undefined
     this.schedulePump(0)
   }
 
--- /dev/null
+++ b/test/system/transactions.test.ts
@@ -0,0 +1,84 @@
+import { after, before, describe, it } from 'node:test'
+import { expect } from 'earl'
+import type { Connection } from 'mysql2/promise'
+import { GROUP, readRequests, startTestDeployment, until, type TestDeployment } from '../fixtures/deployment.ts'
+
+describe('transactions', () => {
+  let deployment: TestDeployment
+  before(async () => { deployment = await startTestDeployment() })
+  after(async () => await deployment.close())
+
+  const insert = async (connection: Connection, session: string, request: string): Promise<void> => {
+    await connection.query(`INSERT INTO records (session, request, amount) VALUES ('${session}', '${request}', 0)`)
+  }
+
+  it('keeps the statements of two callers apart', async () => {
+    const [first, second] = await Promise.all([0, 1].map(async (proxy) => await deployment.connect(proxy)))
+    await first!.query('BEGIN')
+    await insert(first!, 'apart', 'first')
+    const other = insert(second!, 'apart', 'second')
+    await first!.query('ROLLBACK')
+    await other
+    expect(await readRequests(second!, 'apart')).toEqual(['second'])
+  })
+
+  it('rolls back when the caller goes in the middle', async () => {
+    const connection = await deployment.connect(0)
+    await connection.query('BEGIN')
+    await insert(connection, 'gone-caller', 'g1')
+    connection.destroy()
+    expect(await readRequests(await deployment.connect(1), 'gone-caller', 'id')).toEqual([])
+    await until(() => deployment.proxies.every(({ kernel }) =>
+      [...kernel.use('routing').homes().values()].every((home) => home.busy === 0)))
+  })
+
+  it('says that the transaction was rolled back when the primary goes in the middle', async () => {
+    const connection = await deployment.connect(0)
+    await connection.query('BEGIN')
+    await insert(connection, 'gone-primary', 'g1')
+    const old = deployment.primaryOf(GROUP)
+    await old.crash()
+    await expect(insert(connection, 'gone-primary', 'g2')).toBeRejectedWith('[verdict: not-run]')
+    await until(() => deployment.primaryOf(GROUP) !== old)
+    await old.restart()
+    await deployment.waitForPrimaries()
+    expect(await readRequests(connection, 'gone-primary', 'id')).toEqual([])
+    await connection.query('BEGIN')
+    await insert(connection, 'gone-primary', 'g3')
+    await connection.query('COMMIT')
+    expect(await readRequests(connection, 'gone-primary', 'id')).toEqual(['g3'])
+  })
+
+  it('settles a COMMIT whose answer is lost', async () => {
+    const connection = await deployment.connect(2)
+    await connection.query('BEGIN')
+    await insert(connection, 'lost-commit', 'l1')
+    await insert(connection, 'lost-commit', 'l2')
+    deployment.primaryOf(GROUP).faults.loseAnswers.set('worksward_commit', 1)
+    await connection.query('COMMIT')
+    expect(await readRequests(connection, 'lost-commit')).toEqual(['l1', 'l2'])
+  })
+
+  it('settles a COMMIT whose home dies within it', async () => {
+    const home = deployment.proxies[0]!.kernel.use('routing').homesOf(GROUP)[0]!.host
+    const domains = deployment.proxies.filter(({ name }) => name !== home)
+    const extra = await deployment.addProxy('proxy-extra', domains[0]!.failureDomain)
+    const entry = deployment.proxies.indexOf(extra)
+    await until(() => deployment.proxies.every(({ kernel }) => kernel.use('membership').present('proxy').length === 4))
+    const connection = await deployment.connect(entry)
+    await connection.query('BEGIN')
+    await insert(connection, 'dying-home', 'd1')
+    const homes = deployment.proxies.filter(({ kernel }) =>
+      [...kernel.use('routing').homes().values()].some((group) => group.busy > 0))
+    const position = deployment.primaryOf(GROUP).upstream.log.end.position
+    deployment.standins.groups.get(GROUP)!.forEach(({ upstream }) => { upstream.lagMs = 300 })
+    const committing = connection.query('COMMIT')
+    await until(() => deployment.primaryOf(GROUP).upstream.log.end.position > position)
+    if (homes[0]!.name !== extra.name) {
+      await deployment.kill(homes[0]!)
+    }
+    await committing
+    deployment.standins.groups.get(GROUP)!.forEach(({ upstream }) => { upstream.lagMs = 5 })
+    expect(await readRequests(connection, 'dying-home', 'id')).toEqual(['d1'])
+  })
+})
