--- /dev/null
+++ b/bench/failover-gap.ts
@@ -0,0 +1,41 @@
+/** The longest time without an acknowledged write around a failover, as callers see it. */
+import { runExperiment } from '../src/load/experiment.ts'
+import type { FaultName } from '../src/load/faults.ts'
+import { failoverGapMs } from '../src/load/summary.ts'
+import type { Measurement, Row } from './types.ts'
+
+const RUNS = 20
+const FAULTS: FaultName[] = ['crash-primary', 'pause-primary', 'cut-primary']
+const WRITES = { purchase: 100, 'read-own': 0, transfer: 0, total: 0, echo: 0 }
+
+/** Measures the gap for each way in which a primary fails. */
+export const failoverGap: Measurement = {
+  title: 'Failover gap',
+  description: `Longest time between two acknowledged writes around the failure, ${RUNS} runs of each kind, 12 writers, ` +
+    'sizes of the Association.',
+  run: async () => {
+    const rows: Row[] = []
+    for (const fault of FAULTS) {
+      rows.push(await measure(fault))
+    }
+    return rows
+  }
+}
+
+async function measure (name: FaultName): Promise<Row> {
+  const gaps: number[] = []
+  let violations = 0
+  for (let seed = 1; seed <= RUNS; seed++) {
+    const result = await runExperiment({
+      seed,
+      faults: [{ name, atMs: 600 + seed * 7, durationMs: 1500 }],
+      workload: { durationMs: 2400, mix: WRITES, sessions: 12, handles: ['connection'], thinkMs: 0, roaming: 0 }
+    })
+    violations += result.violations.length
+    gaps.push(failoverGapMs(result.history.events, result.faults[0]!.atMs) ?? Infinity)
+  }
+  const sorted = gaps.sort((left, right) => left - right)
+  const at = (share: number): number =>
+    Math.round(sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))]!)
+  return { failure: name, runs: RUNS, 'p50 ms': at(0.5), 'p90 ms': at(0.9), 'largest ms': at(1), violations }
+}
--- /dev/null
+++ b/bench/faulty-runs.ts
@@ -0,0 +1,43 @@
+/** Violations over many seeded runs under faults; several runs at a time, each on sockets of its own. */
+import { runExperiment, type ExperimentResult } from '../src/load/experiment.ts'
+import { scheduleFaults } from '../src/load/faults.ts'
+import { createRandom } from '../src/load/random.ts'
+import { summarize } from '../src/load/summary.ts'
+import type { Measurement } from './types.ts'
+
+const RUNS = Number(process.env['WORKSWARD_RUNS'] ?? 100)
+const AT_A_TIME = 3
+const DURATION_MS = 3000
+const FAULTS_PER_RUN = 3
+
+/** Runs all seeds and adds up. */
+export const faultyRuns: Measurement = {
+  title: 'Faulty runs',
+  description: `${RUNS} runs with seeds from 1, ${FAULTS_PER_RUN} faults each drawn from all kinds, ${DURATION_MS} ms, ` +
+    `${AT_A_TIME} runs at a time, 8 sessions.`,
+  run: async () => {
+    const seeds = Array.from({ length: RUNS }, (_value, index) => index + 1)
+    const results: ExperimentResult[] = []
+    const work = async (): Promise<void> => {
+      for (let seed = seeds.shift(); seed !== undefined; seed = seeds.shift()) {
+        const faults = scheduleFaults(createRandom(seed), DURATION_MS, FAULTS_PER_RUN)
+        const result = await runExperiment({ seed, faults, workload: { durationMs: DURATION_MS } })
+        result.violations.forEach(({ check, description }) =>
+          process.stderr.write(`seed ${seed}: ${check}: ${description}\n`))
+        results.push(result)
+      }
+    }
+    await Promise.all(Array.from({ length: AT_A_TIME }, work))
+    const summaries = results.map(({ history }) => summarize(history.events))
+    const sum = (pick: (summary: typeof summaries[number]) => number): number =>
+      summaries.reduce((total, summary) => total + pick(summary), 0)
+    return [{
+      runs: results.length,
+      requests: sum(({ operations }) => operations),
+      served: sum(({ done }) => done),
+      'refused not run': sum(({ notRun }) => notRun),
+      'outcome unknown': sum(({ mayHaveRun }) => mayHaveRun),
+      violations: results.reduce((total, { violations }) => total + violations.length, 0)
+    }]
+  }
+}
--- /dev/null
+++ b/bench/naive/run-naive.ts
@@ -0,0 +1,41 @@
+/** Runs an experiment whose callers connect to the naive proxy instead of worksward. */
+import { EMBEDDED_ACCOUNT, EMBEDDED_PASSWORD, EMBEDDED_SERVICE } from '../../src/embedded/sizes.ts'
+import type { Deployment } from '../../src/embedded/deployment.ts'
+import { runExperiment, type ExperimentOptions, type ExperimentResult } from '../../src/load/experiment.ts'
+import type { ListeningServer } from '../../src/mysql/server.ts'
+import { startNaiveProxy, type NaiveOptions } from './naive-proxy.ts'
+
+const GROUP = 'member-a'
+
+/**
+ * Runs the experiment.
+ *
+ * @param options - seed, faults and workload
+ * @param habits - habits of the naive proxy
+ * @returns what callers saw
+ */
+export async function runNaive (
+  options: ExperimentOptions, habits: Partial<NaiveOptions> = {}
+): Promise<ExperimentResult> {
+  const servers: ListeningServer[] = []
+  const targetOf = async (deployment: Deployment) => {
+    const upstreams = [...deployment.standins.groups.get(GROUP)!]
+    const access = upstreams.map(([name, { port }]) =>
+      ({ name, address: '127.0.0.1', port, ...EMBEDDED_ACCOUNT, database: GROUP }))
+    const primary = deployment.primaryOf(GROUP).upstream.name
+    servers.push(await startNaiveProxy({
+      primary: access.find(({ name }) => name === primary)!,
+      replicas: access.filter(({ name }) => name !== primary),
+      user: EMBEDDED_SERVICE,
+      password: EMBEDDED_PASSWORD,
+      ...habits
+    }))
+    const proxies = servers.map(({ port }) => ({ address: '127.0.0.1', port }))
+    return { proxies, user: EMBEDDED_SERVICE, password: EMBEDDED_PASSWORD, database: GROUP }
+  }
+  try {
+    return await runExperiment({ ...options, targetOf })
+  } finally {
+    await Promise.all(servers.map(async (server) => await server.close()))
+  }
+}
--- /dev/null
+++ b/bench/overload.ts
@@ -0,0 +1,141 @@
+/** Goodput at the saturating load and at twice that load. */
+import { pause } from '../src/core/time/deadline.ts'
+import { startDeployment, type Deployment } from '../src/embedded/deployment.ts'
+import { ASSOCIATION_SIZES } from '../src/embedded/sizes.ts'
+import { createCaller, type Caller } from '../src/load/caller.ts'
+import { callerTarget } from '../src/load/experiment.ts'
+import { createTimeHistogram, percentileMs, recordTime } from '../src/load/summary.ts'
+import type { Measurement, Row } from './types.ts'
+import { round2 } from './throughput.ts'
+
+const PHASE_MS = 3000
+const SATURATING_CALLERS = 64
+const OPEN_CALLERS = 400
+/** Service time of a read: slow enough that the upstreams, not this machine, are the limit. */
+const READ_MS = 10
+const WRITE_EVERY = 20
+const GRACE_MS = 1000
+
+/** Compares goodput at the peak with goodput at twice the load, offered in an open loop. */
+export const overload: Measurement = {
+  title: 'Overload',
+  description: `Reads of ${READ_MS} ms service time and one purchase in ${WRITE_EVERY} requests; the peak is a closed ` +
+    `loop of ${SATURATING_CALLERS} callers, the overload an open loop at the given multiple of it. Goodput counts what ` +
+    'was served within its deadline of 500 ms.',
+  run: async () => {
+    const deployment = await startDeployment({
+      sizes: { ...ASSOCIATION_SIZES, groups: ['member-a'], readMs: READ_MS },
+      adjust: ({ groups }) => Object.values(groups).forEach(({ services }) =>
+        Object.values(services['app']!.kinds).forEach((kind) => { kind.deadlineMs = 500 }))
+    })
+    try {
+      const peak = await closedLoop(deployment)
+      const rows = [describe('peak, closed loop', peak, peak.goodput)]
+      for (const multiple of [1, 2, 3]) {
+        rows.push(describe(`${multiple} x peak, open loop`, await openLoop(deployment, peak.goodput * multiple), peak.goodput))
+      }
+      return rows
+    } finally {
+      await deployment.close()
+    }
+  }
+}
+
+/** Figures of one phase. */
+interface Phase {
+  offered: number
+  goodput: number
+  notRun: number
+  unclear: number
+  writesDone: number
+  writesOffered: number
+  p99Ms: number
+}
+
+function describe (load: string, phase: Phase, peak: number): Row {
+  return {
+    load,
+    'offered/s': phase.offered,
+    'goodput/s': phase.goodput,
+    'of peak': round2(phase.goodput / peak),
+    'refused not run/s': phase.notRun,
+    'unclear/s': phase.unclear,
+    'writes served %': Math.round(100 * phase.writesDone / Math.max(1, phase.writesOffered)),
+    'served p99 ms': phase.p99Ms
+  }
+}
+
+function createPhase () {
+  const histogram = createTimeHistogram()
+  const counts = { offered: 0, done: 0, notRun: 0, unclear: 0, writesDone: 0, writesOffered: 0 }
+  const send = async (caller: Caller): Promise<void> => {
+    const isWrite = counts.offered++ % WRITE_EVERY === 0
+    counts.writesOffered += isWrite ? 1 : 0
+    const startedAt = performance.now()
+    try {
+      await caller.query(isWrite
+        ? "INSERT INTO records (session, request, amount) VALUES ('o', 'o', 1) /*worksward_kind='purchase'*/"
+        : "SELECT 1 /*worksward_kind='grid'*/")
+      recordTime(histogram, performance.now() - startedAt)
+      counts.done++
+      counts.writesDone += isWrite ? 1 : 0
+    } catch (thrown) {
+      counts[String(thrown).includes('verdict: not-run') ? 'notRun' : 'unclear']++
+    }
+  }
+  const finish = (): Phase => {
+    const perSecond = (count: number): number => Math.round(count / PHASE_MS * 1000)
+    return {
+      offered: perSecond(counts.offered),
+      goodput: perSecond(counts.done),
+      notRun: perSecond(counts.notRun),
+      unclear: perSecond(counts.unclear),
+      writesDone: counts.writesDone,
+      writesOffered: counts.writesOffered,
+      p99Ms: percentileMs(histogram, 99)
+    }
+  }
+  return { send, finish }
+}
+
+async function connectCallers (deployment: Deployment, count: number): Promise<Caller[]> {
+  const target = await callerTarget(deployment)
+  const callers = Array.from({ length: count }, (_value, index) => createCaller(target, index % target.proxies.length))
+  await Promise.all(callers.map(async (caller) => await caller.query('SELECT @@worksward_session')))
+  return callers
+}
+
+async function closedLoop (deployment: Deployment): Promise<Phase> {
+  const callers = await connectCallers(deployment, SATURATING_CALLERS)
+  const phase = createPhase()
+  const until = performance.now() + PHASE_MS
+  await Promise.all(callers.map(async (caller) => {
+    while (performance.now() < until) {
+      await phase.send(caller)
+    }
+  }))
+  callers.forEach((caller) => caller.close())
+  return phase.finish()
+}
+
+async function openLoop (deployment: Deployment, perSecond: number): Promise<Phase> {
+  const idle = await connectCallers(deployment, OPEN_CALLERS)
+  const all = [...idle]
+  const phase = createPhase()
+  const startedAt = performance.now()
+  let sent = 0
+  while (performance.now() - startedAt < PHASE_MS) {
+    const due = Math.floor((performance.now() - startedAt) / 1000 * perSecond)
+    for (; sent < due; sent++) {
+      const caller = idle.pop()
+      if (caller !== undefined) {
+        void phase.send(caller).then(() => idle.push(caller))
+      }
+    }
+    await pause(1)
+  }
+  const result = phase.finish()
+  await pause(GRACE_MS)
+  all.forEach((caller) => caller.close())
+  return result
+}
