Ask for a read's place only when the session moves; commit writes without BEGIN

Cause: a replica read waited for a status round after it (2 to 3 round trips in all) and a write took BEGIN, the statement and the commit. The concurrency limit took one lucky sample for the fastest latency and shrank to 1. Ruled out: statement lexing (21 us), fingerprints (5 us), packet delays (no 40 ms steps). Change: a floor names the replica a session read from and is resolved when the session goes elsewhere; connections to primaries run with autocommit off, so the statement opens its transaction and the commit call returns the place; the limit takes batch means.

--- a/bench/overload.ts
+++ b/bench/overload.ts
@@ -1,10 +1,9 @@
 /** Goodput at the saturating load and at twice that load. */
 import { pause } from '../src/core/time/deadline.ts'
-import { startDeployment, type Deployment } from '../src/embedded/deployment.ts'
-import { ASSOCIATION_SIZES } from '../src/embedded/sizes.ts'
+import { ASSOCIATION_SIZES, EMBEDDED_PASSWORD, EMBEDDED_SERVICE } from '../src/embedded/sizes.ts'
 import { createCaller, type Caller } from '../src/load/caller.ts'
-import { callerTarget } from '../src/load/experiment.ts'
 import { createTimeHistogram, percentileMs, recordTime } from '../src/load/summary.ts'
+import { startProcesses, type ProcessDeployment } from '../test/fixtures/process-deployment.ts'
 import type { Measurement, Row } from './types.ts'
 import { round2 } from './throughput.ts'
 
@@ -15,18 +14,21 @@
 const READ_MS = 10
 const WRITE_EVERY = 20
 const GRACE_MS = 1000
+const DEADLINE_MS = 500
+const GROUP = 'member-a'
+const CONNECT_AT_A_TIME = 20
 
 /** Compares goodput at the peak with goodput at twice the load, offered in an open loop. */
 export const overload: Measurement = {
   title: 'Overload',
   description: `Reads of ${READ_MS} ms service time and one purchase in ${WRITE_EVERY} requests; the peak is a closed ` +
     `loop of ${SATURATING_CALLERS} callers, the overload an open loop at the given multiple of it. Goodput counts what ` +
-    'was served within its deadline of 500 ms.',
+    `was served within its deadline of ${DEADLINE_MS} ms; each process on its own.`,
   run: async () => {
-    const deployment = await startDeployment({
-      sizes: { ...ASSOCIATION_SIZES, groups: ['member-a'], readMs: READ_MS },
-      adjust: ({ groups }) => Object.values(groups).forEach(({ services }) =>
-        Object.values(services['app']!.kinds).forEach((kind) => { kind.deadlineMs = 500 }))
+    const sizes = { ...ASSOCIATION_SIZES, groups: [GROUP], readMs: READ_MS }
+    const deployment = await startProcesses(sizes, ({ groups }) => {
+      const kinds = Object.values(groups[GROUP]!.services[EMBEDDED_SERVICE]!.kinds)
+      kinds.forEach((kind) => { kind.deadlineMs = DEADLINE_MS })
     })
     try {
       const peak = await closedLoop(deployment)
@@ -98,14 +100,22 @@
   return { send, finish }
 }
 
-async function connectCallers (deployment: Deployment, count: number): Promise<Caller[]> {
-  const target = await callerTarget(deployment)
+async function connectCallers (deployment: ProcessDeployment, count: number): Promise<Caller[]> {
+  const target = {
+    proxies: deployment.proxies.map(({ started }) => ({ address: '127.0.0.1', port: Number(started['callers']) })),
+    user: EMBEDDED_SERVICE,
+    password: EMBEDDED_PASSWORD,
+    database: GROUP
+  }
   const callers = Array.from({ length: count }, (_value, index) => createCaller(target, index % target.proxies.length))
-  await Promise.all(callers.map(async (caller) => await caller.query('SELECT @@worksward_session')))
+  for (let index = 0; index < count; index += CONNECT_AT_A_TIME) {
+    const batch = callers.slice(index, index + CONNECT_AT_A_TIME)
+    await Promise.all(batch.map(async (caller) => await caller.query('SELECT @@worksward_session')))
+  }
   return callers
 }
 
-async function closedLoop (deployment: Deployment): Promise<Phase> {
+async function closedLoop (deployment: ProcessDeployment): Promise<Phase> {
   const callers = await connectCallers(deployment, SATURATING_CALLERS)
   const phase = createPhase()
   const until = performance.now() + PHASE_MS
@@ -118,7 +128,7 @@
   return phase.finish()
 }
 
-async function openLoop (deployment: Deployment, perSecond: number): Promise<Phase> {
+async function openLoop (deployment: ProcessDeployment, perSecond: number): Promise<Phase> {
   const idle = await connectCallers(deployment, OPEN_CALLERS)
   const all = [...idle]
   const phase = createPhase()
--- a/bench/throughput.ts
+++ b/bench/throughput.ts
@@ -6,7 +6,7 @@
 import type { Measurement, Row } from './types.ts'
 
 const GROUP = 'member-a'
-const CLIENTS = 6
+const CLIENTS = [6, 24]
 const PHASE_MS = 1500
 const ROUNDS = 3
 
@@ -19,29 +19,34 @@
 /** Compares throughput and latency, direct and through a proxy, in turns. */
 export const throughput: Measurement = {
   title: 'Throughput and added latency',
-  description: `${CLIENTS} clients in a closed loop, direct on the stand-in's upstream and through a proxy, each a process of its own, in turns ` +
+  description: `${CLIENTS.join(' and ')} clients in a closed loop, direct on the stand-in's upstream and through a proxy, each a process of its own, in turns ` +
     `(${ROUNDS} rounds of ${PHASE_MS} ms, median of the rounds' ratios); sizes of the Association, lag 5 ms.`,
   run: async () => {
     const deployment = await startProcesses({ ...ASSOCIATION_SIZES, groups: [GROUP] })
     try {
-      return [await compare(deployment, 'read'), await compare(deployment, 'write')]
+      const rows: Row[] = []
+      for (const clients of CLIENTS) {
+        rows.push(await compare(deployment, 'read', clients), await compare(deployment, 'write', clients))
+      }
+      return rows
     } finally {
       await deployment.close()
     }
   }
 }
 
-async function compare (deployment: ProcessDeployment, access: 'read' | 'write'): Promise<Row> {
+async function compare (deployment: ProcessDeployment, access: 'read' | 'write', clients: number): Promise<Row> {
   const direct: Phase[] = []
   const proxied: Phase[] = []
   for (let round = 0; round < ROUNDS; round++) {
     const port = await upstreamPort(deployment, access === 'write' ? 'primary' : 'replica')
-    direct.push(await drive(port, EMBEDDED_ACCOUNT, access))
+    direct.push(await drive(port, EMBEDDED_ACCOUNT, access, clients))
     const service = { user: EMBEDDED_SERVICE, password: EMBEDDED_PASSWORD }
-    proxied.push(await drive(Number(deployment.proxies[0]!.started['callers']), service, access))
+    proxied.push(await drive(Number(deployment.proxies[0]!.started['callers']), service, access, clients))
   }
   return {
     requests: access,
+    clients,
     'direct/s': median(direct.map(({ perSecond }) => perSecond)),
     'proxy/s': median(proxied.map(({ perSecond }) => perSecond)),
     ratio: median(proxied.map(({ perSecond }, round) => round2(perSecond / direct[round]!.perSecond))),
@@ -54,11 +59,13 @@
   return Object.values(await deployment.upstreams(GROUP)).find((upstream) => upstream.role === role)!.port
 }
 
-async function drive (port: number, login: { user: string, password: string }, access: 'read' | 'write'): Promise<Phase> {
+async function drive (
+  port: number, login: { user: string, password: string }, access: 'read' | 'write', count: number
+): Promise<Phase> {
   const histogram = createTimeHistogram()
   const until = performance.now() + PHASE_MS
   let done = 0
-  const clients = await Promise.all(Array.from({ length: CLIENTS }, async () =>
+  const clients = await Promise.all(Array.from({ length: count }, async () =>
     await mysql.createConnection({ host: '127.0.0.1', port, ...login, database: GROUP })))
   const statement = access === 'read'
     ? "SELECT 1 /*worksward_kind='grid'*/"
--- a/src/callers/caller-session.ts
+++ b/src/callers/caller-session.ts
@@ -6,10 +6,9 @@
 import { textColumn } from '../mysql/answer-writer.ts'
 import type { ClientHandler, ClientHello } from '../mysql/server.ts'
 import { EMPTY_ANSWER, type Answer, type Statement } from '../mysql/types.ts'
-import type { HomeReply } from '../routing/types.ts'
 import type { HomeRequests } from '../routing/home-requests.ts'
 import { isSessionToken, type SessionTokens } from '../sessions/session-token.ts'
-import { laterPosition, LOG_START, type LogPosition } from '../upstreams/position.ts'
+import { joinFloors, NOTHING_SEEN, type SessionFloor } from '../upstreams/position.ts'
 import { hintSchema, readHint, readHintValues, type Hint } from './hint.ts'
 import { classifyStatement, readSetting, type StatementClass } from './statement-class.ts'
 
@@ -63,18 +62,23 @@
   let defaults: Hint = readHintValues(client.attributes)
   let sessionId: string = randomUUID()
   let sessionGiven = false
-  let floors = new Map<string, LogPosition>()
+  let floors = new Map<string, SessionFloor>()
   let transaction: CallerTransaction | undefined
   let nextTransaction = 1
   let statements = 0
   let busy = false
 
-  const raiseFloor = (floor: LogPosition | undefined): void => {
+  /** The floor of a reply covers the one that the request carried. */
+  const raiseFloor = (floor: SessionFloor | undefined): void => {
     if (floor !== undefined) {
-      floors.set(groupName, laterPosition(floor, floors.get(groupName) ?? LOG_START))
+      floors.set(groupName, floor)
     }
   }
 
+  /** For replies to requests that carry no floor. */
+  const joinFloor = (floor: SessionFloor | undefined): void =>
+    raiseFloor(floor === undefined ? undefined : joinFloors(floor, floors.get(groupName) ?? NOTHING_SEEN))
+
   const findGroup = (): Group => {
     const group = options.findGroup(groupName)
     if (group === undefined) {
@@ -105,7 +109,7 @@
     }
     sessionGiven = token === undefined
     Object.entries(token?.floors ?? {}).forEach(([group, floor]) => {
-      floors.set(group, laterPosition(floor, floors.get(group) ?? LOG_START))
+      floors.set(group, joinFloors(floor, floors.get(group) ?? NOTHING_SEEN))
     })
   }
 
@@ -135,11 +139,12 @@
       type: 'execute',
       kind: hint.kind,
       statement,
-      floor: floors.get(groupName) ?? LOG_START,
+      floor: floors.get(groupName) ?? NOTHING_SEEN,
       readIndex: sessionGiven,
       key: isWrite ? hint.key ?? (needsKey ? createRequestKey() : undefined) : undefined
     })
-    return finish(reply, group)
+    isWrite ? joinFloor(reply.floor) : raiseFloor(reply.floor)
+    return checkRows(reply.answer, group)
   }
 
   const executeInTransaction = async (
@@ -150,7 +155,7 @@
       const reply = await requests.sendTo(open.home, request)
       open.statements.push(statement)
       open.writes ||= kind?.access !== 'read'
-      return finish(reply, findGroup())
+      return checkRows(reply.answer, findGroup())
     } catch (thrown) {
       if (isTransactionOver(thrown)) {
         transaction = undefined
@@ -160,15 +165,6 @@
     }
   }
 
-  const finish = (reply: HomeReply, group: Group): Answer => {
-    raiseFloor(reply.floor)
-    const { answer } = reply
-    if (answer.type === 'rows' && answer.rows.length > group.limits.answerRows) {
-      throw new RequestError('ran', 'AnswerTooLarge', { rows: answer.rows.length, limit: group.limits.answerRows })
-    }
-    return answer
-  }
-
   const begin = async (): Promise<Answer> => {
     await rollBack()
     const id = `${host}:${client.connectionId}:${nextTransaction++}:${randomUUID()}`
@@ -190,13 +186,13 @@
       const reply = await requests.sendTo(ending.home, {
         ...keyed, type: 'commit', transactionId: ending.id, writes: ending.writes || hint.key !== undefined
       })
-      raiseFloor(reply.floor)
+      joinFloor(reply.floor)
     } catch (thrown) {
       if (!(thrown instanceof RequestError) || thrown.verdict !== 'may-have-run' || !ending.writes) {
         throw isTransactionOver(thrown) ? asTransactionLost(thrown) : thrown
       }
       const { reply } = await requests.send({ ...keyed, type: 'settle' })
-      raiseFloor(reply.floor)
+      joinFloor(reply.floor)
     }
     return EMPTY_ANSWER
   }
@@ -293,6 +289,13 @@
   }
 }
 
+function checkRows (answer: Answer, { limits }: Group): Answer {
+  if (answer.type === 'rows' && answer.rows.length > limits.answerRows) {
+    throw new RequestError('ran', 'AnswerTooLarge', { rows: answer.rows.length, limit: limits.answerRows })
+  }
+  return answer
+}
+
 function checkSize ({ sql }: Statement, group: Group): void {
   const bytes = Buffer.byteLength(sql)
   if (bytes > group.limits.statementBytes) {
--- a/src/routing/group-home.ts
+++ b/src/routing/group-home.ts
@@ -12,7 +12,8 @@
 import { createConnectionPool, type ConnectionPool } from '../upstreams/connection-pool.ts'
 import { GroupView, type Leadership } from '../upstreams/group-view.ts'
 import { createRetryBudget } from './retry-budget.ts'
-import { chooseUpstream, findReadIndex, serveRead, type ReadOptions } from './read-route.ts'
+import { chooseUpstream, serveRead, type ReadOptions } from './read-route.ts'
+import { findReadIndex, resolveFloor } from './session-floor.ts'
 import { createTransactions } from './transactions.ts'
 import { serveWrite } from './write-route.ts'
 import { textColumn } from '../mysql/answer-writer.ts'
@@ -209,10 +210,13 @@
     return reply
   }
 
+  const placeRead = async (read: ReadOptions) =>
+    ({ ...read, floor: await resolveFloor(view, read.floor, read.deadline) })
+
   const explain = async (request: ExplainRequest): Promise<HomeReply> => {
     const kind = findKind(request)
     const choice = kind.access === 'read'
-      ? await chooseUpstream(readOptions(request))
+      ? await chooseUpstream(await placeRead(readOptions(request)))
       : { upstream: view.leadership.primary, fromReplica: false, reason: 'a write goes to the primary' }
     const row = [name, choice.upstream, choice.fromReplica ? 'replica' : 'primary', choice.reason]
     return {
@@ -244,7 +248,8 @@
     rollback: async (request) => await transactions.rollback(request.transactionId),
     settle: async (request) => await transactions.settle(request, new Deadline(request.deadlineMs)),
     floor: async (request) => ({
-      answer: EMPTY_ANSWER, floor: await findReadIndex(view, new Deadline(request.deadlineMs))
+      answer: EMPTY_ANSWER,
+      floor: { ...await findReadIndex(view, new Deadline(request.deadlineMs)), seenOn: [] }
     }),
     explain
   }
--- a/src/routing/read-route.ts
+++ b/src/routing/read-route.ts
@@ -5,13 +5,16 @@
 import type { Group, Kind } from '../core/config/index.ts'
 import { RequestError } from '../core/errors/index.ts'
 import { Deadline } from '../core/time/deadline.ts'
-import type { Answer, Statement } from '../mysql/types.ts'
+import type { Client } from '../mysql/client.ts'
+import type { Statement } from '../mysql/types.ts'
 import type { ConnectionPool } from '../upstreams/connection-pool.ts'
 import type { GroupView } from '../upstreams/group-view.ts'
-import { comparePositions, laterPosition, LOG_START, meetsFloor, type LogPosition } from '../upstreams/position.ts'
-import type { ObservedStatus } from '../upstreams/status-channel.ts'
+import { useManualCommit } from '../upstreams/manual-commit.ts'
+import { laterPosition, meetsFloor, type LogPosition, type SessionFloor } from '../upstreams/position.ts'
 import { logEnd } from '../upstreams/status.ts'
+import { findReadIndex, resolveFloor } from './session-floor.ts'
 import type { HomeReply } from './types.ts'
+import { runAndCommit } from './write-route.ts'
 
 /** What a read needs. */
 export interface ReadOptions {
@@ -20,7 +23,7 @@
   group: Group
   kind: Kind
   statement: Statement
-  floor: LogPosition
+  floor: SessionFloor
   /** Whether a majority must be asked for the floor first. */
   readIndex: boolean
   deadline: Deadline
@@ -30,6 +33,9 @@
   random: () => number
 }
 
+/** A read whose floor is a place in the log. */
+export type PlacedRead = Omit<ReadOptions, 'floor'> & { floor: LogPosition }
+
 /** The upstream chosen for a read, and why. */
 export interface ReadChoice {
   upstream: string
@@ -41,6 +47,9 @@
 const REFRESH_SHARE = 4
 const SHORTEST_REFRESH_MS = 20
 const LONGEST_REFRESH_MS = 250
+/** Upstreams that hold what a replica shows: itself and its primary. */
+const HOLDERS_OF_REPLICA_DATA = 2
+const RETRY_AFTER_MS = 100
 
 /**
  * Serves a read.
@@ -51,37 +60,25 @@
  */
 export async function serveRead (options: ReadOptions): Promise<HomeReply> {
   const { view, deadline } = options
-  const floor = options.readIndex
-    ? laterPosition(options.floor, await findReadIndex(view, deadline))
-    : options.floor
   refreshAges(options)
-  const choice = await chooseUpstream({ ...options, floor })
-  const answer = await runRead(options, choice)
-  const seen = await confirmRead(options, choice, floor)
-  return { answer, floor: seen, upstream: choice.upstream, fromReplica: choice.fromReplica }
-}
-
-/**
- * Finds a place in the log that is at or after every write acknowledged so far. Every acknowledged write is on a
- * majority, which shares an upstream with any majority that answers; so the latest end among the majority that is
- * least far is enough.
- *
- * @param view - the group
- * @param deadline - when to give up
- * @returns the place
- */
-export async function findReadIndex (view: GroupView, deadline: Deadline): Promise<LogPosition> {
-  const answers = await view.askMajority(deadline)
-  return lowestMajorityEnd(answers, view.majority)
+  const sticky = stickyReplica(options)
+  if (sticky !== undefined) {
+    return await readReplica({ ...options, floor: options.floor }, sticky)
+  }
+  const resolved = await resolveFloor(view, options.floor, deadline)
+  const floor = options.readIndex ? laterPosition(resolved, await findReadIndex(view, deadline)) : resolved
+  const placed = { ...options, floor }
+  const choice = await chooseUpstream(placed)
+  return choice.fromReplica ? await readReplica(placed, choice.upstream) : await readPrimary(placed, choice.upstream)
 }
 
 /**
  * Chooses an upstream for a read, waiting a bounded time for a replica to become fit.
  *
- * @param options - the read, its floor settled
+ * @param options - the read
  * @returns the choice
  */
-export async function chooseUpstream (options: ReadOptions): Promise<ReadChoice> {
+export async function chooseUpstream (options: PlacedRead): Promise<ReadChoice> {
   if (options.group.duties.reads !== 'act') {
     return await choosePrimary(options, `duty reads is ${options.group.duties.reads}`)
   }
@@ -102,18 +99,23 @@
  * @param options - the read
  * @returns their names
  */
-export function fitReplicas ({ view, floor, kind }: Pick<ReadOptions, 'view' | 'floor' | 'kind'>): string[] {
+export function fitReplicas ({ view, floor, kind }: Pick<PlacedRead, 'view' | 'floor' | 'kind'>): string[] {
   return view.replicaNames.filter((name) =>
     view.takesWork(name) && meetsFloor(view.knownEnd(name), floor) && view.age.ageMs(name) <= kind.maximumAgeMs)
 }
 
-function lowestMajorityEnd (answers: ObservedStatus[], majority: number): LogPosition {
-  const ends = answers.map(({ status }) => logEnd(status)).sort(comparePositions)
-  return ends[majority - 1] ?? LOG_START
+/** The replica a session read from last, when it may simply go on there: what it saw there, it sees there again. */
+function stickyReplica ({ view, floor, kind, readIndex, group }: ReadOptions): string | undefined {
+  const [seen] = floor.seenOn
+  if (readIndex || seen === undefined || floor.seenOn.length > 1 || group.duties.reads !== 'act') {
+    return undefined
+  }
+  const sameDatabase = view.upstreams.get(seen.upstream)?.channel.latest?.status.incarnation === seen.incarnation
+  return sameDatabase && fitReplicas({ view, floor, kind }).includes(seen.upstream) ? seen.upstream : undefined
 }
 
 /** Two random choices by queue and latency, in the home's own failure domain first. */
-function pickReplica ({ view, pools, failureDomain, random }: ReadOptions, fit: string[]): string {
+function pickReplica ({ view, pools, failureDomain, random }: PlacedRead, fit: string[]): string {
   const near = fit.filter((name) => view.upstreams.get(name)?.declaration.failureDomain === failureDomain)
   const loadOf = (name: string): number => {
     const state = pools.get(name)?.state()
@@ -128,13 +130,10 @@
   return loadOf(first) <= loadOf(second) ? first : second
 }
 
-async function waitForReplica (options: ReadOptions): Promise<string | undefined> {
+async function waitForReplica (options: PlacedRead): Promise<string | undefined> {
   const { view, floor, kind, group, deadline } = options
   const patience = new Deadline(Math.min(group.limits.catchUpMs, deadline.leftMs / 2))
   const hopeful = view.replicaNames.filter((name) => view.takesWork(name))
-  if (hopeful.length === 0) {
-    return undefined
-  }
   const waits = hopeful.map(async (name) => {
     const { channel } = view.upstreams.get(name)!
     const reached = await channel.waitUntil((status) => meetsFloor(logEnd(status), floor), patience)
@@ -152,51 +151,66 @@
   return await Promise.any(waits).catch(() => undefined)
 }
 
-async function choosePrimary ({ view, deadline }: ReadOptions, reason: string): Promise<ReadChoice> {
+async function choosePrimary ({ view, deadline }: PlacedRead, reason: string): Promise<ReadChoice> {
   const primary = await view.primary(deadline)
   return { upstream: primary.view.declaration.name, fromReplica: false, reason }
 }
 
-async function runRead ({ view, pools, kind, statement, deadline }: ReadOptions, choice: ReadChoice): Promise<Answer> {
-  const pool = pools.get(choice.upstream)
+/** What a replica shows is on its primary too; with more than three upstreams that is no majority yet. */
+async function readReplica (options: PlacedRead, upstream: string): Promise<HomeReply> {
+  const { view, statement, deadline, floor } = options
+  const answer = await onUpstream(options, upstream, async (client) => {
+    await useManualCommit(client, false, deadline.leftMs)
+    return await client.run(statement, deadline.leftMs, 'not-run')
+  })
+  const { channel } = view.upstreams.get(upstream)!
+  const incarnation = channel.latest?.status.incarnation ?? ''
+  const reply = { answer, upstream, fromReplica: true }
+  if (view.majority <= HOLDERS_OF_REPLICA_DATA) {
+    return { ...reply, floor: { ...floor, seenOn: [{ upstream, incarnation }] } }
+  }
+  const { status } = await deadline.race(channel.fresh(), 'not-run', 'confirming a read')
+  return { ...reply, floor: await confirm(options, logEnd(status)) }
+}
+
+/** What a primary shows may be on no majority yet, and a failover would take it back. */
+async function readPrimary (options: PlacedRead, upstream: string): Promise<HomeReply> {
+  const { statement, deadline } = options
+  const { answer, status } = await onUpstream(options, upstream, async (client) =>
+    await runAndCommit(client, statement, undefined, deadline, 'not-run'))
+  return { answer, upstream, fromReplica: false, floor: await confirm(options, logEnd(status)) }
+}
+
+async function confirm ({ view, deadline, floor }: PlacedRead, seen: LogPosition): Promise<SessionFloor> {
+  if (!meetsFloor(seen, floor) || !await view.waitForMajority(seen, deadline)) {
+    throw new RequestError('not-run', 'NoUpstream', {
+      group: view.name,
+      reason: 'the primary was superseded, or its replicas do not follow',
+      retryAfterMs: RETRY_AFTER_MS
+    })
+  }
+  return { ...laterPosition(seen, floor), seenOn: [] }
+}
+
+async function onUpstream<Result> (
+  { view, pools, kind, deadline }: PlacedRead, upstream: string, work: (client: Client) => Promise<Result>
+): Promise<Result> {
+  const pool = pools.get(upstream)
   if (pool === undefined) {
-    throw new RequestError('not-run', 'NoUpstream', { group: view.name, reason: 'it was removed', retryAfterMs: 100 })
+    throw new RequestError('not-run', 'NoUpstream', {
+      group: view.name, reason: `${upstream} was removed`, retryAfterMs: RETRY_AFTER_MS
+    })
   }
   try {
-    const request = { access: 'read', priority: kind.priority, deadline } as const
-    return await pool.run(request, async (client) => await client.run(statement, deadline.leftMs, 'not-run'))
+    return await pool.run({ access: 'read', priority: kind.priority, deadline }, work)
   } catch (thrown) {
     if (thrown instanceof RequestError && thrown.entry === 'ConnectionLost') {
-      view.markUnreachable(choice.upstream, thrown.message)
+      view.markUnreachable(upstream, thrown.message)
     }
     throw thrown
   }
 }
 
-/**
- * Finds how far the read may have seen. What it saw must be on a majority before the caller gets it: otherwise a
- * failover could take back what the session has read.
- */
-async function confirmRead (options: ReadOptions, choice: ReadChoice, floor: LogPosition): Promise<LogPosition> {
-  const { view, deadline } = options
-  const channel = view.upstreams.get(choice.upstream)?.channel
-  if (channel === undefined) {
-    throw new RequestError('not-run', 'NoUpstream', { group: view.name, reason: 'it was removed', retryAfterMs: 100 })
-  }
-  const { status } = await deadline.race(channel.fresh(), 'not-run', 'confirming a read')
-  const seen = logEnd(status)
-  if (!meetsFloor(seen, floor)) {
-    throw new RequestError('not-run', 'ConnectionLost', { upstream: choice.upstream, reason: 'its log went back' })
-  }
-  const holders = choice.fromReplica ? 2 : 1
-  if (holders < view.majority && !await view.waitForMajority(seen, deadline)) {
-    throw new RequestError('not-run', 'NoUpstream', {
-      group: view.name, reason: 'the primary was superseded or its replicas do not follow', retryAfterMs: 100
-    })
-  }
-  return laterPosition(seen, floor)
-}
-
 function refreshAges ({ view, kind }: ReadOptions): void {
   const interval = Math.max(SHORTEST_REFRESH_MS, Math.min(LONGEST_REFRESH_MS, kind.maximumAgeMs / REFRESH_SHARE))
   if (performance.now() - view.age.newestProbeAt > interval) {
--- a/src/routing/transactions.ts
+++ b/src/routing/transactions.ts
@@ -9,6 +9,7 @@
 import { EMPTY_ANSWER, type Statement } from '../mysql/types.ts'
 import type { ConnectionPool, PinnedConnection } from '../upstreams/connection-pool.ts'
 import type { GroupView, UpstreamView } from '../upstreams/group-view.ts'
+import { useManualCommit } from '../upstreams/manual-commit.ts'
 import { logEnd } from '../upstreams/status.ts'
 import { acknowledge, commitUnderKey, replayRecord, settle } from './write-route.ts'
 import type { CommitRequest, HomeReply, SettleRequest } from './types.ts'
@@ -110,7 +111,7 @@
     }
     const pinned = await pool.pin({ access: 'write', priority: TRANSACTION_PRIORITY, deadline })
     try {
-      await pinned.client.run({ sql: 'BEGIN' }, deadline.leftMs, 'not-run')
+      await useManualCommit(pinned.client, true, deadline.leftMs)
     } catch (thrown) {
       pinned.release(false)
       throw thrown
@@ -144,7 +145,7 @@
       await pinned.client.run({ sql: 'COMMIT' }, deadline.leftMs, 'not-run')
       return { answer: EMPTY_ANSWER, upstream }
     }
-    const { record, status } = await commitUnderKey(pinned.client, attempt, EMPTY_ANSWER, deadline)
+    const { record, status } = await commitUnderKey(pinned.client, attempt, EMPTY_ANSWER, deadline, 'may-have-run')
     if (record.outcome === 'exists' && record.state === 'tombstone') {
       throw lost('an earlier attempt under its key was given up; send the transaction again under a new key')
     }
@@ -152,7 +153,7 @@
       replayRecord(record, attempt)
     }
     await acknowledge({ view, kind: COMMIT_KIND, deadline }, target, logEnd(status))
-    return { answer: EMPTY_ANSWER, floor: logEnd(status), upstream, replayed: record.outcome === 'exists' }
+    return { answer: EMPTY_ANSWER, floor: { ...logEnd(status), seenOn: [] }, upstream, replayed: record.outcome === 'exists' }
   }
 
   return {
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -1,7 +1,7 @@
 /** Requests from a caller's proxy to the home of a database group, and the replies. */
 import type { ErrorDetails, ErrorName, Verdict } from '../core/errors/index.ts'
 import type { Answer, Statement } from '../mysql/types.ts'
-import type { LogPosition } from '../upstreams/position.ts'
+import type { SessionFloor } from '../upstreams/position.ts'
 
 /** What every request carries. */
 interface RequestBase {
@@ -18,7 +18,7 @@
   kind?: string
   statement: Statement
   /** What the session has seen. */
-  floor: LogPosition
+  floor: SessionFloor
   /** Whether the session may have written through another proxy, so that a majority must be asked. */
   readIndex: boolean
   /** The caller's request key. */
@@ -72,7 +72,7 @@
 export interface ExplainRequest extends RequestBase {
   type: 'explain'
   kind?: string
-  floor: LogPosition
+  floor: SessionFloor
 }
 
 /** Any request to a home. */
@@ -84,7 +84,7 @@
 export interface HomeReply {
   answer: Answer
   /** What the session has now seen; absent when nothing was read or written. */
-  floor?: LogPosition
+  floor?: SessionFloor
   /** Upstream that served it. */
   upstream?: string
   /** Whether the upstream was a replica. */
--- a/src/routing/write-route.ts
+++ b/src/routing/write-route.ts
@@ -16,6 +16,7 @@
 import type { GroupView, UpstreamView } from '../upstreams/group-view.ts'
 import type { LogPosition } from '../upstreams/position.ts'
 import { callProcedure } from '../upstreams/procedures.ts'
+import { useManualCommit } from '../upstreams/manual-commit.ts'
 import { logEnd, parseStatus, type UpstreamStatus } from '../upstreams/status.ts'
 import type { HomeReply } from './types.ts'
 
@@ -195,25 +196,49 @@
   status: UpstreamStatus
 }
 
+/** A committed statement. */
+export interface CommittedStatement extends CommitResult {
+  answer: Answer
+}
+
 /**
  * Commits the open transaction and enters its attempt in the ledger, in one step. When the key is taken, the
  * transaction is rolled back.
  *
  * @param client - the connection
- * @param attempt - the attempt
+ * @param attempt - the attempt; nothing is entered when absent
  * @param answer - the outcome to record
  * @param deadline - when to give up
+ * @param lostVerdict - the verdict to give when the answer is lost
  * @returns what came of it
  */
 export async function commitUnderKey (
-  client: Client, attempt: KeyedAttempt, answer: Answer, deadline: Deadline
+  client: Client, attempt: KeyedAttempt | undefined, answer: Answer, deadline: Deadline, lostVerdict: Verdict
 ): Promise<CommitResult> {
   const outcome = answer.type === 'done' ? [answer.affectedRows, answer.insertId] : [answer.rows.length, 0]
-  const call = callProcedure('commit', [...ledgerArguments(attempt), ...outcome])
-  const committed = await client.run(call, deadline.leftMs, 'may-have-run') as RowsAnswer
+  const call = callProcedure('commit', attempt === undefined ? [] : [...ledgerArguments(attempt), ...outcome])
+  const committed = await client.run(call, deadline.leftMs, lostVerdict) as RowsAnswer
   return { record: parseLedgerRecord(committed), status: parseStatus(committed) }
 }
 
+/**
+ * Runs a statement in a transaction of its own.
+ *
+ * @param client - the connection
+ * @param statement - the statement
+ * @param attempt - its attempt; nothing is entered in the ledger when absent
+ * @param deadline - when to give up
+ * @param lostVerdict - the verdict to give when the answer to the commit is lost
+ * @returns the answer and what came of the commit
+ */
+export async function runAndCommit (
+  client: Client, statement: Statement, attempt: KeyedAttempt | undefined, deadline: Deadline, lostVerdict: Verdict
+): Promise<CommittedStatement> {
+  await useManualCommit(client, true, deadline.leftMs)
+  const answer = await runOrRollBack(client, statement, deadline)
+  return { answer, ...await commitUnderKey(client, attempt, answer, deadline, lostVerdict) }
+}
+
 /**
  * Decides by the standing record of a key.
  *
@@ -231,16 +256,15 @@
 
 async function runPlainWrite (options: WriteOptions, target: Target): Promise<CommittedWrite> {
   const { deadline, statement } = options
-  const answer = await onPrimary(options, target, async (client) =>
-    await client.run(statement, deadline.leftMs, 'may-have-run'))
-  const { status } = await deadline.race(target.view.channel.fresh(), 'may-have-run', 'finding where a write stands')
+  const { answer, status } = await onPrimary(options, target, async (client) =>
+    await runAndCommit(client, statement, undefined, deadline, 'may-have-run'))
   return { answer, place: logEnd(status), replayed: false }
 }
 
 async function runKeyedWrite (options: WriteOptions, target: Target, attempt: KeyedAttempt): Promise<CommittedWrite> {
   return await onPrimary(options, target, async (client) => {
     try {
-      return await runAndCommit(options, client, attempt)
+      return await runAttempt(options, client, attempt)
     } catch (thrown) {
       const replayed = await findReplay(options, client, attempt, thrown)
       if (replayed !== undefined) {
@@ -251,24 +275,29 @@
   })
 }
 
-async function runAndCommit (
-  options: WriteOptions, client: Client, attempt: KeyedAttempt
-): Promise<CommittedWrite> {
+async function runAttempt (options: WriteOptions, client: Client, attempt: KeyedAttempt): Promise<CommittedWrite> {
   const { deadline, statement } = options
-  await client.run({ sql: 'BEGIN' }, deadline.leftMs, 'not-run')
-  const answer = await client.run(statement, deadline.leftMs, 'not-run')
-  const { record, status } = await commitUnderKey(client, attempt, answer, deadline)
+  const { answer, record, status } = await runAndCommit(client, statement, attempt, deadline, 'may-have-run')
   if (record.outcome !== 'exists') {
     return { answer, place: logEnd(status), replayed: false }
   }
   const givenUpEarlier = record.state === 'tombstone' && record.fingerprint === attempt.fingerprint
   if (givenUpEarlier) {
     attempt.attempt = record.attempt + 1
-    return await runAndCommit(options, client, attempt)
+    return await runAttempt(options, client, attempt)
   }
   return { answer: replayRecord(record, attempt), place: logEnd(status), replayed: true }
 }
 
+async function runOrRollBack (client: Client, statement: Statement, deadline: Deadline): Promise<Answer> {
+  try {
+    return await client.run(statement, deadline.leftMs, 'not-run')
+  } catch (thrown) {
+    await client.run({ sql: 'ROLLBACK' }, deadline.leftMs, 'not-run').catch(() => client.close())
+    throw thrown
+  }
+}
+
 /** A repetition may fail where the first run succeeded, by a unique key for one; then the record is the answer. */
 async function findReplay (
   { deadline }: WriteOptions, client: Client, attempt: KeyedAttempt, thrown: unknown
@@ -276,7 +305,6 @@
   if (!(thrown instanceof RequestError) || thrown.entry !== 'StatementFailed') {
     return undefined
   }
-  await client.run({ sql: 'ROLLBACK' }, deadline.leftMs, 'not-run').catch(() => client.close())
   if (thrown.mysqlCode === MYSQL_ERROR.readOnly) {
     return undefined
   }
@@ -355,7 +383,7 @@
 function reply (committed: CommittedWrite, target: Target): HomeReply {
   return {
     answer: committed.answer,
-    floor: committed.place,
+    floor: { ...committed.place, seenOn: [] },
     upstream: target.view.declaration.name,
     fromReplica: false,
     replayed: committed.replayed
--- a/src/sessions/session-token.ts
+++ b/src/sessions/session-token.ts
@@ -6,7 +6,7 @@
 import { Decoder, Encoder } from 'cbor-x'
 import { z } from 'zod'
 import { RequestError } from '../core/errors/index.ts'
-import { logPositionSchema } from '../upstreams/position.ts'
+import { sessionFloorSchema } from '../upstreams/position.ts'
 
 const PREFIX = 'ws1.'
 const KEY_BYTES = 32
@@ -23,7 +23,7 @@
   /** Service the session belongs to; another one may not use it. */
   service: z.string(),
   /** What the session has seen, by group. */
-  floors: z.record(z.string(), logPositionSchema)
+  floors: z.record(z.string(), sessionFloorSchema)
 })
 
 /** What a token says. */
--- a/src/standin/upstream-session.ts
+++ b/src/standin/upstream-session.ts
@@ -39,7 +39,9 @@
 /** State of a session. */
 interface SessionState {
   options: UpstreamSessionOptions
-  /** Whether the client has begun a transaction. */
+  /** Whether every statement runs in a transaction that the client ends. */
+  manualCommit: boolean
+  /** Whether the client has begun a transaction by a statement of its own. */
   begun: boolean
   /** The transaction, from its first statement on; it has the database to itself. */
   transaction?: UpstreamTransaction
@@ -53,7 +55,7 @@
  * @returns the handler
  */
 export function createUpstreamSession (options: UpstreamSessionOptions): ClientHandler {
-  const state: SessionState = { options, begun: false, closed: false }
+  const state: SessionState = { options, manualCommit: false, begun: false, closed: false }
   return {
     execute: async (statement) => {
       await whileFrozen(state)
@@ -63,7 +65,10 @@
       return answer
     },
     selectDatabase: async () => {},
-    reset: async () => endTransaction(state),
+    reset: async () => {
+      endTransaction(state)
+      state.manualCommit = false
+    },
     close: () => {
       state.closed = true
       endTransaction(state)
@@ -103,7 +108,9 @@
   if (serviceMs > 0) {
     await slots.add(async () => await sleep(serviceMs))
   }
-  return state.begun ? (await openTransaction(state)).run(statement) : await upstream.run(statement)
+  return state.begun || state.manualCommit
+    ? (await openTransaction(state)).run(statement)
+    : await upstream.run(statement)
 }
 
 const CONTROL_HANDLERS: Record<string, (state: SessionState, statement: Statement) => Promise<Answer>> = {
@@ -118,7 +125,14 @@
     endTransaction(state)
     return EMPTY_ANSWER
   },
-  SET: async () => EMPTY_ANSWER,
+  SET: async (state, { sql }) => {
+    const autocommit = /autocommit\s*=\s*(\d)/i.exec(sql)?.[1]
+    if (autocommit !== undefined) {
+      endTransaction(state)
+      state.manualCommit = autocommit === '0'
+    }
+    return EMPTY_ANSWER
+  },
   CALL: async (state, { sql }) => {
     const name = (Object.keys(PROCEDURES) as ProcedureName[]).find((key) => PROCEDURES[key] === procedureName(sql))
     if (name === undefined) {
@@ -172,11 +186,11 @@
     return statusAnswer(state, accepted)
   },
   commit: async (state, args) => {
-    if (!state.begun) {
-      throw new Error('no transaction is open')
+    const attempt = readAttempt(args)
+    if (state.transaction === undefined && attempt.key === '') {
+      return ledgerAnswer('entered', state.options.upstream.status())
     }
     const transaction = await openTransaction(state)
-    const attempt = readAttempt(args)
     try {
       const standing = attempt.key === '' ? undefined : enterAttempt(transaction, attempt)
       if (standing !== undefined) {
--- a/src/upstreams/concurrency-limit.ts
+++ b/src/upstreams/concurrency-limit.ts
@@ -5,12 +5,14 @@
 
 /** Weight of a new sample in the running mean. */
 const SAMPLE_WEIGHT = 0.1
-/** Statements after which the fastest latency is measured anew. */
-const WINDOW_SAMPLES = 500
+/** Statements whose mean is one candidate for the fastest latency; a single one may be a stroke of luck. */
+const BATCH_SAMPLES = 8
+/** Batches after which the fastest latency is measured anew. */
+const WINDOW_BATCHES = 64
 /** Queueing at the upstream, as a multiple of the fastest latency, that is accepted. */
-const TOLERATED_SLOWDOWN = 1.5
+const TOLERATED_SLOWDOWN = 3
 /** Least change of the mean latency that is taken for queueing, in milliseconds. */
-const TIMER_GRAIN_MS = 1
+const TIMER_GRAIN_MS = 2
 /** Most the limit shrinks by in one step. */
 const SMALLEST_GRADIENT = 0.5
 
@@ -47,13 +49,20 @@
   let mean = 0
   let fastest = Infinity
   let fastestOfWindow = Infinity
+  let batchSum = 0
   let samples = 0
 
   const measureFastest = (latencyMs: number): void => {
-    fastestOfWindow = Math.min(fastestOfWindow, latencyMs)
-    fastest = Math.min(fastest, latencyMs)
+    batchSum += latencyMs
     samples++
-    if (samples >= WINDOW_SAMPLES) {
+    if (samples % BATCH_SAMPLES !== 0) {
+      return
+    }
+    const batchMean = batchSum / BATCH_SAMPLES
+    batchSum = 0
+    fastestOfWindow = Math.min(fastestOfWindow, batchMean)
+    fastest = Math.min(fastest, batchMean)
+    if (samples === BATCH_SAMPLES * WINDOW_BATCHES) {
       fastest = fastestOfWindow
       fastestOfWindow = Infinity
       samples = 0
--- a/src/upstreams/position.ts
+++ b/src/upstreams/position.ts
@@ -10,9 +10,43 @@
 /** A place in a group's log. */
 export type LogPosition = z.infer<typeof logPositionSchema>
 
+/** An upstream on which a session has read. */
+export const seenUpstreamSchema = z.object({
+  upstream: z.string(),
+  /** Identity of the database behind the name; another one may hold less. */
+  incarnation: z.string()
+})
+
+/**
+ * What a session has seen: at least a place in the log, and whatever the named upstreams held when it read from them.
+ * How far that was is asked only when the session goes to another upstream.
+ */
+export const sessionFloorSchema = logPositionSchema.extend({ seenOn: z.array(seenUpstreamSchema).default([]) })
+
+/** An upstream on which a session has read. */
+export type SeenUpstream = z.infer<typeof seenUpstreamSchema>
+/** What a session has seen. */
+export type SessionFloor = z.infer<typeof sessionFloorSchema>
+
 /** Before every record. */
 export const LOG_START: LogPosition = { term: 0, position: 0 }
 
+/** What a new session has seen. */
+export const NOTHING_SEEN: SessionFloor = { ...LOG_START, seenOn: [] }
+
+/**
+ * Joins what was seen on two ways.
+ *
+ * @param left - one floor
+ * @param right - the other
+ * @returns a floor that covers both
+ */
+export function joinFloors (left: SessionFloor, right: SessionFloor): SessionFloor {
+  const known = new Set(left.seenOn.map(({ upstream, incarnation }) => `${upstream} ${incarnation}`))
+  const more = right.seenOn.filter(({ upstream, incarnation }) => !known.has(`${upstream} ${incarnation}`))
+  return { ...laterPosition(left, right), seenOn: [...left.seenOn, ...more] }
+}
+
 /**
  * Compares two places: the term first, then the position.
  *
@@ -43,7 +77,8 @@
  * @returns the later one
  */
 export function laterPosition (left: LogPosition, right: LogPosition): LogPosition {
-  return comparePositions(left, right) >= 0 ? left : right
+  const { term, position } = comparePositions(left, right) >= 0 ? left : right
+  return { term, position }
 }
 
 /**
