--- a/src/callers/index.ts
+++ b/src/callers/index.ts
@@ -5,6 +5,8 @@
 import { pause } from '../core/time/deadline.ts'
 import { MYSQL_ERROR } from '../mysql/consts.ts'
 import { listenMysql, type ClientHello, type Refusal } from '../mysql/server.ts'
+import type { Answer } from '../mysql/types.ts'
+import type { Metrics } from '../metrics/index.ts'
 import { createSessionTokens } from '../sessions/session-token.ts'
 import { createCallerSession, type CallerSession, type CallerState } from './caller-session.ts'
 
@@ -32,12 +34,15 @@
 
 registerPlugin({
   name: 'callers',
-  needs: ['configuration', 'routing', 'membership'],
+  needs: ['configuration', 'routing', 'membership', 'metrics'],
   start: async (context) => {
     const settings = context.settings as ProxySettings
     const configuration = context.use('configuration')
     const requests = context.use('routing')
     const membership = context.use('membership')
+    const metrics = context.use('metrics')
+    metrics.expose('worksward_callers', 'Callers that are connected', () => ({ connected: callers.size }))
+    metrics.expose('worksward_home_requests', 'Requests served as a home, by kind', () => ({ ...requests.counts() }))
     const tokens = createSessionTokens(settings.peers.key)
     const callers = new Set<ConnectedCaller>()
     let stopping = false
@@ -61,6 +66,7 @@
         callers.add(caller)
         return {
           ...session,
+          execute: async (statement) => await measured(metrics, async () => await session.execute(statement)),
           close: () => {
             callers.delete(caller)
             session.close()
@@ -102,6 +108,20 @@
   }
 })
 
+/** Records how long a request took and how it ended. */
+async function measured (metrics: Metrics, run: () => Promise<Answer>): Promise<Answer> {
+  const startedAt = performance.now()
+  let outcome = 'done'
+  try {
+    return await run()
+  } catch (thrown) {
+    outcome = thrown instanceof WorkswardError ? thrown.entry : 'Unknown'
+    throw thrown
+  } finally {
+    metrics.recordRequest(outcome, performance.now() - startedAt)
+  }
+}
+
 /** Every error tells the verdict, so that the caller knows whether it may send the request again. */
 function toRefusal (thrown: unknown): Refusal {
   if (thrown instanceof RequestError) {
--- /dev/null
+++ b/src/cli/worksward/format-table.ts
@@ -0,0 +1,23 @@
+/** Shows rows as an aligned table. */
+import type { ShownRow } from './console-client.ts'
+
+const GAP = '  '
+
+/**
+ * Formats rows.
+ *
+ * @param rows - the rows, all with the same columns
+ * @returns the table with a line for the column names, or a note that there are no rows
+ */
+export function formatTable (rows: ShownRow[]): string {
+  const [first] = rows
+  if (first === undefined) {
+    return '(no rows)\n'
+  }
+  const columns = Object.keys(first)
+  const lines = [columns, ...rows.map((row) => columns.map((column) => String(row[column] ?? '')))]
+  const widths = columns.map((_column, index) => Math.max(...lines.map((line) => line[index]!.length)))
+  return lines
+    .map((line) => line.map((cell, index) => cell.padEnd(widths[index]!)).join(GAP).trimEnd() + '\n')
+    .join('')
+}
--- a/src/configuration/index.ts
+++ b/src/configuration/index.ts
@@ -89,6 +89,7 @@
       const changed = [...groups.values()].filter((version) => version.revision > since)
       return { revision, groups: changed } satisfies Changes
     })
+    peers.handle('configuration-revision', async () => revision)
     membership.shareRevision(() => revision, (peer) => { askPeer(peer).catch(() => {}) })
 
     const follow = async (): Promise<void> => {
--- a/src/core/config/settings.ts
+++ b/src/core/config/settings.ts
@@ -40,6 +40,16 @@
   heartbeatMs: milliseconds.default(250)
 })
 
+/** What an operator may do. */
+export const OPERATOR_RIGHTS = ['read', 'change'] as const
+
+const operatorSchema = z.strictObject({
+  name: z.string().min(1),
+  /** SHA-256 of the operator's key in hexadecimal, as `worksward hash-key` prints it. */
+  keyHash: z.string().regex(/^[0-9a-f]{64}$/, 'expected 64 hexadecimal digits; see "worksward hash-key"'),
+  rights: z.array(z.enum(OPERATOR_RIGHTS)).default(['read'])
+})
+
 const logSchema = z.strictObject({
   level: z.enum([...LOG_LEVELS, 'silent']).default('info')
 })
@@ -57,6 +67,8 @@
   }).prefault({}),
   platform: platformSchema,
   peers: peersSchema,
+  /** Who may ask and change; nobody when empty. */
+  operators: z.array(operatorSchema).default([]),
   log: logSchema.prefault({}),
   /** Time a planned stop may take, in milliseconds. */
   stopMs: milliseconds.default(10_000)
@@ -71,6 +83,8 @@
   }).prefault({}),
   platform: platformSchema,
   peers: peersSchema,
+  /** Who may ask and change; nobody when empty. */
+  operators: z.array(operatorSchema).default([]),
   log: logSchema.prefault({}),
   /** How upstreams are watched. */
   watch: z.strictObject({
@@ -129,6 +143,8 @@
 export type KeeperSettings = z.infer<typeof keeperSettingsSchema>
 /** Settings of the stand-in process. */
 export type StandinSettings = z.infer<typeof standinSettingsSchema>
+/** An operator. */
+export type OperatorSettings = z.infer<typeof operatorSchema>
 /** Settings that proxies and keepers share. */
-export type MemberSettings = Pick<KeeperSettings, 'host' | 'platform' | 'peers' | 'log'>
+export type MemberSettings = Pick<KeeperSettings, 'host' | 'platform' | 'peers' | 'operators' | 'log'>
   & { listen: { peers: number, http: number } }
--- a/src/core/errors/catalogue.ts
+++ b/src/core/errors/catalogue.ts
@@ -167,6 +167,11 @@
     message: ({ operation, reason }) => `the platform did not answer ${operation}: ${reason}`,
     hint: 'Data path and failover go on without it. Try again when the platform answers.'
   }),
+  NotAllowed: entry<{ right: string }>({
+    title: 'Not allowed',
+    message: ({ right }) => `this key does not carry the right to ${right}`,
+    hint: 'Set WORKSWARD_KEY to the key of an operator who has it; rights stand in the settings under operators.'
+  }),
   InvalidCommand: entry<{ reason: string }>({
     title: 'Invalid command',
     message: ({ reason }) => reason,
--- a/src/embedded/deployment.ts
+++ b/src/embedded/deployment.ts
@@ -8,6 +8,7 @@
 import { pause } from '../core/time/deadline.ts'
 import { createConfigurationStore } from '../configuration/configuration-store.ts'
 import { doubleSha1 } from '../mysql/password.ts'
+import { hashOperatorKey } from '../operators/authentication.ts'
 import { connectPlatform } from '../platform/index.ts'
 import { startKeeper } from '../processes/keeper.ts'
 import { startProxy } from '../processes/proxy.ts'
@@ -15,7 +16,8 @@
 import type { UpstreamServer } from '../standin/upstream-server.ts'
 import { createNetwork, type Network } from './network.ts'
 import {
-  EMBEDDED_ACCOUNT, EMBEDDED_KINDS, EMBEDDED_PASSWORD, EMBEDDED_SCHEMA, EMBEDDED_SERVICE, type DeploymentSizes
+  EMBEDDED_ACCOUNT, EMBEDDED_KINDS, EMBEDDED_OPERATOR_KEY, EMBEDDED_PASSWORD, EMBEDDED_SCHEMA, EMBEDDED_SERVICE,
+  type DeploymentSizes
 } from './sizes.ts'
 
 const ADDRESS = '127.0.0.1'
@@ -105,6 +107,9 @@
     host: { name, address: ADDRESS, failureDomain },
     platform,
     peers: { key: PEER_KEY, seeds: [...seeds], heartbeatMs: 100 },
+    operators: [
+      { name: 'operator', keyHash: hashOperatorKey(EMBEDDED_OPERATOR_KEY), rights: ['read' as const, 'change' as const] }
+    ],
     log: { level: 'silent' as const }
   })
   const register = (host: DeployedHost, role: 'proxy' | 'keeper'): DeployedHost => {
@@ -146,9 +151,14 @@
   }
 
   const findUpstream = (group: string, name: string): UpstreamServer => standins.groups.get(group)!.get(name)!
-  const primaryOf = (group: string): UpstreamServer => [...standins.groups.get(group)!.values()]
-    .filter(({ upstream }) => upstream.status().role === 'primary')
-    .sort((left, right) => right.upstream.status().term - left.upstream.status().term)[0]!
+  /** In the middle of a change of primary nobody leads; then it is whoever led last. */
+  const primaryOf = (group: string): UpstreamServer => {
+    const rank = ({ upstream }: UpstreamServer): number => {
+      const { role, term } = upstream.status()
+      return term + (role === 'primary' ? 0.5 : 0) + (upstream.status().primary === upstream.name ? 0.25 : 0)
+    }
+    return [...standins.groups.get(group)!.values()].sort((left, right) => rank(right) - rank(left))[0]!
+  }
 
   const waitForPrimaries = async (): Promise<void> => {
     const until = performance.now() + START_TIMEOUT_MS
--- a/src/embedded/sizes.ts
+++ b/src/embedded/sizes.ts
@@ -56,6 +56,9 @@
 /** Password of the embedded service. */
 export const EMBEDDED_PASSWORD = 'app-password'
 
+/** Key of the embedded operator, who may read and change. */
+export const EMBEDDED_OPERATOR_KEY = 'embedded-operator-key'
+
 /** SQL every upstream of an embedded deployment starts with. */
 export const EMBEDDED_SCHEMA = [
   'CREATE TABLE records (id INTEGER PRIMARY KEY AUTOINCREMENT, session TEXT, request TEXT, amount INTEGER)',
--- a/src/failover/group-watch.ts
+++ b/src/failover/group-watch.ts
@@ -220,7 +220,7 @@
       group = changed
       view.update(changed)
     },
-    dump: () => ({ view: view.dump(), failures, electing, promotions, duty: group.duties.promotion }),
+    dump: () => ({ view: view.dump(), failures, electing, promotions, reportedTerm, duty: group.duties.promotion }),
     close: () => {
       state.closed = true
       view.close()
--- a/src/membership/index.ts
+++ b/src/membership/index.ts
@@ -24,6 +24,8 @@
   reportFailure: (host: string) => void
   /** Says to everybody that this process leaves. */
   leave: () => Promise<void>
+  /** Says to everybody that this process is back in work. */
+  rejoin: () => void
   /** Calls back whenever the list has changed. */
   onChange: (listener: () => void) => void
   /** Says which configuration revision this process has, and learns of newer ones. */
@@ -275,6 +277,7 @@
           const live = others().filter((member) => member.state === 'live')
           await Promise.allSettled(live.map(async (member) => await beat(member)))
         },
+        rejoin: () => changeSelf({ version: self.version + 1, state: 'live' }),
         onChange: (listener) => listeners.push(listener),
         shareRevision: (own, onNewer) => {
           ownRevision = own
--- /dev/null
+++ b/src/metrics/index.ts
@@ -0,0 +1,73 @@
+/** Plug-in `metrics`: times of requests in histograms, shown as Prometheus text and in dumps. */
+import { Gauge, Registry } from 'prom-client'
+import { build, type Histogram } from 'hdr-histogram-js'
+import { registerPlugin } from '../core/kernel/index.ts'
+
+/** Service of the plug-in. */
+export interface Metrics {
+  registry: Registry
+  /**
+   * Records a request of a caller.
+   *
+   * @param outcome - `done`, or the name of the error
+   * @param durationMs - its time, in milliseconds
+   */
+  recordRequest: (outcome: string, durationMs: number) => void
+  /**
+   * Shows numbers that others count.
+   *
+   * @param name - name of the metric
+   * @param help - what it is
+   * @param read - returns the numbers by label
+   */
+  expose: (name: string, help: string, read: () => Record<string, number>) => void
+}
+
+declare module '../core/kernel/index.ts' {
+  interface Services { metrics: Metrics }
+}
+
+const QUANTILES = [50, 90, 99, 99.9]
+const MICROSECONDS = 1000
+const HIGHEST_MICROSECONDS = 60_000_000
+
+registerPlugin({
+  name: 'metrics',
+  needs: [],
+  start: () => {
+    const registry = new Registry()
+    const outcomes = new Map<string, number>()
+    const histogram: Histogram = build({
+      lowestDiscernibleValue: 1, highestTrackableValue: HIGHEST_MICROSECONDS, numberOfSignificantValueDigits: 2
+    })
+    const readQuantiles = (): Record<string, number> => Object.fromEntries(
+      QUANTILES.map((quantile) => [String(quantile / 100), histogram.getValueAtPercentile(quantile) / MICROSECONDS]))
+
+    const expose: Metrics['expose'] = (name, help, read) => {
+      const gauge = new Gauge({
+        name,
+        help,
+        labelNames: ['label'],
+        registers: [registry],
+        collect: () => {
+          gauge.reset()
+          Object.entries(read()).forEach(([label, value]) => gauge.set({ label }, value))
+        }
+      })
+    }
+    expose('worksward_request_milliseconds', 'Time of callers\' requests, by quantile', readQuantiles)
+    expose('worksward_requests', 'Callers\' requests, by outcome', () => Object.fromEntries(outcomes))
+
+    return {
+      service: {
+        registry,
+        expose,
+        recordRequest: (outcome, durationMs) => {
+          outcomes.set(outcome, (outcomes.get(outcome) ?? 0) + 1)
+          histogram.recordValue(Math.min(HIGHEST_MICROSECONDS, Math.max(1, Math.round(durationMs * MICROSECONDS))))
+        }
+      },
+      dump: () => ({ requests: Object.fromEntries(outcomes), milliseconds: readQuantiles() })
+    }
+  }
+})
--- /dev/null
+++ b/src/operators/tables.ts
@@ -0,0 +1,149 @@
+/** The tables that operators can show, and how rows are chosen and ordered. */
+import type { Configuration } from '../configuration/index.ts'
+import type { Callers } from '../callers/index.ts'
+import { WorkswardError } from '../core/errors/index.ts'
+import { findNearest } from '../language/mistake.ts'
+import type { Condition, ShowCommand, TableName } from '../language/types.ts'
+import type { Membership } from '../membership/index.ts'
+import type { Routing } from '../routing/index.ts'
+
+/** A row of a table. */
+export type TableRow = Record<string, string | number | boolean>
+
+/** What tables are read from. */
+export interface TableSources {
+  configuration: Configuration
+  membership: Membership
+  routing: Routing
+  callers: Callers
+}
+
+const HISTORY_LENGTH = 200
+
+/** Reads each table. */
+export const TABLES: Record<TableName, (sources: TableSources) => Promise<TableRow[]> | TableRow[]> = {
+  groups: ({ configuration, routing }) => configuration.versions().flatMap(({ name, version, group }) => {
+    if (group === null) {
+      return []
+    }
+    const home = routing.homes().get(name)
+    return [{
+      group: name,
+      version,
+      primary: home?.view.leadership.primary ?? '',
+      term: home?.view.leadership.term ?? 0,
+      upstreams: group.upstreams.length,
+      homes: routing.homesOf(name).map(({ host }) => host).join(' '),
+      ...group.duties
+    }]
+  }),
+  upstreams: ({ configuration, routing }) => configuration.versions().flatMap(({ name, group }) =>
+    (group?.upstreams ?? []).map((upstream) => {
+      const view = routing.homes().get(name)?.view
+      const known = view?.upstreams.get(upstream.name)
+      const status = known?.channel.latest?.status
+      return {
+        group: name,
+        upstream: upstream.name,
+        address: `${upstream.address}:${upstream.port}`,
+        domain: upstream.failureDomain,
+        state: view?.isLeaving(upstream.name) === true ? 'draining' : upstream.state,
+        role: status?.role ?? '',
+        term: status?.term ?? 0,
+        position: status?.position ?? 0,
+        reachable: known?.reachable ?? false,
+        age: Math.round(Math.min(view?.age.ageMs(upstream.name) ?? Infinity, Number.MAX_SAFE_INTEGER))
+      }
+    })),
+  services: ({ configuration }) => configuration.versions().flatMap(({ name, group }) =>
+    Object.entries(group?.services ?? {}).flatMap(([service, { kinds }]) =>
+      Object.entries(kinds).map(([kind, declared]) => ({ group: name, service, kind, ...declared })))),
+  sessions: ({ callers }) => callers.connections().map(({ session, service, group, statements, inTransaction }) =>
+    ({ session, service, group, statements, transaction: inTransaction })),
+  connections: ({ routing }) => [...routing.homes()].flatMap(([group, home]) =>
+    Object.entries((home.dump() as { pools: Record<string, Omit<TableRow, 'upstream'>> }).pools)
+      .map(([upstream, pool]) => ({ group, upstream, ...pool } as TableRow))),
+  proxies: ({ membership, configuration }) => membership.known().map((member) => ({
+    host: member.host,
+    role: member.role,
+    domain: member.failureDomain,
+    state: member.state,
+    address: `${member.address}:${member.port}`,
+    revision: member.host === membership.self.host
+      ? configuration.revision
+      : membership.revisions().get(member.host) ?? 0
+  })),
+  configuration: ({ configuration }) => configuration.versions().map(({ name, version, revision, change, group }) => ({
+    group: name,
+    version,
+    revision,
+    removed: group === null,
+    change: change.changeId,
+    operator: change.operator,
+    at: change.at
+  })),
+  history: async ({ configuration }) => {
+    const after = Math.max(0, configuration.revision - HISTORY_LENGTH)
+    const changes = await configuration.store.history(after)
+    return changes.map(({ revision, changeId, operator, at, reason, groups }) => ({
+      revision,
+      groups: groups.map(({ name, version }) => `${name}@${version}`).join(' '),
+      operator,
+      at,
+      reason,
+      change: changeId
+    }))
+  }
+}
+
+/**
+ * Chooses, orders and cuts rows.
+ *
+ * @param rows - the rows
+ * @param command - what is wanted
+ * @returns the rows to show
+ * @throws WorkswardError `InvalidCommand` for an unknown column
+ */
+export function selectRows (rows: TableRow[], command: ShowCommand): TableRow[] {
+  const columns = Object.keys(rows[0] ?? {})
+  const used = [...command.conditions.map(({ column }) => column), ...(command.orderBy ? [command.orderBy.column] : [])]
+  used.forEach((column) => checkColumn(column, columns, command.table))
+  const chosen = rows.filter((row) => command.conditions.every((condition) => holds(row, condition)))
+  const { orderBy } = command
+  if (orderBy !== undefined) {
+    const sign = orderBy.descending ? -1 : 1
+    chosen.sort((left, right) => sign * compareValues(left[orderBy.column]!, right[orderBy.column]!))
+  }
+  return chosen.slice(0, command.limit ?? chosen.length)
+}
+
+const COMPARERS: Record<Condition['comparison'], (order: number) => boolean> = {
+  '=': (order) => order === 0,
+  '!=': (order) => order !== 0,
+  '<': (order) => order < 0,
+  '>': (order) => order > 0,
+  '<=': (order) => order <= 0,
+  '>=': (order) => order >= 0
+}
+
+function holds (row: TableRow, { column, comparison, value }: Condition): boolean {
+  return COMPARERS[comparison](compareValues(row[column]!, value))
+}
+
+function compareValues (left: TableRow[string], right: TableRow[string]): number {
+  if (typeof left === 'number' && typeof right === 'number') {
+    return left - right
+  }
+  return String(left) < String(right) ? -1 : String(left) > String(right) ? 1 : 0
+}
+
+function checkColumn (column: string, columns: string[], table: TableName): void {
+  if (columns.length === 0 || columns.includes(column)) {
+    return
+  }
+  const nearest = findNearest(column, columns)
+  const suggestion = nearest === undefined ? '' : `; did you mean '${nearest}'?`
+  throw new WorkswardError('InvalidCommand', {
+    reason: `table ${table} has no column '${column}'${suggestion} (there are: ${columns.join(', ')})`
+  })
+}
--- a/src/processes/keeper.ts
+++ b/src/processes/keeper.ts
@@ -2,6 +2,7 @@
 import '../configuration/index.ts'
 import '../failover/index.ts'
 import '../membership/index.ts'
+import '../metrics/index.ts'
 import '../operators/index.ts'
 import '../peers/index.ts'
 import '../platform/index.ts'
--- a/src/processes/proxy.ts
+++ b/src/processes/proxy.ts
@@ -2,6 +2,8 @@
 import '../callers/index.ts'
 import '../configuration/index.ts'
 import '../membership/index.ts'
+import '../metrics/index.ts'
+import '../operators/console.ts'
 import '../operators/index.ts'
 import '../peers/index.ts'
 import '../platform/index.ts'
@@ -19,5 +21,5 @@
 export async function startProxy (
   settings: ProxySettings, options: Pick<KernelOptions, 'logger' | 'dialer'>
 ): Promise<Kernel> {
-  return await startKernel({ ...options, settings, plugins: ['callers', 'operators'] })
+  return await startKernel({ ...options, settings, plugins: ['callers', 'console'] })
 }
--- a/src/standin/upstream-session.ts
+++ b/src/standin/upstream-session.ts
@@ -104,6 +104,7 @@
     return await control(state, statement)
   }
   const { slots, readMs, writeMs, upstream } = state.options
+  upstream.statementsServed++
   const serviceMs = isReadStatement(statement.sql) ? readMs : writeMs
   if (serviceMs > 0) {
     await slots.add(async () => await sleep(serviceMs))
--- a/src/standin/upstream.ts
+++ b/src/standin/upstream.ts
@@ -40,6 +40,8 @@
   paused = false
   /** Whether the process is down. */
   crashed = false
+  /** Statements of clients executed so far, procedures not counted. */
+  statementsServed = 0
   /** Records thrown away because another primary went another way. */
   discardedRecords = 0
 
--- a/src/upstreams/group-view.ts
+++ b/src/upstreams/group-view.ts
@@ -137,8 +137,10 @@
    */
   isLeaving (name: string): boolean {
     const view = this.upstreams.get(name)
-    return view === undefined || view.leaving || view.declaration.state === 'draining' ||
-      view.channel.latest?.status.leaving === true
+    if (view === undefined || view.declaration.state === 'draining') {
+      return true
+    }
+    return this.group.duties.draining === 'act' && (view.leaving || view.channel.latest?.status.leaving === true)
   }
 
   /**
