Refuse early what cannot be served in time

Cause: at twice the saturating load requests queued until almost their deadline and were cut off while they ran; each cut closed a connection and wasted a slot. Change: a request may expect to queue for half of its time at most, and starts only with twice the mean latency left; otherwise it is refused at once as not run, with the time to come back. Placements are kept and changed only where a member's coming or going matters.

--- /dev/null
+++ b/bench/slopes/process-cost.ts
@@ -0,0 +1,33 @@
+/** Processor time and memory of a process, as the operating system accounts them. */
+import { execFileSync } from 'node:child_process'
+import { readFileSync } from 'node:fs'
+import type { DeployedProcess } from '../../test/fixtures/process-deployment.ts'
+
+const TICKS_PER_SECOND = Number(execFileSync('getconf', ['CLK_TCK']).toString())
+const MS_PER_SECOND = 1000
+/** Fields of /proc/PID/stat after the name: user and system time stand at these. */
+const USER_FIELD = 11
+const SYSTEM_FIELD = 12
+
+/**
+ * Returns the processor time of a process.
+ *
+ * @param process - the process
+ * @returns milliseconds
+ */
+export function processorMs ({ child }: DeployedProcess): number {
+  const stat = readFileSync(`/proc/${child.pid}/stat`, 'utf8')
+  const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ')
+  return (Number(fields[USER_FIELD]) + Number(fields[SYSTEM_FIELD])) / TICKS_PER_SECOND * MS_PER_SECOND
+}
+
+/**
+ * Returns the resident memory of a process.
+ *
+ * @param process - the process
+ * @returns kilobytes
+ */
+export function residentKb ({ child }: DeployedProcess): number {
+  const status = readFileSync(`/proc/${child.pid}/status`, 'utf8')
+  return Number(/VmRSS:\s+(\d+)/.exec(status)![1])
+}
--- a/src/routing/home-placement.ts
+++ b/src/routing/home-placement.ts
@@ -9,31 +9,50 @@
   failureDomain: string
 }
 
+/** A candidate and its score for a group. */
+interface Scored<Member> {
+  member: Member
+  score: bigint
+}
+
 /**
- * Ranks candidates for a group. Every process that sees the same candidates finds the same order, and the loss of one
- * candidate moves only the groups it had.
+ * Scores a host for a group; the highest scores look after it.
+ *
+ * @param group - name of the group
+ * @param host - name of the host
+ * @returns the score
+ */
+export function scoreOf (group: string, host: string): bigint {
+  return h64(`${group}\0${host}`)
+}
+
+/**
+ * Chooses candidates for a group. Every process that sees the same candidates finds the same ones in the same order,
+ * and the loss of one candidate moves only the groups it had. The best of each failure domain come first; others follow
+ * only when there are too few domains.
  *
  * @param group - name of the group
  * @param candidates - the candidates
  * @param count - how many to choose
- * @returns the chosen ones, best first; from different failure domains as far as there are enough
+ * @returns the chosen ones, best first
  */
 export function placeGroup<Member extends Candidate> (group: string, candidates: Member[], count: number): Member[] {
-  const ranked = candidates
-    .map((member) => ({ member, score: h64(`${group}\0${member.host}`) }))
-    .sort((left, right) => left.score > right.score ? -1 : left.score < right.score ? 1 : 0)
-  const chosen: Member[] = []
-  const domains = new Set<string>()
-  for (const { member } of ranked) {
-    if (chosen.length < count && !domains.has(member.failureDomain)) {
-      chosen.push(member)
-      domains.add(member.failureDomain)
+  const scored = candidates.map((member) => ({ member, score: scoreOf(group, member.host) }))
+  const bestByDomain = new Map<string, Scored<Member>>()
+  for (const candidate of scored) {
+    const best = bestByDomain.get(candidate.member.failureDomain)
+    if (best === undefined || candidate.score > best.score) {
+      bestByDomain.set(candidate.member.failureDomain, candidate)
     }
   }
-  for (const { member } of ranked) {
-    if (chosen.length < count && !chosen.includes(member)) {
-      chosen.push(member)
-    }
+  const chosen = [...bestByDomain.values()].sort(byScore).slice(0, count)
+  if (chosen.length < count) {
+    const rest = scored.filter((candidate) => !chosen.includes(candidate)).sort(byScore)
+    chosen.push(...rest.slice(0, count - chosen.length))
   }
-  return chosen
+  return chosen.map(({ member }) => member)
+}
+
+function byScore<Member> (left: Scored<Member>, right: Scored<Member>): number {
+  return left.score > right.score ? -1 : left.score < right.score ? 1 : 0
 }
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -6,6 +6,7 @@
 import type { Member } from '../membership/types.ts'
 import { createGroupHome, type GroupCounts, type GroupHome } from './group-home.ts'
 import { placeGroup } from './home-placement.ts'
+import { createPlacementCache } from './placement-cache.ts'
 import { createHomeRequests, type HomeRequests } from './home-requests.ts'
 import { KEEPERS_PER_GROUP, leadershipNoticeSchema } from '../failover/types.ts'
 import type { HomeReply, HomeRequest } from './types.ts'
@@ -43,8 +44,12 @@
 
     const homesOf = (name: string): Member[] => {
       const count = configuration.group(name)?.limits.homes ?? 0
-      return placeGroup(name, membership.present('proxy'), count)
+      return placements.place(name, count)
     }
+    const placements = createPlacementCache<Member>()
+    const updatePlacements = (): void => placements.update(membership.present('proxy'))
+    updatePlacements()
+    membership.onChange(updatePlacements)
 
     /** Keepers learn at once of an upstream that failed a request here. */
     const reportEvidence = (group: string, upstream: string, term: number): void => {
--- a/src/upstreams/connection-pool.ts
+++ b/src/upstreams/connection-pool.ts
@@ -82,6 +82,10 @@
 /** Longest time a caller is told to stay away, in milliseconds. */
 const MAXIMUM_RETRY_AFTER_MS = 1000
 const FIRST_GUESS_MS = 1
+/** Part of a request's time that it may expect to queue; the rest is for running it, and for a wrong expectation. */
+const QUEUEING_SHARE = 0.5
+/** Times the mean latency that must be left when a request starts; otherwise it would be cut off in the middle. */
+const TIME_TO_RUN = 2
 
 /**
  * Creates a pool.
@@ -183,13 +187,15 @@
     if (waiting >= options.queue) {
       throw refuse(`${waiting} requests wait for ${access.name} already`)
     }
-    if (waiting > 0 && expectedWaitMs(waiting) > deadline.leftMs) {
-      throw refuse(`the queue for ${access.name} is longer than the deadline`)
+    if (waiting > 0 && expectedWaitMs(waiting) > deadline.leftMs * QUEUEING_SHARE) {
+      throw refuse(`the queue for ${access.name} is too long for the deadline`)
     }
   }
 
   const runNow = async <Result>(deadline: Deadline, work: (client: Client) => Promise<Result>): Promise<Result> => {
-    deadline.check('not-run', `queueing for upstream ${access.name}`)
+    if (deadline.leftMs < limit.meanMs * TIME_TO_RUN) {
+      throw refuse(`too little time is left to run it on ${access.name}`)
+    }
     const client = await acquire()
     const startedAt = performance.now()
     let reuse = false
