Call no request not run that an earlier home may have run

Reading the way of a request found one fault that fits: a link broke with the outcome unknown, the next home refused as not run, and that refusal went to the caller. The same held for repeatable writes.

--- a/bench/failover-gap.ts
+++ b/bench/failover-gap.ts
@@ -1,6 +1,7 @@
 /** The longest time without an acknowledged write around a failover, as callers see it. */
 import { runExperiment } from '../src/load/experiment.ts'
 import type { FaultName } from '../src/load/faults.ts'
+import { reportViolations } from './report-violations.ts'
 import { failoverGapMs } from '../src/load/summary.ts'
 import type { Measurement, Row } from './types.ts'
 
@@ -32,6 +33,7 @@
       workload: { durationMs: 2400, mix: WRITES, sessions: 12, handles: ['connection'], thinkMs: 0, roaming: 0 }
     })
     violations += result.violations.length
+    reportViolations(`${name} seed ${seed}`, result)
     gaps.push(failoverGapMs(result.history.events, result.faults[0]!.atMs) ?? Infinity)
   }
   const sorted = gaps.sort((left, right) => left - right)
--- a/bench/faulty-runs.ts
+++ b/bench/faulty-runs.ts
@@ -3,6 +3,7 @@
 import { scheduleFaults } from '../src/load/faults.ts'
 import { createRandom } from '../src/load/random.ts'
 import { summarize } from '../src/load/summary.ts'
+import { reportViolations } from './report-violations.ts'
 import type { Measurement } from './types.ts'
 
 const RUNS = Number(process.env['WORKSWARD_RUNS'] ?? 100)
@@ -22,8 +23,7 @@
       for (let seed = seeds.shift(); seed !== undefined; seed = seeds.shift()) {
         const faults = scheduleFaults(createRandom(seed), DURATION_MS, FAULTS_PER_RUN)
         const result = await runExperiment({ seed, faults, workload: { durationMs: DURATION_MS } })
-        result.violations.forEach(({ check, description }) =>
-          process.stderr.write(`seed ${seed}: ${check}: ${description}\n`))
+        reportViolations(`seed ${seed}`, result)
         results.push(result)
       }
     }
--- a/bench/slopes/callers.ts
+++ b/bench/slopes/callers.ts
@@ -3,7 +3,7 @@
 import { pause } from '../../src/core/time/deadline.ts'
 import { ASSOCIATION_SIZES, EMBEDDED_PASSWORD, EMBEDDED_SERVICE } from '../../src/embedded/sizes.ts'
 import { startProcesses, type DeployedProcess, type ProcessDeployment } from '../../test/fixtures/process-deployment.ts'
-import { processorMs, residentKb } from './process-cost.ts'
+import { processorMs } from './process-cost.ts'
 import type { Point } from './types.ts'
 
 const GROUP = 'member-a'
@@ -35,7 +35,7 @@
       const before = processorMs(proxy!)
       await pause(IDLE_OBSERVE_MS)
       processor.push({ size, cost: (processorMs(proxy!) - before) / IDLE_OBSERVE_MS * 1000 })
-      memory.push({ size, cost: residentKb(proxy!) })
+      memory.push({ size, cost: await heapKb(deployment, proxy!) })
     }
   } finally {
     connections.forEach((connection) => connection.destroy())
@@ -44,6 +44,14 @@
   return { memory, processor }
 }
 
+/** Memory in use after garbage has been collected; the kernel's buffers of the sockets are not in it. */
+async function heapKb (deployment: ProcessDeployment, proxy: DeployedProcess): Promise<number> {
+  const { process } = await deployment.dump(proxy) as unknown as {
+    process: { memory: { heapUsed: number, external: number } }
+  }
+  return (process.memory.heapUsed + process.memory.external) / 1024
+}
+
 /** Points of busy callers. */
 export interface BusyPoints {
   /** Processor time of the caller's proxy, which is the home too. */
--- a/bench/slopes/process-cost.ts
+++ b/bench/slopes/process-cost.ts
@@ -1,4 +1,4 @@
-/** Processor time and memory of a process, as the operating system accounts them. */
+/** Processor time of a process, as the operating system accounts it. */
 import { execFileSync } from 'node:child_process'
 import { readFileSync } from 'node:fs'
 import type { DeployedProcess } from '../../test/fixtures/process-deployment.ts'
@@ -20,14 +20,3 @@
   const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ')
   return (Number(fields[USER_FIELD]) + Number(fields[SYSTEM_FIELD])) / TICKS_PER_SECOND * MS_PER_SECOND
 }
-
-/**
- * Returns the resident memory of a process.
- *
- * @param process - the process
- * @returns kilobytes
- */
-export function residentKb ({ child }: DeployedProcess): number {
-  const status = readFileSync(`/proc/${child.pid}/status`, 'utf8')
-  return Number(/VmRSS:\s+(\d+)/.exec(status)![1])
-}
--- a/src/core/errors/worksward-error.ts
+++ b/src/core/errors/worksward-error.ts
@@ -57,10 +57,11 @@
  *
  * @param thrown - what was caught
  * @param verdict - the verdict to give a value that carries none
+ * @param override - whether to give that verdict whatever the value carries
  * @returns the request error
  */
-export function toRequestError (thrown: unknown, verdict: Verdict): RequestError {
-  if (thrown instanceof RequestError) {
+export function toRequestError (thrown: unknown, verdict: Verdict, override = false): RequestError {
+  if (thrown instanceof RequestError && !override) {
     return thrown
   }
   if (thrown instanceof WorkswardError) {
--- a/src/operators/index.ts
+++ b/src/operators/index.ts
@@ -56,7 +56,7 @@
         return toJson(ready ? 200 : 503, { ready })
       },
       '/metrics': async () => ({ status: 200, contentType: registry.contentType, body: await registry.metrics() }),
-      '/dump': async () => toJson(200, context.dump())
+      '/dump': async () => toJson(200, { ...context.dump(), process: describeProcess() })
     }
 
     const answer = async (request: IncomingMessage): Promise<HttpAnswer> => {
@@ -93,6 +93,12 @@
   }
 })
 
+/** Memory and processor time; where the process allows it, garbage is collected first. */
+function describeProcess (): unknown {
+  globalThis.gc?.()
+  return { uptimeSeconds: process.uptime(), memory: process.memoryUsage(), processor: process.cpuUsage() }
+}
+
 async function readBody (request: IncomingMessage): Promise<unknown> {
   const chunks: Buffer[] = []
   let bytes = 0
--- a/src/operators/tables.ts
+++ b/src/operators/tables.ts
@@ -1,5 +1,6 @@
 /** The tables that operators can show, and how rows are chosen and ordered. */
 import type { Configuration } from '../configuration/index.ts'
+import type { VersionedGroup } from '../configuration/types.ts'
 import type { Callers } from '../callers/index.ts'
 import { WorkswardError } from '../core/errors/index.ts'
 import { findNearest } from '../language/mistake.ts'
@@ -22,39 +23,14 @@
 
 /** Reads each table. */
 export const TABLES: Record<TableName, (sources: TableSources) => Promise<TableRow[]> | TableRow[]> = {
-  groups: ({ configuration, routing }) => configuration.versions().flatMap(({ name, version, group }) => {
-    if (group === null) {
-      return []
-    }
-    const home = routing.homes().get(name)
-    return [{
-      group: name,
-      version,
-      primary: home?.view.leadership.primary ?? '',
-      term: home?.view.leadership.term ?? 0,
-      upstreams: group.upstreams.length,
-      homes: routing.homesOf(name).map(({ host }) => host).join(' '),
-      ...group.duties
-    }]
-  }),
-  upstreams: ({ configuration, routing }) => configuration.versions().flatMap(({ name, group }) =>
-    (group?.upstreams ?? []).map((upstream) => {
-      const view = routing.homes().get(name)?.view
-      const known = view?.upstreams.get(upstream.name)
-      const status = known?.channel.latest?.status
-      return {
-        group: name,
-        upstream: upstream.name,
-        address: `${upstream.address}:${upstream.port}`,
-        domain: upstream.failureDomain,
-        state: view?.isLeaving(upstream.name) === true ? 'draining' : upstream.state,
-        role: status?.role ?? '',
-        term: status?.term ?? 0,
-        position: status?.position ?? 0,
-        reachable: known?.reachable ?? false,
-        age: Math.round(Math.min(view?.age.ageMs(upstream.name) ?? Infinity, Number.MAX_SAFE_INTEGER))
-      }
-    })),
+  groups: async (sources) => {
+    await sources.routing.openPlaced()
+    return sources.configuration.versions().flatMap((version) => describeGroup(sources, version))
+  },
+  upstreams: async (sources) => {
+    await sources.routing.openPlaced()
+    return sources.configuration.versions().flatMap((version) => describeUpstreams(sources, version))
+  },
   services: ({ configuration }) => configuration.versions().flatMap(({ name, group }) =>
     Object.entries(group?.services ?? {}).flatMap(([service, { kinds }]) =>
       Object.entries(kinds).map(([kind, declared]) => ({ group: name, service, kind, ...declared })))),
@@ -96,6 +72,42 @@
   }
 }
 
+function describeGroup ({ routing }: TableSources, { name, version, group }: VersionedGroup): TableRow[] {
+  if (group === null) {
+    return []
+  }
+  const leadership = routing.homes().get(name)?.view.leadership
+  return [{
+    group: name,
+    version,
+    primary: leadership?.primary ?? '',
+    term: leadership?.term ?? 0,
+    upstreams: group.upstreams.length,
+    homes: routing.homesOf(name).map(({ host }) => host).join(' '),
+    ...group.duties
+  }]
+}
+
+function describeUpstreams ({ routing }: TableSources, { name, group }: VersionedGroup): TableRow[] {
+  const view = routing.homes().get(name)?.view
+  return (group?.upstreams ?? []).map((upstream) => {
+    const known = view?.upstreams.get(upstream.name)
+    const status = known?.channel.latest?.status
+    return {
+      group: name,
+      upstream: upstream.name,
+      address: `${upstream.address}:${upstream.port}`,
+      domain: upstream.failureDomain,
+      state: view?.isLeaving(upstream.name) === true ? 'draining' : upstream.state,
+      role: status?.role ?? '',
+      term: status?.term ?? 0,
+      position: status?.position ?? 0,
+      reachable: known?.reachable ?? false,
+      age: Math.round(Math.min(view?.age.ageMs(upstream.name) ?? Infinity, Number.MAX_SAFE_INTEGER))
+    }
+  })
+}
+
 /**
  * Chooses, orders and cuts rows.
  *
--- a/src/routing/home-requests.ts
+++ b/src/routing/home-requests.ts
@@ -1,5 +1,5 @@
 /** Finds the home of a group and hands it requests, here or over a peer link. */
-import { RequestError } from '../core/errors/index.ts'
+import { RequestError, toRequestError } from '../core/errors/index.ts'
 import type { Membership } from '../membership/index.ts'
 import type { Member } from '../membership/types.ts'
 import type { Peers } from '../peers/index.ts'
@@ -98,6 +98,7 @@
     send: async (request) => {
       const startedAt = performance.now()
       let failure: unknown
+      let doubtful = false
       for (const member of inOrder(request.group)) {
         const leftMs = request.deadlineMs - (performance.now() - startedAt)
         if (leftMs <= 0) {
@@ -106,10 +107,11 @@
         try {
           return { reply: await sendToMember(member, { ...request, deadlineMs: leftMs }), home: member.host }
         } catch (thrown) {
-          failure = thrown
+          failure = doubtful ? asDoubtful(thrown) : thrown
           if (!mayTryElsewhere(thrown, request)) {
-            throw thrown
+            throw failure
           }
+          doubtful ||= thrown instanceof RequestError && thrown.verdict === 'may-have-run'
         }
       }
       throw failure ?? new RequestError('not-run', 'NoUpstream', {
@@ -126,6 +128,15 @@
   }
 }
 
+/**
+ * That the last home did not run a request says nothing of an earlier home whose answer was lost. A word on the key
+ * itself does: it was contested, or another request holds it.
+ */
+function asDoubtful (thrown: unknown): unknown {
+  const isFinal = thrown instanceof RequestError && ['TransactionLost', 'KeyReused'].includes(thrown.entry)
+  return isFinal ? thrown : toRequestError(thrown, 'may-have-run', true)
+}
+
 /** Another home is tried after a broken link, a stop, or a refused connection; what was decided stands. */
 function mayTryElsewhere (thrown: unknown, request: HomeRequest): boolean {
   if (!(thrown instanceof RequestError)) {
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -15,6 +15,8 @@
 export interface Routing extends HomeRequests {
   /** Homes of a group, best first. */
   homesOf: (group: string) => Member[]
+  /** Opens all groups that are placed here, and asks their upstreams, so that their state can be shown. */
+  openPlaced: () => Promise<void>
   /** Groups this process is serving as a home now. */
   homes: () => Map<string, GroupHome>
   /** Counts summed over all groups served here. */
@@ -131,6 +133,11 @@
         send: requests.send,
         sendTo: requests.sendTo,
         homesOf,
+        openPlaced: async () => {
+          const names = configuration.versions().filter(({ group }) => group !== null).map(({ name }) => name)
+          const placed = names.filter((name) => homesOf(name).some(({ host }) => host === settings.host.name))
+          await Promise.all(placed.map(async (name) => await homeOf(name).view.refreshNow()))
+        },
         homes: () => homes,
         counts: () => sumCounts([...homes.values()].map(({ counts }) => counts))
       },
--- a/src/routing/write-route.ts
+++ b/src/routing/write-route.ts
@@ -4,7 +4,7 @@
  * key is contested on the current primary, which settles whether the write ran.
  */
 import type { Kind } from '../core/config/index.ts'
-import { RequestError, type Verdict } from '../core/errors/index.ts'
+import { RequestError, toRequestError, type Verdict } from '../core/errors/index.ts'
 import { pause, type Deadline } from '../core/time/deadline.ts'
 import {
   createRequestKey, fingerprintOf, parseLedgerRecord, type KeyedAttempt, type LedgerRecord
@@ -68,6 +68,7 @@
 /** An idempotent write: after any loss it is simply run again, within deadline and budget. */
 async function servePlainWrite (options: WriteOptions): Promise<HomeReply> {
   const { view, deadline } = options
+  let doubtful = false
   for (;;) {
     try {
       const target = await view.primary(deadline)
@@ -76,8 +77,9 @@
       return reply(committed, target)
     } catch (thrown) {
       if (!mayTryAgain(thrown, options)) {
-        throw thrown
+        throw doubtful ? toRequestError(thrown, 'may-have-run', true) : thrown
       }
+      doubtful ||= thrown instanceof RequestError && thrown.verdict === 'may-have-run'
       await pause(RETRY_PAUSE_MS)
     }
   }
--- a/src/upstreams/group-view.ts
+++ b/src/upstreams/group-view.ts
@@ -247,6 +247,11 @@
     void this.refreshAll().finally(() => { this.refreshing = false })
   }
 
+  /** Asks all upstreams and waits for those that answer in time. */
+  async refreshNow (): Promise<void> {
+    await Promise.allSettled([...this.upstreams.values()].map(async ({ channel }) => await channel.fresh()))
+  }
+
   /**
    * Waits until a place in the log of a term is on a majority.
    *
