Do not count a superseded primary as a replica of its own writes

A write had waited for a connection to the old primary; when it thawed, still unfenced, it committed in the old term. By then the home followed another primary, so its list of replicas held the old one, whose own log answered for the write. Change: replicas of a write are all upstreams but the one that wrote it, whoever leads by now; work that waited in a pool does not start when its term has passed.

--- a/src/routing/group-home.ts
+++ b/src/routing/group-home.ts
@@ -7,6 +7,7 @@
 import type { Logger } from '../core/logger/index.ts'
 import { Deadline, pause } from '../core/time/deadline.ts'
 import type { Dialer } from '../core/wire/dialer.ts'
+import { startLedgerSweeper } from '../ledger/ledger-sweeper.ts'
 import { keyCreatedAt, MAXIMUM_KEY_LENGTH } from '../ledger/request-key.ts'
 import { EMPTY_ANSWER } from '../mysql/types.ts'
 import { createConnectionPool, type ConnectionPool } from '../upstreams/connection-pool.ts'
@@ -57,6 +58,8 @@
   serve: (request: HomeRequest) => Promise<HomeReply>
   /** Takes over changed declarations. */
   update: (group: Group) => void
+  /** Deletes a batch of request keys that need not be remembered; returns how many. */
+  sweepLedger: () => Promise<number>
   /** Requests and transactions in progress. */
   readonly busy: number
   dump: () => unknown
@@ -134,6 +137,7 @@
     }
   }
   fillPools()
+  const sweeper = startLedgerSweeper({ view, pools, group: () => group })
   const watch = setInterval(() => {
     if (inProgress > 0) {
       view.refresh()
@@ -275,6 +279,7 @@
       view.update(changed)
       fillPools()
     },
+    sweepLedger: sweeper.sweep,
     get busy () { return inProgress + transactions.open },
     dump: () => ({
       view: view.dump(),
@@ -285,6 +290,7 @@
     }),
     close: () => {
       clearInterval(watch)
+      sweeper.close()
       transactions.close()
       pools.forEach((pool) => pool.close())
       view.close()
--- a/src/routing/read-route.ts
+++ b/src/routing/read-route.ts
@@ -170,7 +170,7 @@
     return { ...reply, floor: { ...floor, seenOn: [{ upstream, incarnation }] } }
   }
   const { status } = await deadline.race(channel.fresh(), 'not-run', 'confirming a read')
-  return { ...reply, floor: await confirm(options, logEnd(status)) }
+  return { ...reply, floor: await confirm(options, view.leadership.primary, logEnd(status)) }
 }
 
 /** What a primary shows may be on no majority yet, and a failover would take it back. */
@@ -178,11 +178,13 @@
   const { statement, deadline } = options
   const { answer, status } = await onUpstream(options, upstream, async (client) =>
     await runAndCommit(client, statement, undefined, deadline, 'not-run'))
-  return { answer, upstream, fromReplica: false, floor: await confirm(options, logEnd(status)) }
+  return { answer, upstream, fromReplica: false, floor: await confirm(options, upstream, logEnd(status)) }
 }
 
-async function confirm ({ view, deadline, floor }: PlacedRead, seen: LogPosition): Promise<SessionFloor> {
-  if (!meetsFloor(seen, floor) || !await view.waitForMajority(seen, deadline)) {
+async function confirm (
+  { view, deadline, floor }: PlacedRead, source: string, seen: LogPosition
+): Promise<SessionFloor> {
+  if (!meetsFloor(seen, floor) || !await view.waitForMajority(seen, source, deadline)) {
     throw new RequestError('not-run', 'NoUpstream', {
       group: view.name,
       reason: 'the primary was superseded, or its replicas do not follow',
--- a/src/routing/write-route.ts
+++ b/src/routing/write-route.ts
@@ -176,17 +176,19 @@
   if (place.term !== target.term) {
     throw refuse('the primary was superseded')
   }
-  const acknowledged = await ACKNOWLEDGEMENT_HANDLERS[kind.acknowledgement](view, place, deadline)
+  const source = target.view.declaration.name
+  const acknowledged = await ACKNOWLEDGEMENT_HANDLERS[kind.acknowledgement](view, place, source, deadline)
   if (!acknowledged) {
     throw refuse('the primary was superseded, or too few replicas followed in time')
   }
 }
 
 const ACKNOWLEDGEMENT_HANDLERS: Record<
-  Kind['acknowledgement'], (view: GroupView, place: LogPosition, deadline: Deadline) => Promise<boolean>
+  Kind['acknowledgement'],
+  (view: GroupView, place: LogPosition, source: string, deadline: Deadline) => Promise<boolean>
 > = {
-  replicated: async (view, place, deadline) => await view.waitForMajority(place, deadline),
-  confirmed: async (view, place, deadline) => {
+  replicated: async (view, place, source, deadline) => await view.waitForMajority(place, source, deadline),
+  confirmed: async (view, place, _source, deadline) => {
     const answers = await view.askMajority(deadline)
     return answers.every(({ status }) => status.term <= place.term && status.fencedTerm <= place.term)
   }
@@ -354,7 +356,12 @@
     })
   }
   try {
-    return await pool.run({ access: 'write', priority: kind.priority, deadline }, work)
+    return await pool.run({ access: 'write', priority: kind.priority, deadline }, async (client) => {
+      if (view.leadership.term !== target.term) {
+        throw new RequestError('not-run', 'ConnectionLost', { upstream: name, reason: 'it was superseded' })
+      }
+      return await work(client)
+    })
   } catch (thrown) {
     if (thrown instanceof RequestError && thrown.entry === 'ConnectionLost') {
       view.markUnreachable(name, thrown.message)
--- a/src/upstreams/group-view.ts
+++ b/src/upstreams/group-view.ts
@@ -255,16 +255,17 @@
   /**
    * Waits until a place in the log of a term is on a majority.
    *
-   * @param place - the place; its term must be the one that is led now
+   * @param place - the place
+   * @param source - the upstream that wrote it; it does not count as one of its own replicas, whoever leads by now
    * @param deadline - when to give up
    * @returns whether it is; false when the term was superseded or time ran out
    */
-  async waitForMajority (place: LogPosition, deadline: Deadline): Promise<boolean> {
+  async waitForMajority (place: LogPosition, source: string, deadline: Deadline): Promise<boolean> {
     if (meetsFloor(this.acknowledged, place) && this.acknowledged.term === place.term) {
       return true
     }
     const needed = this.majority - 1
-    if (needed > 0 && !await this.waitForReplicas(place, needed, deadline)) {
+    if (needed > 0 && !await this.waitForReplicas(place, source, needed, deadline)) {
       return false
     }
     this.acknowledged = laterPosition(this.acknowledged, place)
@@ -363,8 +364,10 @@
     this.recovering = false
   }
 
-  private async waitForReplicas (place: LogPosition, needed: number, deadline: Deadline): Promise<boolean> {
-    const replicas = this.replicaNames
+  private async waitForReplicas (
+    place: LogPosition, source: string, needed: number, deadline: Deadline
+  ): Promise<boolean> {
+    const replicas = [...this.upstreams.keys()].filter((name) => name !== source)
     if (replicas.length < needed) {
       return false
     }
--- a/test/failover/election.test.ts
+++ b/test/failover/election.test.ts
@@ -2,6 +2,7 @@
 import { expect } from 'earl'
 import { EMBEDDED_ACCOUNT } from '../../src/embedded/sizes.ts'
 import { createDialer } from '../../src/core/wire/dialer.ts'
+import { Deadline } from '../../src/core/time/deadline.ts'
 import { electPrimary } from '../../src/failover/election.ts'
 import { GroupView } from '../../src/upstreams/group-view.ts'
 import { GROUP, startTestDeployment, type TestDeployment } from '../fixtures/deployment.ts'
@@ -39,6 +40,29 @@
     expect(new Set(leading.map(({ term }) => term)).size).toEqual(leading.length)
   })
 
+  it('does not count a superseded primary as a replica of its own writes', async () => {
+    const servers = [...deployment.standins.groups.get(GROUP)!.values()]
+    const view = createView()
+    await view.refreshNow()
+    const first = await electPrimary({ view, planned: false })
+    expect(first.type).toEqual('promoted')
+    await deployment.waitForPrimaries()
+    const old = deployment.primaryOf(GROUP).upstream
+    const others = servers.map(({ upstream }) => upstream).filter((upstream) => upstream !== old)
+    others.forEach((upstream) => deployment.standins.cutReplication(upstream.name, old.name))
+    const { term } = old.status()
+    others.forEach((upstream) => upstream.fence(term + 1))
+    others[0]!.promote(term + 1)
+    others[1]!.follow(others[0]!.name, term + 1)
+    await view.refreshNow()
+    expect(view.leadership).toEqual({ term: term + 1, primary: others[0]!.name })
+    await old.run({ sql: "INSERT INTO records (session, request, amount) VALUES ('late', 'late', 1)" })
+    await view.refreshNow()
+    expect(await view.waitForMajority(old.log.end, old.name, new Deadline(200))).toEqual(false)
+    deployment.standins.mendReplication()
+    view.close()
+  })
+
   it('makes no primary when a majority cannot be fenced', async () => {
     const view = createView()
     const [first, second] = [...deployment.standins.groups.get(GROUP)!.values()]
