Compute heartbeats at the size from the rate of changes

Change: the page derives it; the interval of reading the platform's list is a setting, for at the size its default would take 1,150 of the platform's 2,000 reads.

--- a/bench/capacity/design-size.ts
+++ b/bench/capacity/design-size.ts
@@ -31,8 +31,12 @@
   /** Time between two heartbeat rounds, in seconds. */
   heartbeatSeconds: 1,
   heartbeatFanout: 2,
-  /** Members passed on with a heartbeat. */
-  membersPerHeartbeat: 4,
+  /** Rounds for which a node passes a change of membership on, as the code does. */
+  passedOnRounds: 6,
+  /** Changes of state that a restart makes: leaving or suspect, gone, and live again. */
+  statesPerRestart: 3,
+  /** Time between two looks at the platform's list of hosts, in seconds. */
+  hostListSeconds: 60,
   /** Mean time between two reads of the configuration head, in seconds. */
   pollSeconds: 5,
   /** Time between two probes of a primary by one keeper, in seconds. */
--- a/bench/capacity/lines.ts
+++ b/bench/capacity/lines.ts
@@ -36,11 +36,10 @@
   const perUnit = (key: string): number => data.slopes[key]!.perUnit
   const probes = probesPerNode()
   const heartbeats = 2 * SETTINGS_AT_SIZE.heartbeatFanout / SETTINGS_AT_SIZE.heartbeatSeconds
-  const heartbeatBytes = data.slopes['heartbeatBytes']!.fixed +
-    SETTINGS_AT_SIZE.membersPerHeartbeat * perUnit('heartbeatBytes')
+  const heartbeatBytes = data.slopes['heartbeatBytes']!.fixed + membersPerHeartbeat() * perUnit('heartbeatBytes')
   const changesPerSecond = DESIGN.configurationChangesPerDay / DAY_SECONDS
   const processorMs = probes * perUnit('probeMs') +
-    heartbeats * SETTINGS_AT_SIZE.membersPerHeartbeat * perUnit('memberMergeMs') +
+    heartbeats * membersPerHeartbeat() * perUnit('memberMergeMs') +
     changesPerSecond * perUnit('applyMs')
   const bytes = probes * perUnit('probeBytes') + heartbeats * 2 * heartbeatBytes +
     changesPerSecond * perUnit('changeBytes')
@@ -67,6 +66,16 @@
   return keptWatches() / SETTINGS_AT_SIZE.probeSeconds * (1 + replicas * SETTINGS_AT_SIZE.replicaProbeShare)
 }
 
+/** The sender, and the changes it still passes on. */
+function membersPerHeartbeat (): number {
+  const { heartbeatSeconds, passedOnRounds } = SETTINGS_AT_SIZE
+  return 1 + membershipChangesPerSecond() * heartbeatSeconds * passedOnRounds
+}
+
+function membershipChangesPerSecond (): number {
+  return DESIGN.restartsPerDay * SETTINGS_AT_SIZE.statesPerRestart / DAY_SECONDS
+}
+
 function entryLines ({ slopes }: SlopeData): CapacityLine[] {
   const callers = DESIGN.callers / DESIGN.nodes
   const statements = DESIGN.statementsPerSecond / DESIGN.nodes
@@ -142,11 +151,12 @@
 const ELECTION_SECONDS = 1
 
 function membershipLines ({ slopes, figures }: SlopeData): CapacityLine[] {
-  const changes = DESIGN.restartsPerDay * STATES_PER_RESTART / DAY_SECONDS
+  const changes = membershipChangesPerSecond()
   const rounds = Math.ceil(Math.log(DESIGN.nodes) / Math.log(1 + SETTINGS_AT_SIZE.heartbeatFanout))
   return [
     line('entry', 'changes of membership', `${round(changes)} /s`,
-      'gossip: a change rides on the next heartbeats of whoever heard it; lists are exchanged whole only while digests differ'),
+      `gossip: a change rides on the next ${SETTINGS_AT_SIZE.passedOnRounds} rounds of whoever heard it; lists are ` +
+      'exchanged whole only while digests differ'),
     line('entry', 'time for a change to reach all nodes', `about ${rounds * SETTINGS_AT_SIZE.heartbeatSeconds} s`,
       `${rounds} rounds with a fan-out of ${SETTINGS_AT_SIZE.heartbeatFanout}; computed, not measured at this size`),
     line('entry', 'one exchange of whole lists', `${round(DESIGN.nodes * slopes['memberListBytes']!.perUnit / BYTES_PER_KB)} KB`,
@@ -168,9 +178,6 @@
   ]
 }
 
-/** Leaving or suspect, gone, and live again. */
-const STATES_PER_RESTART = 3
-
 function configurationLines ({ slopes }: SlopeData): CapacityLine[] {
   const changes = DESIGN.configurationChangesPerDay / DAY_SECONDS
   const reach = SETTINGS_AT_SIZE.pollSeconds * POLL_JITTER + FETCH_SECONDS
@@ -194,7 +201,7 @@
   const polls = DESIGN.nodes / SETTINGS_AT_SIZE.pollSeconds
   const changes = DESIGN.configurationChangesPerDay / DAY_SECONDS
   const fetches = Math.min(changes, 1 / SETTINGS_AT_SIZE.pollSeconds) * DESIGN.nodes * 2
-  const hostLists = DESIGN.nodes / HOST_LIST_SECONDS
+  const hostLists = DESIGN.nodes / SETTINGS_AT_SIZE.hostListSeconds
   const writesPerSecond = changes * WRITES_PER_CHANGE
   const startBytes = DESIGN.groups * slopes['changeBytes']!.perUnit / BYTES_PER_KB / KB_PER_MB
   return [
@@ -202,7 +209,7 @@
     line('platform', 'reads of changes and changed groups', `${round(fetches)} /s`,
       'a query of the record and a read for each changed group, by each node'),
     line('platform', 'reads of the list of hosts', `${round(hostLists)} /s`,
-      `each node every ${HOST_LIST_SECONDS} s`),
+      `each node every ${SETTINGS_AT_SIZE.hostListSeconds} s`),
     bounded('platform', 'reads in all', polls + fetches + hostLists, '/s', DESIGN.platformReadsPerSecond,
       'to bring it down, one node in each failure domain asks and passes on over heartbeats, which carry the revision already'),
     bounded('platform', 'writes', writesPerSecond, '/s', DESIGN.platformWritesPerSecond,
@@ -214,7 +221,6 @@
   ]
 }
 
-const HOST_LIST_SECONDS = 60
 /** Head, record and group. */
 const WRITES_PER_CHANGE = 3
 
--- a/src/core/config/settings.ts
+++ b/src/core/config/settings.ts
@@ -28,7 +28,9 @@
   /** Time one platform call may take, in milliseconds. */
   timeoutMs: milliseconds.default(1000),
   /** Mean time between two reads of the configuration head, in milliseconds. */
-  pollMs: milliseconds.default(1000)
+  pollMs: milliseconds.default(1000),
+  /** Mean time between two reads of the platform's list of hosts, in milliseconds. */
+  hostsPollMs: milliseconds.default(2000)
 })
 
 const peersSchema = z.strictObject({
--- a/src/membership/index.ts
+++ b/src/membership/index.ts
@@ -49,8 +49,6 @@
 const PASSED_ON = 16
 /** Rounds for which a change is passed on. */
 const PASSED_ON_ROUNDS = 6
-/** Time between two looks at the platform's list, in milliseconds. */
-const PLATFORM_POLL_MS = 2000
 
 /** Rounds after which whole lists are exchanged with a member whose digest differs. */
 const EXCHANGE_EVERY = 4
@@ -256,7 +254,7 @@
     }
     let closed = false
     repeat(settings.peers.heartbeatMs, round)
-    repeat(PLATFORM_POLL_MS, readPlatformList)
+    repeat(settings.platform.hostsPollMs, readPlatformList)
 
     return {
       service: {
