Split membership, the write route and the caller's session into parts with one job

Change: opinions, heartbeats and the platform's list; commit, acknowledgement, settling and work on a primary; session floors. A request type that nobody sent is gone.

--- a/src/callers/caller-session.ts
+++ b/src/callers/caller-session.ts
@@ -7,9 +7,9 @@
 import type { ClientHandler, ClientHello } from '../mysql/server.ts'
 import { EMPTY_ANSWER, type Answer, type Statement } from '../mysql/types.ts'
 import type { HomeRequests } from '../routing/home-requests.ts'
-import { isSessionToken, type SessionTokens } from '../sessions/session-token.ts'
-import { joinFloors, NOTHING_SEEN, type SessionFloor } from '../upstreams/position.ts'
+import type { SessionTokens } from '../sessions/session-token.ts'
 import { hintSchema, readHint, readHintValues, type Hint } from './hint.ts'
+import { createSessionFloors } from './session-floors.ts'
 import { classifyStatement, readSetting, type StatementClass } from './statement-class.ts'
 
 /** Options of {@link createCallerSession}. */
@@ -60,25 +60,12 @@
   const service = client.user
   let groupName = client.database
   let defaults: Hint = readHintValues(client.attributes)
-  let sessionId: string = randomUUID()
-  let sessionGiven = false
-  let floors = new Map<string, SessionFloor>()
+  let session = createSessionFloors(tokens, service)
   let transaction: CallerTransaction | undefined
   let nextTransaction = 1
   let statements = 0
   let busy = false
 
-  /** The floor of a reply covers the one that the request carried. */
-  const raiseFloor = (floor: SessionFloor | undefined): void => {
-    if (floor !== undefined) {
-      floors.set(groupName, floor)
-    }
-  }
-
-  /** For replies to requests that carry no floor. */
-  const joinFloor = (floor: SessionFloor | undefined): void =>
-    raiseFloor(floor === undefined ? undefined : joinFloors(floor, floors.get(groupName) ?? NOTHING_SEEN))
-
   const findGroup = (): Group => {
     const group = options.findGroup(groupName)
     if (group === undefined) {
@@ -99,20 +86,6 @@
     return kind
   }
 
-  /** Makes a session the connection's own: a token brings its floors, an id alone brings nothing. */
-  const enterSession = (handle: string): void => {
-    const token = isSessionToken(handle) ? tokens.open(handle, service) : undefined
-    const id = token?.id ?? handle
-    if (id !== sessionId) {
-      sessionId = id
-      floors = new Map()
-    }
-    sessionGiven = token === undefined
-    Object.entries(token?.floors ?? {}).forEach(([group, floor]) => {
-      floors.set(group, joinFloors(floor, floors.get(group) ?? NOTHING_SEEN))
-    })
-  }
-
   const base = (kind: Kind | undefined) => ({
     group: groupName, service, deadlineMs: kind?.deadlineMs ?? DEFAULT_DEADLINE_MS
   })
@@ -139,11 +112,11 @@
       type: 'execute',
       kind: hint.kind,
       statement,
-      floor: floors.get(groupName) ?? NOTHING_SEEN,
-      readIndex: sessionGiven,
+      floor: session.floorOf(groupName),
+      readIndex: session.isBareId,
       key: isWrite ? hint.key ?? (needsKey ? createRequestKey() : undefined) : undefined
     })
-    isWrite ? joinFloor(reply.floor) : raiseFloor(reply.floor)
+    isWrite ? session.join(groupName, reply.floor) : session.replace(groupName, reply.floor)
     return checkRows(reply.answer, group)
   }
 
@@ -186,13 +159,13 @@
       const reply = await requests.sendTo(ending.home, {
         ...keyed, type: 'commit', transactionId: ending.id, writes: ending.writes || hint.key !== undefined
       })
-      joinFloor(reply.floor)
+      session.join(groupName, reply.floor)
     } catch (thrown) {
       if (!(thrown instanceof RequestError) || thrown.verdict !== 'may-have-run' || !ending.writes) {
         throw isTransactionOver(thrown) ? asTransactionLost(thrown) : thrown
       }
       const { reply } = await requests.send({ ...keyed, type: 'settle' })
-      joinFloor(reply.floor)
+      session.join(groupName, reply.floor)
     }
     return EMPTY_ANSWER
   }
@@ -214,8 +187,7 @@
   }
 
   const showToken = (): Answer => {
-    const token = tokens.seal({ id: sessionId, service, floors: Object.fromEntries(floors) })
-    return { type: 'rows', columns: [textColumn('@@worksward_session')], rows: [[Buffer.from(token)]] }
+    return { type: 'rows', columns: [textColumn('@@worksward_session')], rows: [[Buffer.from(session.seal())]] }
   }
 
   const selectDatabase = async (database: string): Promise<void> => {
@@ -261,7 +233,7 @@
       try {
         const hint = { ...defaults, ...readHint(statement.sql) }
         if (hint.session !== undefined) {
-          enterSession(hint.session)
+          session.enter(hint.session)
         }
         return await handlers[classifyStatement(statement.sql)](statement, hint)
       } finally {
@@ -272,16 +244,14 @@
     reset: async () => {
       await rollBack()
       defaults = readHintValues(client.attributes)
-      sessionId = randomUUID()
-      sessionGiven = false
-      floors = new Map()
+      session = createSessionFloors(tokens, service)
     },
     close: () => { void rollBack() },
     state: () => ({
       connection: client.connectionId,
       service,
       group: groupName,
-      session: sessionId,
+      session: session.id,
       inTransaction: transaction !== undefined,
       busy,
       statements
--- /dev/null
+++ b/src/membership/platform-list.ts
@@ -0,0 +1,24 @@
+/** The platform's list of hosts. It lags, so it only introduces hosts and says who leaves. */
+import { hostRowSchema, LOWEST_SORT, PARTITIONS, type PlatformTable } from '../platform/types.ts'
+import type { MemberList } from './member-list.ts'
+import type { Opinions } from './opinions.ts'
+
+/**
+ * Reads the list and takes over what is new.
+ *
+ * @param table - the platform's table
+ * @param list - the members known
+ * @param opinions - what is thought of them
+ */
+export async function readPlatformList (table: PlatformTable, list: MemberList, opinions: Opinions): Promise<void> {
+  const rows = await table.list(PARTITIONS.hosts, LOWEST_SORT)
+  for (const row of rows) {
+    const host = hostRowSchema.parse(JSON.parse(row.body))
+    const known = list.get(host.host)
+    if (known === undefined) {
+      opinions.hear({ ...host, startedAt: 0, version: 0 })
+    } else if (host.state === 'leaving' && known.state === 'live') {
+      opinions.hear({ ...known, state: 'leaving' })
+    }
+  }
+}
--- /dev/null
+++ b/src/routing/acknowledgement.ts
@@ -0,0 +1,41 @@
+/** When a committed write may be acknowledged. */
+import type { Kind } from '../core/config/index.ts'
+import { RequestError } from '../core/errors/index.ts'
+import type { Deadline } from '../core/time/deadline.ts'
+import type { GroupView } from '../upstreams/group-view.ts'
+import type { LogPosition } from '../upstreams/position.ts'
+import type { WriteTarget } from './primary-work.ts'
+
+/**
+ * Waits until a committed change may be acknowledged.
+ *
+ * @param options - the request
+ * @param target - the primary it was committed on
+ * @param place - where it stands in the log
+ * @throws RequestError with verdict `may-have-run` when the term was superseded or time ran out
+ */
+export async function acknowledge (
+  { view, kind, deadline }: { view: GroupView, kind: Kind, deadline: Deadline }, target: WriteTarget, place: LogPosition
+): Promise<void> {
+  const refuse = (reason: string): RequestError =>
+    new RequestError('may-have-run', 'NotAcknowledged', { group: view.name, reason })
+  if (place.term !== target.term) {
+    throw refuse('the primary was superseded')
+  }
+  const source = target.view.declaration.name
+  const acknowledged = await ACKNOWLEDGEMENT_HANDLERS[kind.acknowledgement](view, place, source, deadline)
+  if (!acknowledged) {
+    throw refuse('the primary was superseded, or too few replicas followed in time')
+  }
+}
+
+const ACKNOWLEDGEMENT_HANDLERS: Record<
+  Kind['acknowledgement'],
+  (view: GroupView, place: LogPosition, source: string, deadline: Deadline) => Promise<boolean>
+> = {
+  replicated: async (view, place, source, deadline) => await view.waitForMajority(place, source, deadline),
+  confirmed: async (view, place, _source, deadline) => {
+    const answers = await view.askMajority(deadline)
+    return answers.every(({ status }) => status.term <= place.term && status.fencedTerm <= place.term)
+  }
+}
--- a/src/routing/group-home.ts
+++ b/src/routing/group-home.ts
@@ -9,12 +9,11 @@
 import type { Dialer } from '../core/wire/dialer.ts'
 import { startLedgerSweeper } from '../ledger/ledger-sweeper.ts'
 import { keyCreatedAt, MAXIMUM_KEY_LENGTH } from '../ledger/request-key.ts'
-import { EMPTY_ANSWER } from '../mysql/types.ts'
 import { createConnectionPool, type ConnectionPool } from '../upstreams/connection-pool.ts'
 import { GroupView, type Leadership } from '../upstreams/group-view.ts'
 import { createRetryBudget } from './retry-budget.ts'
 import { chooseUpstream, serveRead, type ReadOptions } from './read-route.ts'
-import { findReadIndex, resolveFloor } from './session-floor.ts'
+import { resolveFloor } from './session-floor.ts'
 import { createTransactions } from './transactions.ts'
 import { serveWrite } from './write-route.ts'
 import { textColumn } from '../mysql/answer-writer.ts'
@@ -251,10 +250,6 @@
     commit,
     rollback: async (request) => await transactions.rollback(request.transactionId),
     settle: async (request) => await transactions.settle(request, new Deadline(request.deadlineMs)),
-    floor: async (request) => ({
-      answer: EMPTY_ANSWER,
-      floor: { ...await findReadIndex(view, new Deadline(request.deadlineMs)), seenOn: [] }
-    }),
     explain
   }
 
--- a/src/routing/home-requests.ts
+++ b/src/routing/home-requests.ts
@@ -53,7 +53,6 @@
   commit: false,
   rollback: false,
   settle: true,
-  floor: true,
   explain: true
 }
 
--- a/src/routing/read-route.ts
+++ b/src/routing/read-route.ts
@@ -14,7 +14,7 @@
 import { logEnd } from '../upstreams/status.ts'
 import { findReadIndex, resolveFloor } from './session-floor.ts'
 import type { HomeReply } from './types.ts'
-import { runAndCommit } from './write-route.ts'
+import { runAndCommit } from './commit.ts'
 
 /** What a read needs. */
 export interface ReadOptions {
--- a/src/routing/transactions.ts
+++ b/src/routing/transactions.ts
@@ -11,7 +11,9 @@
 import type { GroupView, UpstreamView } from '../upstreams/group-view.ts'
 import { useManualCommit } from '../upstreams/manual-commit.ts'
 import { logEnd } from '../upstreams/status.ts'
-import { acknowledge, commitUnderKey, replayRecord, settle } from './write-route.ts'
+import { acknowledge } from './acknowledgement.ts'
+import { commitUnderKey, replayRecord } from './commit.ts'
+import { settle } from './settle.ts'
 import type { CommitRequest, HomeReply, SettleRequest } from './types.ts'
 
 /** An open transaction. */
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -63,11 +63,6 @@
   transactionId: string
 }
 
-/** Finds what a session has seen, for a token. */
-export interface FloorRequest extends RequestBase {
-  type: 'floor'
-}
-
 /** Says which upstream a request would get, and why, without running it. */
 export interface ExplainRequest extends RequestBase {
   type: 'explain'
@@ -77,7 +72,7 @@
 
 /** Any request to a home. */
 export type HomeRequest =
-  | ExecuteRequest | BeginRequest | TransactionRequest | CommitRequest | RollbackRequest | SettleRequest | FloorRequest
+  | ExecuteRequest | BeginRequest | TransactionRequest | CommitRequest | RollbackRequest | SettleRequest
   | ExplainRequest
 
 /** A reply to a request that succeeded. */
