Count every unanswered question of a keeper, not the loop's own only

Cause: after the first failed probe the view's search for a primary kept a question in flight, so the loop's second probe waited for that one and then for its own: a timeout more than needed. Evidence of others was looked at only between two probes. Change: each failed question counts; observations of others are acted on when they come.

--- a/src/failover/group-watch.ts
+++ b/src/failover/group-watch.ts
@@ -40,8 +40,6 @@
 const FULL_ROUND = 5
 /** Rounds for which a half-finished fencing is left to its maker. */
 const STUCK_ROUNDS = 15
-/** Pause before a failed probe is repeated, in milliseconds; the usual interval would only add to the gap. */
-const QUICK_PROBE_MS = 5
 /** Greatest random addition to a wait, as a part of it. */
 const JITTER = 0.5
 
@@ -60,6 +58,7 @@
   let round = 0
   let stuckRounds = 0
   let electing = false
+  let acting = false
   const state = { closed: false }
   let reportedTerm = -1
   let promotions = 0
@@ -69,6 +68,7 @@
     group,
     dialer: options.dialer,
     statusTimeoutMs: timeoutMs,
+    onFailure: (upstream, error) => countFailure(upstream, error),
     onLeadership: ({ term, primary }) => {
       failures = 0
       suspicion.clear()
@@ -76,25 +76,26 @@
     }
   })
 
-  const probePrimary = async (): Promise<void> => {
+  /** Counts what the primary did not answer; enough of it in a row is an observation that others are told. */
+  const countFailure = (upstream: string, error: Error): void => {
     const { primary, term } = view.leadership
-    const channel = view.upstreams.get(primary)?.channel
-    if (channel === undefined) {
+    if (upstream !== primary) {
       return
     }
-    try {
-      await channel.fresh()
-      failures = 0
-    } catch (thrown) {
-      failures += isRefusal(thrown) ? failuresNeeded : 1
-      if (failures >= failuresNeeded && term === view.leadership.term) {
-        const observation = { upstream: primary, term, failureDomain: settings.host.failureDomain }
-        suspicion.observe(observation)
-        options.spreadEvidence(observation)
-      }
+    failures += isRefusal(error) ? failuresNeeded : 1
+    if (failures >= failuresNeeded) {
+      const observation = { upstream, term, failureDomain: settings.host.failureDomain }
+      suspicion.observe(observation)
+      options.spreadEvidence(observation)
+      void actIfNeeded()
     }
   }
 
+  const probePrimary = async (): Promise<void> => {
+    const channel = view.upstreams.get(view.leadership.primary)?.channel
+    await channel?.fresh().then(() => { failures = 0 }, () => {})
+  }
+
   const probeAll = async (): Promise<void> => {
     const channels = view.replicaNames.map((replica) => view.upstreams.get(replica)!.channel)
     await Promise.allSettled(channels.map(async (channel) => await channel.fresh()))
@@ -138,7 +139,16 @@
     }
   }
 
+  /** Called after each probe, and whenever somebody else's observation comes in. */
   const actIfNeeded = async (): Promise<void> => {
+    if (acting) {
+      return
+    }
+    acting = true
+    await act().finally(() => { acting = false })
+  }
+
+  const act = async (): Promise<void> => {
     const reason = findReason()
     if (reason === undefined || electing) {
       return
@@ -205,14 +215,17 @@
         await repair()
         await handOverIfLeaving()
       }
-      await pause(failures > 0 ? QUICK_PROBE_MS : probeMs)
+      await pause(probeMs)
     }
   }
   void watch()
 
   return {
     view,
-    hear: (observation) => suspicion.observe(observation),
+    hear: (observation) => {
+      suspicion.observe(observation)
+      void actIfNeeded()
+    },
     hearLeadership: (leadership) => view.announce(leadership),
     promote: async (upstream) => {
       const target = upstream ?? view.replicaNames.find((replica) => view.takesWork(replica))
@@ -231,6 +244,6 @@
 }
 
 /** A refused connection says that the process is down; there is no need to ask again. */
-function isRefusal (thrown: unknown): boolean {
-  return thrown instanceof Error && /ECONNREFUSED|ECONNRESET|broke before the answer/.test(thrown.message)
+function isRefusal ({ message }: Error): boolean {
+  return /ECONNREFUSED|ECONNRESET|broke before the answer/.test(message)
 }
--- a/src/upstreams/group-view.ts
+++ b/src/upstreams/group-view.ts
@@ -37,6 +37,8 @@
   dialer: Dialer
   /** Time a status question may take, in milliseconds. */
   statusTimeoutMs: number
+  /** Told of every status question that an upstream did not answer. */
+  onFailure?: (upstream: string, error: RequestError) => void
   /** Told when an upstream stops answering. */
   onUnreachable?: (upstream: string, reason: string) => void
   /** Told when a new term is seen. */
@@ -303,7 +305,10 @@
       dialer,
       timeoutMs: statusTimeoutMs,
       onStatus: (observed) => this.observe(declaration.name, observed),
-      onFailure: (error) => this.markUnreachable(declaration.name, error.message)
+      onFailure: (error) => {
+        this.options.onFailure?.(declaration.name, error)
+        this.markUnreachable(declaration.name, error.message)
+      }
     })
     this.upstreams.set(declaration.name, { declaration, channel, reachable: true, leaving: false, deposed: false })
   }
