Begin a transaction again on the new primary when nothing has run in it

Change: a transaction whose primary is superseded before anything ran begins again; later it is reported as rolled back, also when the commit itself is refused.

--- a/src/routing/transactions.ts
+++ b/src/routing/transactions.ts
@@ -13,6 +13,7 @@
 import { logEnd } from '../upstreams/status.ts'
 import { acknowledge } from './acknowledgement.ts'
 import { commitUnderKey, replayRecord } from './commit.ts'
+import { isReadOnlyRefusal } from './primary-work.ts'
 import { settle } from './settle.ts'
 import type { CommitRequest, HomeReply, SettleRequest } from './types.ts'
 
@@ -21,6 +22,8 @@
   service: string
   pinned: PinnedConnection
   target: { view: UpstreamView, term: number }
+  /** Statements that have run. */
+  statements: number
   /** Whether a statement or the end is in progress. */
   busy: boolean
   expiry: NodeJS.Timeout
@@ -119,10 +122,17 @@
       throw thrown
     }
     const expiry = setTimeout(() => end(id, false), options.greatestMs())
-    open.set(id, { service, pinned, target, busy: false, expiry })
+    open.set(id, { service, pinned, target, statements: 0, busy: false, expiry })
     return { answer: EMPTY_ANSWER, upstream: target.view.declaration.name }
   }
 
+  const runStatement = async (id: string, statement: Statement, deadline: Deadline): Promise<HomeReply> =>
+    await step(id, async (transaction) => {
+      const answer = await transaction.pinned.client.run(statement, deadline.leftMs, 'not-run')
+      transaction.statements++
+      return { answer, upstream: transaction.target.view.declaration.name }
+    })
+
   const commit = async (request: CommitRequest, deadline: Deadline): Promise<HomeReply> => {
     const id = request.transactionId
     const attempt = attemptOf(request)
@@ -135,6 +145,9 @@
       if (thrown instanceof RequestError && thrown.verdict === 'may-have-run') {
         return await settle({ view, pools, kind: COMMIT_KIND, deadline }, attempt)
       }
+      if (thrown instanceof RequestError && thrown.entry === 'StatementFailed') {
+        throw lost(thrown.message)
+      }
       throw thrown
     }
   }
@@ -163,10 +176,23 @@
     commit,
     settle: async (request, deadline) =>
       await settle({ view, pools, kind: COMMIT_KIND, deadline }, attemptOf(request)),
-    execute: async (id, statement, deadline) => await step(id, async (transaction) => {
-      const answer = await transaction.pinned.client.run(statement, deadline.leftMs, 'not-run')
-      return { answer, upstream: transaction.target.view.declaration.name }
-    }),
+    execute: async (id, statement, deadline) => {
+      const { service, statements, target } = find(id)
+      try {
+        return await runStatement(id, statement, deadline)
+      } catch (thrown) {
+        if (!isSuperseded(thrown)) {
+          throw thrown
+        }
+        end(id, false)
+        if (statements > 0) {
+          throw lost('its primary was superseded')
+        }
+        await target.view.channel.fresh().catch(() => {})
+        await begin(id, service, deadline)
+        return await runStatement(id, statement, deadline)
+      }
+    },
     rollback: async (id) => {
       const transaction = open.get(id)
       if (transaction !== undefined) {
@@ -180,6 +206,11 @@
   }
 }
 
+/** Whether the primary of a transaction is gone; one in which nothing has run yet can begin again elsewhere. */
+function isSuperseded (thrown: unknown): boolean {
+  return thrown instanceof RequestError && (isReadOnlyRefusal(thrown) || thrown.entry === 'TransactionLost')
+}
+
 function attemptOf ({ service, key, fingerprint }: CommitRequest | SettleRequest): KeyedAttempt {
   return { scope: service, key, fingerprint, attempt: 1 }
 }
--- a/test/system/transactions.test.ts
+++ b/test/system/transactions.test.ts
@@ -49,6 +49,35 @@
     expect(await readRequests(connection, 'gone-primary', 'id')).toEqual(['g3'])
   })
 
+  it('begins on the new primary when its home had not heard of the change, and says so when it is too late', async () => {
+    const connections = await Promise.all([0, 1, 2].map(async (proxy) => await deployment.connect(proxy)))
+    const change = async (): Promise<void> => {
+      const servers = [...deployment.standins.groups.get(GROUP)!.values()]
+      const old = deployment.primaryOf(GROUP).upstream
+      const term = old.status().term + 1
+      servers.forEach(({ upstream }) => upstream.fence(term))
+      const successor = servers.find(({ upstream }) => upstream !== old)!
+      successor.upstream.promote(term)
+      servers.forEach(({ upstream }) => upstream.follow(successor.upstream.name, term))
+    }
+    const positions = (): number[] =>
+      [...deployment.standins.groups.get(GROUP)!.values()].map(({ upstream }) => upstream.log.end.position)
+    await until(() => new Set(positions()).size === 1)
+    await Promise.all(connections.map(async (connection) => await connection.query('BEGIN')))
+    await insert(connections[2]!, 'moved', 'too-late')
+    await connections[2]!.query('SELECT 1')
+    await change()
+    await insert(connections[0]!, 'moved', 'in-time')
+    await connections[0]!.query('COMMIT')
+    const goOn = async (): Promise<void> => {
+      await insert(connections[2]!, 'moved', 'too-late')
+      await connections[2]!.query('COMMIT')
+    }
+    await expect(goOn()).toBeRejectedWith('[verdict: not-run]')
+    expect(await readRequests(connections[1]!, 'moved', 'id')).toEqual(['in-time'])
+    await deployment.waitForPrimaries()
+  })
+
   it('settles a COMMIT whose answer is lost', async () => {
     const connection = await deployment.connect(2)
     await connection.query('BEGIN')
