--- /dev/null
+++ b/test/configuration/configuration-store.test.ts
@@ -0,0 +1,66 @@
+import { after, before, describe, it } from 'node:test'
+import { expect } from 'earl'
+import fc from 'fast-check'
+import { groupSchema, proxySettingsSchema } from '../../src/core/config/index.ts'
+import { createDialer } from '../../src/core/wire/dialer.ts'
+import { createConfigurationStore, type ConfigurationStore } from '../../src/configuration/configuration-store.ts'
+import { connectPlatform, type PlatformConnection } from '../../src/platform/index.ts'
+import { servePlatform, type PlatformServer } from '../../src/standin/platform-server.ts'
+
+const GROUP = groupSchema.parse({
+  upstreams: [{ name: 'u', address: '127.0.0.1', port: 1, failureDomain: 'd' }], account: { user: 'w', password: 'p' }
+})
+
+describe('createConfigurationStore', () => {
+  let platform: PlatformServer
+  let connection: PlatformConnection
+  let store: ConfigurationStore
+  let names = 0
+
+  before(async () => {
+    platform = await servePlatform({
+      address: '127.0.0.1', port: 0, accessKeys: { key: 'secret' }, readsPerSecond: 1e6, writesPerSecond: 1e6
+    })
+    const settings = proxySettingsSchema.shape.platform.parse({
+      tableEndpoint: platform.endpoint, objectEndpoint: platform.endpoint, accessKey: 'key', secretKey: 'secret'
+    })
+    connection = connectPlatform(settings, createDialer())
+    store = createConfigurationStore(connection.table, connection.objects)
+  })
+  after(async () => {
+    connection.close()
+    await platform.close()
+  })
+
+  const change = (changeId: string) => ({ changeId, operator: 'o', at: '2026-01-01T00:00:00Z', reason: '' })
+
+  it('accepts each change at most once and never two from one version, whatever answers are lost', async () => {
+    const step = fc.record({ racers: fc.integer({ min: 1, max: 3 }), lost: fc.integer({ min: 0, max: 3 }) })
+    await fc.assert(fc.asyncProperty(fc.array(step, { minLength: 1, maxLength: 4 }), async (steps) => {
+      const name = `group-${++names}`
+      let version = 0
+      for (const [turn, { racers, lost }] of steps.entries()) {
+        platform.faults.loseWriteAnswers = lost
+        const ids = Array.from({ length: racers }, (_value, index) => `${name}-${turn}-${index}`)
+        const results = await Promise.allSettled(ids.map(async (id) =>
+          await store.accept([{ name, group: GROUP, baseVersion: version }], change(id))))
+        platform.faults.loseWriteAnswers = 0
+        const winners = results.filter(({ status }) => status === 'fulfilled').length
+        expect(winners).toEqual(1)
+        version++
+      }
+      const accepted = (await store.history(0)).filter(({ groups }) => groups.some((group) => group.name === name))
+      expect(accepted.map(({ groups }) => groups[0]!.version)).toEqual(steps.map((_step, index) => index + 1))
+      expect(await store.snapshot(name, version)).not.toEqual(undefined)
+    }), { seed: 7, numRuns: 15 })
+  })
+
+  it('refuses clearly while the platform is down, and a change made twice afterwards is one', async () => {
+    platform.faults.outage = true
+    const wanted = [{ name: 'down', group: GROUP, baseVersion: 0 }]
+    await expect(store.accept(wanted, change('down-1'))).toBeRejectedWith('the platform did not answer')
+    platform.faults.outage = false
+    const first = await store.accept(wanted, change('down-1'))
+    expect(await store.accept(wanted, change('down-1'))).toEqual(first)
+  })
+})
