Make the test of a missing host independent of how fast it is taken for gone

Cause: with five busy cores the isolated host was gone before the command asked, and so rightly not missing any more. Change: only the asking proxy is cut from it; others still see it live.

--- a/test/cli/programs.test.ts
+++ b/test/cli/programs.test.ts
@@ -85,10 +85,10 @@
     expect((await run(['plan', file])).output).toEqual('nothing would change\n')
   })
 
-  it('says who is missing when a host does not take a change in time', async () => {
+  it('says who is missing when a host cannot be asked in time, though others still see it live', async () => {
     deployment.declarations.groups[GROUP]!.limits.queue = 89
     writeFileSync(file, stringify(deployment.declarations))
-    deployment.network.isolate('proxy-3')
+    deployment.network.cut('proxy-1', 'proxy-3')
     const { code, errors } = await run(['apply', file, '--wait', '--timeout', '0'])
     deployment.network.mend()
     expect(code).toEqual(1)
