--- a/test/system/acknowledgement.test.ts
+++ b/test/system/acknowledgement.test.ts
@@ -47,6 +47,18 @@
     expect(await readRequests(await deployment.connect(1), 'furthest', 'id')).toEqual(['f1'])
   })
 
+  it('acknowledges what is declared as confirmed without waiting for replicas', async () => {
+    const servers = [...deployment.standins.groups.get(GROUP)!.values()]
+    servers.forEach(({ upstream }) => { upstream.lagMs = 60_000 })
+    const writer = await deployment.connect(0)
+    const before = deployment.primaryOf(GROUP).upstream.log.end.position
+    await writer.query(
+      "INSERT INTO records (session, request, amount) VALUES ('quick', 'q1', 1) /*worksward_kind='quick'*/")
+    const replicas = servers.filter((server) => server !== deployment.primaryOf(GROUP))
+    expect(replicas.every(({ upstream }) => upstream.log.end.position <= before)).toEqual(true)
+    servers.forEach(({ upstream }) => { upstream.lagMs = 5 })
+  })
+
   it('fails over while the platform is down', async () => {
     deployment.standins.platform.faults.outage = true
     const writer = await deployment.connect(0)
