Wait for the preferred upstream in a planned change of primary

Cause: the suite under four busy cores failed once: an operator's promotion went to another upstream. Fencing ended with the first majority, and the one that was asked for had not accepted yet, so it could not be chosen. Ruled out: a log that was behind (the planned change lets it catch up first). Change: fencing also waits for the preferred one, within the same time limit.

--- a/src/failover/election.ts
+++ b/src/failover/election.ts
@@ -43,7 +43,7 @@
   const { view } = options
   const term = nextTerm(view)
   const held = options.planned ? await holdPrimary(options, term) : undefined
-  const fenced = await fenceMajority(view, term, held)
+  const fenced = await fenceMajority(options, term, held)
   if (fenced.length < view.majority) {
     return { type: 'failed', term, reason: `only ${fenced.length} of ${view.upstreams.size} upstreams were fenced` }
   }
@@ -109,7 +109,10 @@
   }
 }
 
-async function fenceMajority (view: GroupView, term: number, held: Fenced | undefined): Promise<Fenced[]> {
+/** Fences until a majority has accepted, and whoever is preferred; one that does not answer holds up nothing. */
+async function fenceMajority (
+  { view, preferred }: ElectionOptions, term: number, held: Fenced | undefined
+): Promise<Fenced[]> {
   const fenced: Fenced[] = held === undefined ? [] : [held]
   const others = [...view.upstreams.values()].filter((upstream) => upstream !== held?.view)
   const enough = new Promise<void>((resolve) => {
@@ -118,7 +121,9 @@
       if (accepted) {
         fenced.push({ view: upstream, status })
       }
-      if (fenced.length >= view.majority) {
+      const hasPreferred = preferred === undefined ||
+        fenced.some((candidate) => candidate.view.declaration.name === preferred)
+      if (fenced.length >= view.majority && hasPreferred) {
         resolve()
       }
     })
--- a/test/failover/election.test.ts
+++ b/test/failover/election.test.ts
@@ -5,7 +5,7 @@
 import { Deadline } from '../../src/core/time/deadline.ts'
 import { electPrimary } from '../../src/failover/election.ts'
 import { GroupView } from '../../src/upstreams/group-view.ts'
-import { GROUP, startTestDeployment, type TestDeployment } from '../fixtures/deployment.ts'
+import { GROUP, startTestDeployment, until, type TestDeployment } from '../fixtures/deployment.ts'
 
 describe('electPrimary', () => {
   let deployment: TestDeployment
@@ -63,6 +63,27 @@
     view.close()
   })
 
+  it('promotes the preferred upstream of a planned change, though others accept the fence sooner', async () => {
+    const view = createView()
+    for (const preferred of deployment.standins.groups.get(GROUP)!.keys()) {
+      await view.refreshNow()
+      const upstreams = [...deployment.standins.groups.get(GROUP)!.values()].map(({ upstream }) => upstream)
+      upstreams.forEach((upstream) => upstream.follow(view.leadership.primary, view.leadership.term))
+      await until(() => new Set(upstreams.map(({ log }) => JSON.stringify(log.end))).size === 1)
+      const slow = view.upstreams.get(preferred)!.channel
+      const command = slow.command.bind(slow)
+      slow.command = async (name, values) => {
+        await new Promise((resolve) => setTimeout(resolve, 50))
+        return await command(name, values)
+      }
+      const result = await electPrimary({ view, preferred, planned: true })
+      expect(result.type === 'promoted' ? result.primary : result.reason).toEqual(preferred)
+      slow.command = command
+      await deployment.waitForPrimaries()
+    }
+    view.close()
+  })
+
   it('makes no primary when a majority cannot be fenced', async () => {
     const view = createView()
     const [first, second] = [...deployment.standins.groups.get(GROUP)!.values()]
