Tell callers plainly when no successor of a fenced primary is known in time

Cause: under four busy cores one suite run failed: probes of 150 ms timed out, the primary was changed, and a purchase with a deadline of 1500 ms got the database's bare 'readonly'. This reading fits the log of the run; it was not brought about a second time.

--- a/src/routing/primary-work.ts
+++ b/src/routing/primary-work.ts
@@ -69,6 +69,6 @@
  * @param error - the error
  * @returns whether it is
  */
-export function isReadOnlyRefusal (error: RequestError): boolean {
-  return error.entry === 'StatementFailed' && error.mysqlCode === MYSQL_ERROR.readOnly
+export function isReadOnlyRefusal (error: unknown): error is RequestError {
+  return error instanceof RequestError && error.entry === 'StatementFailed' && error.mysqlCode === MYSQL_ERROR.readOnly
 }
--- a/src/routing/write-route.ts
+++ b/src/routing/write-route.ts
@@ -34,6 +34,8 @@
   spendRetry: () => boolean
 }
 
+/** How long a caller is told to stay away while a group changes its primary, in milliseconds. */
+const SUPERSEDED_RETRY_MS = 250
 /** Pause before another try, in milliseconds. */
 const RETRY_PAUSE_MS = 10
 
@@ -82,7 +84,7 @@
       return await attemptKeyedWrite(options, attempt)
     } catch (thrown) {
       if (!(thrown instanceof RequestError) || thrown.verdict !== 'not-run' || !mayTryAgain(thrown, options)) {
-        throw thrown
+        throw isReadOnlyRefusal(thrown) ? superseded(options.view.name) : thrown
       }
       await pause(RETRY_PAUSE_MS)
     }
@@ -159,6 +161,13 @@
   return { answer: replayRecord(record, attempt), place: logEnd(parseStatus(found)), replayed: true }
 }
 
+/** What a caller is told when no successor of a fenced primary was found in time. */
+function superseded (group: string): RequestError {
+  return new RequestError('not-run', 'NoUpstream', {
+    group, reason: 'its primary was superseded and no other is known yet', retryAfterMs: SUPERSEDED_RETRY_MS
+  })
+}
+
 /** Whether the failure is one that another try can mend, and time and budget allow it. */
 function mayTryAgain (thrown: unknown, { deadline, spendRetry, kind }: WriteOptions): boolean {
   if (!(thrown instanceof RequestError) || deadline.passed) {
