Keep one listener a peer link for its transactions; read named rows in one place

Cause: read over the whole change. Each transaction passed on by a peer left a close listener on the link for as long as the link lived, and the check for too many was switched off; the same turning of a row into named values stood three times; a flag of the upstream view was never set, and a list of column names was never read. Behaviour as before.

--- a/src/ledger/request-key.ts
+++ b/src/ledger/request-key.ts
@@ -1,6 +1,7 @@
 /** Request keys, fingerprints and attempts: what makes a request run at most once. */
 import { createHash, randomBytes } from 'node:crypto'
 import { z } from 'zod'
+import { readNamedRows } from '../mysql/named-rows.ts'
 import type { RowsAnswer, Statement, StatementValue } from '../mysql/types.ts'
 
 /** A key and one attempt under it. */
@@ -79,9 +80,7 @@
  * @returns the record
  */
 export function parseLedgerRecord (answer: RowsAnswer): LedgerRecord {
-  const row = answer.rows[0] ?? []
-  const entries = answer.columns.map((column, index) => [column.name, row[index]?.toString() ?? ''] as const)
-  return ledgerRecordSchema.parse(Object.fromEntries(entries))
+  return ledgerRecordSchema.parse(readNamedRows(answer)[0])
 }
 
 /** Each part carries its length, so that no two sequences of parts have the same bytes. */
--- a/src/operators/console.ts
+++ b/src/operators/console.ts
@@ -8,6 +8,7 @@
 import type {
   Command, DrainCommand, ExplainCommand, PromoteCommand, SetCommand, ShowCommand, UnsetCommand
 } from '../language/types.ts'
+import { readNamedRows } from '../mysql/named-rows.ts'
 import { placeGroup } from '../routing/home-placement.ts'
 import { NOTHING_SEEN } from '../upstreams/position.ts'
 import { createAcceptance } from './acceptance.ts'
@@ -118,9 +119,7 @@
       if (answer.type !== 'rows') {
         return []
       }
-      return answer.rows.map((row) => ({
-        home, ...Object.fromEntries(answer.columns.map(({ name }, index) => [name, row[index]?.toString() ?? '']))
-      }))
+      return readNamedRows(answer).map((row) => ({ home, ...row }))
     }
 
     const setWork = async (command: DrainCommand, operator: Operator): Promise<TableRow[]> =>
--- a/src/peers/peer-server.ts
+++ b/src/peers/peer-server.ts
@@ -4,7 +4,7 @@
 import type { Logger } from '../core/logger/index.ts'
 import { attachFrames, type FrameStream } from '../core/wire/frames.ts'
 import { createNonce, proveKey, sameProof } from './authentication.ts'
-import { helloSchema, requestFrameSchema, type PeerHandler, type ReplyFrame } from './types.ts'
+import { helloSchema, requestFrameSchema, type PeerHandler, type PeerLink, type ReplyFrame } from './types.ts'
 
 /** Options of {@link listenForPeers}. */
 export interface PeerServerOptions {
@@ -64,6 +64,10 @@
   const { logger, key, host } = options
   const nonce = createNonce()
   let peerHost: string | undefined
+  const link: PeerLink = {
+    get host () { return peerHost ?? '' },
+    onClose: (listener) => { socket.once('close', listener) }
+  }
   const timer = setTimeout(() => socket.destroy(new Error('no handshake')), HANDSHAKE_TIMEOUT_MS)
   socket.once('close', () => clearTimeout(timer))
   socket.on('error', (error) => logger.log('warn', 'peer.link-error', {
@@ -89,13 +93,11 @@
       return
     }
     const { id, type, body } = requestFrameSchema.parse(value)
-    const link = { host: peerHost, onClose: (listener: () => void) => socket.once('close', listener) }
     progress.count++
     void answer(options, type, body, link)
       .then((reply) => frames.send({ ...reply, id }))
       .finally(() => { progress.count-- })
   })
-  socket.setMaxListeners(0)
   frames.send({ type: 'challenge', nonce })
 }
 
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -6,6 +6,7 @@
 import type { Member } from '../membership/types.ts'
 import { createGroupHome, type GroupCounts, type GroupHome } from './group-home.ts'
 import { placeGroup } from './home-placement.ts'
+import { createOpenTransactions } from './open-transactions.ts'
 import { createPlacementCache } from './placement-cache.ts'
 import { createHomeRequests, type HomeRequests } from './home-requests.ts'
 import { KEEPERS_PER_GROUP, leadershipNoticeSchema } from '../failover/types.ts'
@@ -102,12 +103,21 @@
       home?.update(group)
     })
 
+    const openTransactions = createOpenTransactions()
     peers.handle('home', async (body, link) => {
       const request = body as HomeRequest
       if (request.type === 'begin') {
-        link.onClose(() => { homes.get(request.group)?.serve({ ...request, type: 'rollback' }).catch(() => {}) })
+        openTransactions.add(link, request.transactionId, () => {
+          homes.get(request.group)?.serve({ ...request, type: 'rollback' }).catch(() => {})
+        })
+      }
+      try {
+        return await serveHere(request)
+      } finally {
+        if (request.type === 'commit' || request.type === 'rollback') {
+          openTransactions.remove(link, request.transactionId)
+        }
       }
-      return await serveHere(request)
     })
     peers.handle('leadership', async (body) => {
       const { group, term, primary } = leadershipNoticeSchema.parse(body)
--- a/src/upstreams/group-view.ts
+++ b/src/upstreams/group-view.ts
@@ -24,8 +24,6 @@
   channel: StatusChannel
   /** Whether it answered last time. */
   reachable: boolean
-  /** Whether it was heard to be leaving; it takes no new work. */
-  leaving: boolean
   /** Whether it has been fenced while it led: its successor is not known yet. */
   deposed: boolean
 }
@@ -142,7 +140,7 @@
     if (view === undefined || view.declaration.state === 'draining') {
       return true
     }
-    return this.group.duties.draining === 'act' && (view.leaving || view.channel.latest?.status.leaving === true)
+    return this.group.duties.draining === 'act' && view.channel.latest?.status.leaving === true
   }
 
   /**
@@ -310,7 +308,7 @@
         this.markUnreachable(declaration.name, error.message)
       }
     })
-    this.upstreams.set(declaration.name, { declaration, channel, reachable: true, leaving: false, deposed: false })
+    this.upstreams.set(declaration.name, { declaration, channel, reachable: true, deposed: false })
   }
 
   private observe (name: string, { status, sentAt }: ObservedStatus): void {
--- a/src/upstreams/status.ts
+++ b/src/upstreams/status.ts
@@ -1,5 +1,6 @@
 /** What an upstream says of itself when asked. */
 import { z } from 'zod'
+import { readNamedRows } from '../mysql/named-rows.ts'
 import type { RowsAnswer } from '../mysql/types.ts'
 import type { LogPosition } from './position.ts'
 
@@ -25,9 +26,6 @@
 /** What an upstream says of itself. */
 export type UpstreamStatus = z.infer<typeof upstreamStatusSchema>
 
-/** Names of the columns of a status row, in order. */
-export const STATUS_COLUMNS = Object.keys(upstreamStatusSchema.shape) as Array<keyof UpstreamStatus>
-
 /**
  * Reads a status row.
  *
@@ -35,9 +33,7 @@
  * @returns the status
  */
 export function parseStatus (answer: RowsAnswer): UpstreamStatus {
-  const row = answer.rows[0] ?? []
-  const entries = answer.columns.map((column, index) => [column.name, row[index]?.toString() ?? ''] as const)
-  return upstreamStatusSchema.parse(Object.fromEntries(entries))
+  return upstreamStatusSchema.parse(readNamedRows(answer)[0])
 }
 
 /**
