--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import tsdoc from 'eslint-plugin-tsdoc'
 
 export default [
-  ...neostandard({ ts: true, ignores: ['node_modules/**'] }),
+  ...neostandard({ ts: true, ignores: ['node_modules/**', 'target/**'] }),
   {
     files: ['**/*.ts'],
     plugins: { tsdoc },
--- /dev/null
+++ b/src/core/config/entry-settings.ts
@@ -0,0 +1,45 @@
+/** Settings of an entry process. */
+import { z } from 'zod'
+import { LOG_LEVELS } from '../logger/index.ts'
+
+const endpoint = z.string().regex(/^[0-9.]+:\d+$/, 'expected ip:port')
+const milliseconds = z.number().int().positive()
+
+/** Settings of an entry process. */
+export const entrySettingsSchema = z.strictObject({
+  host: z.strictObject({
+    /** Name of the host, unique among all hosts. */
+    name: z.string().min(1),
+    /** IP number the process listens on and dials from. */
+    address: z.string().min(1),
+    failureDomain: z.string().min(1)
+  }),
+  listen: z.strictObject({
+    /** Where callers connect. */
+    callers: endpoint,
+    /** Where the balancer asks whether the process is ready. */
+    readiness: endpoint,
+    /** Port for peers. */
+    peers: z.number().int().min(0).max(65535),
+    /** Port for metrics and the state dump. */
+    metrics: z.number().int().min(0).max(65535)
+  }),
+  /** The store that keeps what must last. */
+  store: endpoint,
+  /** The service that promotes upstreams. */
+  promotion: endpoint,
+  peers: z.strictObject({
+    /** Key by which peers authenticate each other. */
+    key: z.string().min(16)
+  }),
+  /** Time between the order to stop and the kill, in seconds. */
+  graceSeconds: z.number().positive().default(6),
+  /** Time after which a leaving upstream must get nothing new, in milliseconds. */
+  drainMs: milliseconds.default(7000),
+  log: z.strictObject({
+    level: z.enum([...LOG_LEVELS, 'silent']).default('info')
+  }).prefault({})
+})
+
+/** Settings of an entry process. */
+export type EntrySettings = z.infer<typeof entrySettingsSchema>
--- a/src/core/config/index.ts
+++ b/src/core/config/index.ts
@@ -1,4 +1,5 @@
 /** Configuration: schemas of settings and declarations, and the loader that checks files against them. */
 export * from './declarations.ts'
+export * from './entry-settings.ts'
 export * from './settings.ts'
 export { loadFile, parseContent } from './load-file.ts'
--- a/src/core/errors/catalogue.ts
+++ b/src/core/errors/catalogue.ts
@@ -115,6 +115,12 @@
     hint: 'The verdict says whether the request may have run.',
     mysqlCode: 2013
   }),
+  UpstreamRefused: entry<{ upstream: string, reason: 'too-many-connections' | 'misrouted' | 'busy' }>({
+    title: 'Connection refused by the upstream',
+    message: ({ upstream, reason }) => `upstream ${upstream} refused a connection: ${reason}`,
+    hint: 'Too many connections: look at the shares of the hosts. Misrouted: another upstream took over the address.',
+    mysqlCode: 1040
+  }),
   NotAcknowledged: entry<{ group: string, reason: string }>({
     title: 'Write not acknowledged',
     message: ({ group, reason }) => `a write to group ${group} could not be acknowledged: ${reason}`,
--- /dev/null
+++ b/src/core/logger/events.ts
@@ -0,0 +1,108 @@
+/** The one catalogue of events: every line of the logs carries one of these names. docs/EVENTS.md is made from it. */
+import type { LogLevel } from './types.ts'
+
+/** What a reader of the logs needs to know of an event. */
+export interface EventDescription {
+  level: LogLevel
+  /** Names of the pairs on the line. */
+  pairs: string
+  when: string
+}
+
+/** All events by name. */
+export const events = {
+  'caller.link-error': { level: 'debug', pairs: 'reason', when: 'a caller\'s connection broke' },
+  'callers.drained': { level: 'info', pairs: 'left', when: 'no caller is left, or the limit has passed' },
+  'configuration.accepted': { level: 'info', pairs: 'change, operator, revision', when: 'an operator\'s change was accepted' },
+  'configuration.applied': { level: 'info', pairs: 'group, version, change', when: 'a version is in force on this process' },
+  'desired-state.in-force': { level: 'info', pairs: 'version, routes, rowVersion', when: 'a desired state is in force on this process' },
+  'desired-state.unreadable': { level: 'error', pairs: 'rowVersion, reason', when: 'a desired state cannot be read; the one before stays in force' },
+  'directory.changed': { level: 'info', pairs: 'upstream, group, change, draining, claimsPrimary', when: 'what is known of an upstream has changed' },
+  'directory.unreadable': { level: 'warn', pairs: 'upstream', when: 'the row of an upstream cannot be read' },
+  'duty.answer-lost': { level: 'warn', pairs: 'fence, reason', when: 'the store\'s answer about the duty is lost; the row is read to settle it' },
+  'duty.held': { level: 'info', pairs: 'fence, before, renewed', when: 'this host holds the duty of promoting' },
+  'duty.not-taken': { level: 'info', pairs: 'holder, fence', when: 'another host holds it' },
+  'failover.done': { level: 'info', pairs: 'group, term, primary', when: 'it has made one' },
+  'failover.failed': { level: 'warn', pairs: 'group, term, reason', when: 'it has not; it tries again' },
+  'failover.leadership': { level: 'info', pairs: 'group, term, primary', when: 'a keeper sees a new primary' },
+  'failover.started': { level: 'warn', pairs: 'group, reason, term', when: 'a keeper begins to make a primary' },
+  'failover.would-promote': { level: 'warn', pairs: 'group, term, reason', when: 'the duty is \'observe\': what it would do' },
+  'feed.history-lost': { level: 'warn', pairs: 'table, version', when: 'the store has forgotten the changes since a version; the table is read whole' },
+  'feed.lost': { level: 'warn', pairs: 'table, reason', when: 'a table cannot be followed' },
+  'feed.regained': { level: 'info', pairs: 'table, version', when: 'it can again' },
+  'group.leadership': { level: 'info', pairs: 'group, term, primary', when: 'a home follows a new primary' },
+  'leadership.aborted': { level: 'warn', pairs: 'upstream, inUse, reason', when: 'statements in progress at a primary were broken off' },
+  'leadership.closing': { level: 'info', pairs: 'group, epoch, confirmedAgeMs', when: 'a peer asks this host to stop working at a primary' },
+  'leadership.first-primary': { level: 'info', pairs: 'group, upstream, written', when: 'the first primary of a group was named' },
+  'leadership.host-closed': { level: 'info', pairs: 'group, epoch, peer, because, waitedMs', when: 'it is certain that a host does not work at the primary' },
+  'leadership.host-silent': { level: 'debug', pairs: 'group, epoch, peer, reason', when: 'a host has not said so yet' },
+  'leadership.peer-silent': { level: 'debug', pairs: 'peer, reason', when: 'a peer did not say whether it reaches an upstream' },
+  'leadership.reach': { level: 'info', pairs: 'group, upstream, reached, lost, silent', when: 'how many hosts reach a primary' },
+  'leadership.right-back': { level: 'info', pairs: 'confirmedAgeMs', when: 'it has been heard again' },
+  'leadership.right-lapsed': { level: 'warn', pairs: 'confirmedAgeMs', when: 'the store has not been heard for too long; no work at primaries' },
+  'leadership.watch-failed': { level: 'error', pairs: 'reason', when: 'a look at the groups failed' },
+  'log.left-out': { level: 'warn', pairs: 'of, lines', when: 'lines of an event beyond its budget' },
+  'member.state': { level: 'info', pairs: 'peer, state, before', when: 'another process is live, suspect, leaving or gone' },
+  'operator.promote': { level: 'info', pairs: 'group, upstream, operator', when: 'an operator asks for another primary' },
+  'peer.link-error': { level: 'warn', pairs: 'peer, reason', when: 'a link broke, or garbage came' },
+  'peer.refused': { level: 'warn', pairs: 'peer, reason', when: 'a peer does not know the key' },
+  'process.reload': { level: 'info', pairs: 'changed', when: 'the settings may have changed' },
+  'process.started': { level: 'info', pairs: 'role, ports', when: 'a process serves' },
+  'process.stop-failed': { level: 'error', pairs: 'reason', when: 'it could not' },
+  'process.stopped': { level: 'info', pairs: '', when: 'it has finished what was in flight' },
+  'process.stopping': { level: 'info', pairs: 'signal', when: 'it was told to stop' },
+  'proxy.drain': { level: 'info', pairs: 'peer, operator', when: 'an operator takes a proxy out of work, or back' },
+  'proxy.restore': { level: 'info', pairs: 'peer, operator', when: 'an operator takes a proxy out of work, or back' },
+  'read.repeated': { level: 'info', pairs: 'id, group, upstream, reason, attempts, floor', when: 'a read goes to another upstream' },
+  'read.upstream-unavailable': { level: 'info', pairs: 'id, group, upstream, reason', when: 'no connection for a read' },
+  'registry.host-not-removed': { level: 'warn', pairs: 'peer, reason', when: 'the row of a silent host could not be removed' },
+  'registry.host-removed': { level: 'info', pairs: 'peer, removed', when: 'the row of a silent host was removed' },
+  'registry.peer-silent': { level: 'debug', pairs: 'peer, reason', when: 'a peer gave no copy of the registry' },
+  'registry.register-failed': { level: 'warn', pairs: 'reason', when: 'this process could not register itself yet' },
+  'registry.registered': { level: 'info', pairs: 'process', when: 'this process is registered' },
+  'registry.unregister-failed': { level: 'warn', pairs: 'reason', when: 'the row of this process stays behind' },
+  'request.done': { level: 'info', pairs: 'id, type, database, group, upstream, floor, attempts, outcome, state, position, ms', when: 'a request was answered by an upstream' },
+  'request.failed': { level: 'warn', pairs: 'id, type, database, group, upstream, floor, attempts, outcome, reason, state, position, ms', when: 'a request was refused, failed, or is in doubt' },
+  'standin.tail-discarded': { level: 'warn', pairs: 'upstream, records', when: 'a stand-in dropped records that no majority had' },
+  'store.lost': { level: 'warn', pairs: 'reason, confirmedAgeMs, version', when: 'the store does not answer this host' },
+  'store.regained': { level: 'info', pairs: 'confirmedAgeMs, version', when: 'it answers again' },
+  'succession.already-promoted': { level: 'info', pairs: 'group, upstream, term', when: 'an upstream leads already; a promotion of before took effect' },
+  'succession.answer-lost': { level: 'warn', pairs: 'group, step, reason', when: 'an answer is lost; the outcome is read' },
+  'succession.done': { level: 'info', pairs: 'group, upstream, epoch, term', when: 'work at the new primary may begin' },
+  'succession.failed': { level: 'warn', pairs: 'group, reason', when: 'a succession broke off; it is tried again' },
+  'succession.no-effect': { level: 'warn', pairs: 'group, upstream', when: 'a promotion has not taken effect in time' },
+  'succession.no-successor': { level: 'warn', pairs: 'group, candidates', when: 'no upstream could be promoted' },
+  'succession.not-running': { level: 'warn', pairs: 'group, upstream', when: 'the platform says that an upstream does not run' },
+  'succession.old-primary': { level: 'info', pairs: 'group, upstream, term, stopped, role, position', when: 'the old primary was asked to stop' },
+  'succession.promoting': { level: 'info', pairs: 'group, upstream, fence, position', when: 'a promotion is ordered' },
+  'succession.started': { level: 'warn', pairs: 'group, reason, primary, epoch, registryVersion', when: 'a group gets another primary' },
+  'transaction.begin-repeated': { level: 'info', pairs: 'id, group, upstream, reason', when: 'a transaction begins at another upstream' },
+  'upstream.no-report': { level: 'info', pairs: 'upstream, group, reason', when: 'an upstream did not say what it is' },
+  'upstream.regained': { level: 'info', pairs: 'group, upstream', when: 'an upstream answers this host again' },
+  'upstream.unreachable': { level: 'warn', pairs: 'group, upstream, reason', when: 'an upstream does not answer a home' },
+  'write.repeated': { level: 'info', pairs: 'id, group, upstream, reason', when: 'a write that was not run is sent again' }
+} as const satisfies Record<string, EventDescription>
+
+/** Name of an event. */
+export type EventName = keyof typeof events
+
+/**
+ * Formats the catalogue as a page.
+ *
+ * @returns Markdown
+ */
+export function formatEventsPage (): string {
+  const rows = Object.entries(events).map(([name, { level, pairs, when }]) =>
+    `| \`${name}\` | ${level} | ${pairs} | ${when} |`)
+  return [
+    '# Events',
+    '',
+    'Each log line is one event: `time=… level=… event=… host=…` and the pairs below. Names stay as they are. Made from',
+    '`src/core/logger/events.ts` by `npm run events`.',
+    '',
+    '| event | level | pairs | when |',
+    '| --- | --- | --- | --- |',
+    ...rows,
+    ''
+  ].join('\n')
+}
--- a/src/core/logger/index.ts
+++ b/src/core/logger/index.ts
@@ -1,14 +1,10 @@
 /** Structured logs: one line of key=value pairs for each event, with a stable event name. */
 import winston from 'winston'
+import type { EventName } from './events.ts'
+import type { LogFields, LogLevel } from './types.ts'
 
-/** Values a log line may carry. */
-export type LogFields = Record<string, string | number | boolean | undefined>
-
-/** Levels, most urgent first. */
-export const LOG_LEVELS = ['error', 'warn', 'info', 'debug'] as const
-
-/** One of {@link LOG_LEVELS}. */
-export type LogLevel = typeof LOG_LEVELS[number]
+export { LOG_LEVELS, type LogFields, type LogLevel } from './types.ts'
+export type { EventName } from './events.ts'
 
 /** Writes events. */
 export interface Logger {
@@ -16,10 +12,10 @@
    * Writes one event.
    *
    * @param level - urgency
-   * @param event - stable event name, listed in docs/EVENTS.md
+   * @param event - name of the event
    * @param fields - further pairs
    */
-  log: (level: LogLevel, event: string, fields?: LogFields) => void
+  log: (level: LogLevel, event: EventName, fields?: LogFields) => void
 }
 
 /** Options of {@link createLogger}. */
--- /dev/null
+++ b/src/core/time/repeat.ts
@@ -0,0 +1,36 @@
+/** Work that is done again and again. */
+
+/** Least part of an interval that is waited, and the random rest, so that processes do not act in step. */
+const SHORTEST_WAIT = 0.75
+const WAIT_JITTER = 0.5
+
+/**
+ * Does work again and again, with a jittered pause in between.
+ *
+ * @param intervalMs - mean pause, in milliseconds
+ * @param work - the work; the next turn waits for it
+ * @param onError - told when a turn fails; such a turn is over, the next one comes as usual
+ * @param retryMs - mean pause after a turn that failed, in milliseconds
+ * @returns stops it
+ */
+export function repeat (
+  intervalMs: number, work: () => Promise<void>, onError: (thrown: unknown) => void = () => {}, retryMs = intervalMs
+): () => void {
+  let timer: NodeJS.Timeout | undefined
+  const state = { stopped: false }
+  const again = async (): Promise<void> => {
+    let pauseMs = intervalMs
+    await work().catch((thrown: unknown) => {
+      pauseMs = retryMs
+      onError(thrown)
+    })
+    if (!state.stopped) {
+      timer = setTimeout(() => { void again() }, pauseMs * (SHORTEST_WAIT + Math.random() * WAIT_JITTER))
+    }
+  }
+  void again()
+  return () => {
+    state.stopped = true
+    clearTimeout(timer)
+  }
+}
--- /dev/null
+++ b/src/desired-state/index.ts
@@ -0,0 +1,58 @@
+/** Plug-in `desiredState`: what the operator wants. Within the life of a process its version only rises. */
+import { describeThrown } from '../core/errors/index.ts'
+import { registerPlugin } from '../core/kernel/index.ts'
+import type { DesiredState, StoreRow } from '../ports/index.ts'
+import { followTable } from '../registry/follow-table.ts'
+
+/** Service of the plug-in. */
+export interface DesiredStateInForce {
+  /** The state in force; undefined before the first one is known. */
+  readonly current: DesiredState | undefined
+  onChange: (listener: (state: DesiredState) => void) => void
+}
+
+declare module '../core/kernel/index.ts' {
+  interface Services { desiredState: DesiredStateInForce }
+}
+
+registerPlugin({
+  name: 'desiredState',
+  needs: ['ports'],
+  start: (context) => {
+    const { store, desiredState: port } = context.use('ports')
+    const { logger } = context
+    const listeners: Array<(state: DesiredState) => void> = []
+    let current: DesiredState | undefined
+
+    const take = (rows: StoreRow[]): void => {
+      const row = rows.find(({ key }) => key === port.key)
+      if (row === undefined) {
+        return
+      }
+      try {
+        const next = port.decode(row.value)
+        if (current !== undefined && next.version <= current.version) {
+          return
+        }
+        current = next
+        logger.log('info', 'desired-state.in-force', {
+          version: next.version, routes: next.routes.size, rowVersion: row.version
+        })
+        listeners.forEach((listener) => listener(next))
+      } catch (thrown) {
+        logger.log('error', 'desired-state.unreadable', { rowVersion: row.version, reason: describeThrown(thrown) })
+      }
+    }
+    const stop = followTable({
+      store, table: port.table, logger, onRows: (rows) => take(rows), onChanges: (changed) => take(changed)
+    })
+    return {
+      service: {
+        get current () { return current },
+        onChange: (listener) => { listeners.push(listener) }
+      },
+      dump: () => ({ version: current?.version, routes: current?.routes.size }),
+      close: stop
+    }
+  }
+})
--- /dev/null
+++ b/src/directory/index.ts
@@ -0,0 +1,61 @@
+/** Plug-in `directory`: the upstreams that exist. */
+import { registerPlugin } from '../core/kernel/index.ts'
+import type { StoreRow } from '../ports/index.ts'
+import { followTable } from '../registry/follow-table.ts'
+import { createUpstreamDirectory, type DirectoryChange, type UpstreamDirectory } from './upstream-directory.ts'
+
+export type { DirectoryChange, KnownUpstream } from './upstream-directory.ts'
+
+/** Service of the plug-in. */
+export interface Directory extends Pick<UpstreamDirectory, 'get' | 'ofGroup' | 'all'> {
+  onChange: (listener: (change: DirectoryChange) => void) => void
+}
+
+declare module '../core/kernel/index.ts' {
+  interface Services { directory: Directory }
+}
+
+registerPlugin({
+  name: 'directory',
+  needs: ['ports'],
+  start: (context) => {
+    const { store, directory: port } = context.use('ports')
+    const directory = createUpstreamDirectory()
+    const listeners: Array<(change: DirectoryChange) => void> = []
+
+    const decode = (rows: StoreRow[]) => rows.flatMap((row) => {
+      const entry = port.decode(row)
+      if (entry === undefined) {
+        context.logger.log('warn', 'directory.unreadable', { upstream: row.key })
+        return []
+      }
+      return [entry]
+    })
+    const tell = (changes: DirectoryChange[]): void => changes.forEach((change) => {
+      const { upstream, group, draining, claimsPrimary } = change.upstream
+      context.logger.log('info', 'directory.changed', { upstream, group, change: change.change, draining, claimsPrimary })
+      listeners.forEach((listener) => listener(change))
+    })
+    const stop = followTable({
+      store,
+      table: port.table,
+      logger: context.logger,
+      onRows: (rows) => {
+        tell(directory.replace(decode(rows)))
+        tell(directory.expire())
+      },
+      onChanges: (changed, removed) => tell(directory.update(decode(changed), removed)),
+      wantsReread: directory.awaitsExpiry
+    })
+    return {
+      service: {
+        get: directory.get,
+        ofGroup: directory.ofGroup,
+        all: directory.all,
+        onChange: (listener) => { listeners.push(listener) }
+      },
+      dump: () => ({ upstreams: directory.all() }),
+      close: stop
+    }
+  }
+})
--- /dev/null
+++ b/src/entry/consts.ts
@@ -0,0 +1,22 @@
+/** Times and limits of serving callers; times in milliseconds. */
+
+/** Time without any answer of an upstream after which a statement there makes it suspect: ten times an ordinary one. */
+export const SILENCE_MS = 400
+/** Part of a route's timeout for which a request waits for a primary, or for a connection, before it is refused. */
+export const WAIT_SHARE = 0.85
+/** Upstreams or tries that a read may use. */
+export const READ_ATTEMPTS = 6
+/** Pause before a statement is repeated that an upstream did not run. */
+export const NOT_RUN_PAUSE_MS = 25
+/** Time after which callers are told to come back when no primary is there: about the length of a promotion. */
+export const RETRY_AFTER_MS = 300
+/** Time that a rollback may take before the connection is closed instead. */
+export const ROLLBACK_MS = 1500
+/** Time after the order to stop at which idle sessions are ended; the balancer has noticed by then. */
+export const STOP_IDLE_MS = 2200
+/** Time before the kill at which everything left is ended. */
+export const STOP_RESERVE_MS = 900
+/** Time between two looks at the sessions while stopping. */
+export const STOP_POLL_MS = 50
+/** Time of `drainMs` that is kept back, so that what is under way still arrives before its end. */
+export const DRAIN_RESERVE_MS = 1500
--- /dev/null
+++ b/src/entry/index.ts
@@ -0,0 +1,81 @@
+/** Plug-in `entry`: takes callers and serves their sessions. */
+import type { EntrySettings } from '../core/config/entry-settings.ts'
+import { registerPlugin } from '../core/kernel/index.ts'
+import { pause } from '../core/time/deadline.ts'
+import { parseEndpoint } from '../core/wire/dialer.ts'
+import { createRetryBudget } from '../routing/retry-budget.ts'
+import { STOP_IDLE_MS, STOP_POLL_MS, STOP_RESERVE_MS } from './consts.ts'
+import { createSession, type Session } from './session.ts'
+import type { EntryContext } from './types.ts'
+
+/** Service of the plug-in. */
+export interface Entry {
+  /** Sessions that are open. */
+  readonly sessions: number
+}
+
+declare module '../core/kernel/index.ts' {
+  interface Services { entry: Entry }
+}
+
+registerPlugin({
+  name: 'entry',
+  needs: ['ports', 'desiredState', 'directory', 'pools', 'leadership', 'freshness', 'metrics'],
+  start: async (context) => {
+    const settings = context.settings as EntrySettings
+    const { callers } = context.use('ports')
+    const desiredState = context.use('desiredState')
+    const metrics = context.use('metrics')
+    const { logger } = context
+    const graceMs = settings.graceSeconds * 1000
+    const sessions = new Set<Session>()
+    const entryContext: EntryContext = {
+      pools: context.use('pools'),
+      directory: context.use('directory'),
+      leadership: context.use('leadership'),
+      freshness: context.use('freshness'),
+      logger,
+      budget: createRetryBudget(),
+      failureDomain: settings.host.failureDomain,
+      drainMs: settings.drainMs
+    }
+    metrics.expose('worksward_sessions', 'Sessions that are open', () => ({ open: sessions.size }))
+    const listener = await callers.listen(parseEndpoint(settings.listen.callers), (link) => {
+      const session = createSession({
+        context: entryContext,
+        link,
+        desiredState: () => desiredState.current,
+        onDone: metrics.recordRequest,
+        onClose: () => sessions.delete(session)
+      })
+      sessions.add(session)
+      return session
+    })
+
+    /** Ends what can be ended without harm: idle sessions, and from half of the time on resting transactions too. */
+    const endSome = (elapsedMs: number): void => {
+      for (const session of sessions) {
+        if (session.inTransaction && elapsedMs > graceMs / 2) {
+          session.abortTransaction('this host is stopping')
+        }
+        if (!session.busy && !session.inTransaction && elapsedMs > STOP_IDLE_MS) {
+          session.end()
+        }
+      }
+    }
+    return {
+      service: { get sessions () { return sessions.size } },
+      dump: () => ({ sessions: sessions.size, busy: [...sessions].filter(({ busy }) => busy).length }),
+      drain: async () => {
+        const startedAt = performance.now()
+        const elapsed = (): number => performance.now() - startedAt
+        while (elapsed() < graceMs - STOP_RESERVE_MS && (sessions.size > 0 || elapsed() < STOP_IDLE_MS)) {
+          endSome(elapsed())
+          await pause(STOP_POLL_MS)
+        }
+        logger.log('info', 'callers.drained', { left: sessions.size })
+      },
+      close: async () => { await listener.close() }
+    }
+  }
+})
--- /dev/null
+++ b/src/entry/primary-access.ts
@@ -0,0 +1,88 @@
+/** The way to the primary of a group, while this host has the right to work there. */
+import { RequestError } from '../core/errors/index.ts'
+import { pause } from '../core/time/deadline.ts'
+import type { PrimaryRight } from '../leadership/index.ts'
+import type { ConnectionLease } from '../pools/index.ts'
+import type { KnownUpstream } from '../directory/index.ts'
+import { DRAIN_RESERVE_MS, NOT_RUN_PAUSE_MS, RETRY_AFTER_MS, WAIT_SHARE } from './consts.ts'
+import type { ChosenUpstream, EntryContext, RequestScope } from './types.ts'
+
+/** A connection to the primary. */
+export interface PrimaryLease extends ChosenUpstream {
+  lease: ConnectionLease
+  right: PrimaryRight
+}
+
+/**
+ * Takes a connection to the primary, waiting for a primary for a part of the request's time.
+ *
+ * @param context - the rest of the process
+ * @param scope - the request
+ * @returns the connection
+ * @throws RequestError with verdict `not-run`
+ */
+export async function leasePrimary (context: EntryContext, scope: RequestScope): Promise<PrimaryLease> {
+  const { leadership, directory, pools } = context
+  const { group, deadline } = scope
+  const until = performance.now() + deadline.leftMs * WAIT_SHARE
+  let reason = 'no primary is known'
+  while (performance.now() < until) {
+    const right = await leadership.wait(group, until - performance.now())
+    const known = right === undefined ? undefined : directory.get(right.upstream)
+    if (right === undefined) {
+      break
+    }
+    if (known === undefined || !mayTakeWork(known, context.drainMs)) {
+      reason = 'the primary is leaving'
+      await pause(NOT_RUN_PAUSE_MS)
+      continue
+    }
+    const used = pools.of(known)
+    if (used.health.unreachableSince !== undefined) {
+      reason = 'the primary cannot be reached'
+      leadership.suspect(known.upstream)
+      await pause(NOT_RUN_PAUSE_MS)
+      continue
+    }
+    scope.attempts++
+    const lease = await used.pool
+      .acquire({ values: scope.values, priority: scope.priority, waitMs: Math.max(1, until - performance.now()) })
+      .catch((thrown: RequestError) => {
+        reason = thrown.message
+        return undefined
+      })
+    if (lease === undefined) {
+      await pause(NOT_RUN_PAUSE_MS)
+      continue
+    }
+    if (holds(context, group, right)) {
+      return { known, used, lease, right }
+    }
+    lease.release()
+  }
+  throw new RequestError('not-run', 'NoUpstream', { group, reason, retryAfterMs: RETRY_AFTER_MS })
+}
+
+/**
+ * Says whether a right is still good; asked right before each sending.
+ *
+ * @param context - the rest of the process
+ * @param group - the group
+ * @param right - the right under which the work began
+ * @returns whether it is
+ */
+export function holds ({ leadership }: EntryContext, group: string, right: PrimaryRight): boolean {
+  return leadership.of(group)?.epoch === right.epoch
+}
+
+/**
+ * Says whether an upstream may still get new work.
+ *
+ * @param known - the upstream
+ * @param drainMs - time after which a leaving upstream must get nothing new, in milliseconds
+ * @returns whether it may
+ */
+export function mayTakeWork ({ drainingSince, missingSince }: KnownUpstream, drainMs: number): boolean {
+  const leavingSince = Math.min(drainingSince ?? Infinity, missingSince ?? Infinity)
+  return performance.now() - leavingSince < drainMs - DRAIN_RESERVE_MS
+}
--- /dev/null
+++ b/src/entry/run-statement.ts
@@ -0,0 +1,97 @@
+/** Runs one statement on a leased connection. */
+import { RequestError, toRequestError } from '../core/errors/index.ts'
+import type { Deadline } from '../core/time/deadline.ts'
+import { alignValues, prepareOn, type ConnectionLease, type UsedUpstream } from '../pools/index.ts'
+import type { StatementAnswer, UpstreamCommand } from '../ports/index.ts'
+import type { LogPosition } from '../upstreams/position.ts'
+import { SILENCE_MS } from './consts.ts'
+import type { DataWork } from './types.ts'
+
+/** Options of {@link runCommand}. */
+export interface RunOptions {
+  used: UsedUpstream
+  lease: ConnectionLease
+  deadline: Deadline
+  /** Told when the upstream has answered nobody since the statement was sent; true gives the statement up. */
+  onSilence: () => boolean
+}
+
+/** An answer, and when its question was sent on the steady clock. */
+export interface TimedAnswer {
+  answer: StatementAnswer
+  sentAt: number
+}
+
+/**
+ * Runs a command and waits for its answer. A connection whose answer is lost or late is closed.
+ *
+ * @param command - the command
+ * @param options - the connection and the time
+ * @returns the answer
+ * @throws RequestError `ConnectionLost` or `DeadlineExceeded`; the lease has been discarded
+ */
+export async function runCommand (command: UpstreamCommand, options: RunOptions): Promise<TimedAnswer> {
+  const { used, lease, deadline } = options
+  const sentAt = performance.now()
+  let giveUp = (): void => {}
+  const givenUp = new Promise<never>((_resolve, reject) => {
+    giveUp = () => reject(new RequestError('may-have-run', 'ConnectionLost', {
+      upstream: used.pool.target.upstream, reason: `no answer for ${SILENCE_MS} ms`
+    }))
+  })
+  const watch = setInterval(() => {
+    if (used.health.lastAnswerAt < sentAt && options.onSilence()) {
+      giveUp()
+    }
+  }, SILENCE_MS)
+  try {
+    const pending = Promise.race([lease.connection.run(command), givenUp])
+    const answer = await deadline.race(pending, 'may-have-run', `waiting for ${used.pool.target.upstream}`)
+    used.health.answered()
+    used.health.recordLatency(performance.now() - sentAt)
+    return { answer, sentAt }
+  } catch (thrown) {
+    lease.discard()
+    throw thrown
+  } finally {
+    clearInterval(watch)
+  }
+}
+
+/**
+ * Brings a connection to the state of a session and runs a statement there.
+ *
+ * @param work - the statement
+ * @param values - the session's values
+ * @param after - position that the upstream's log must have reached
+ * @param options - the connection and the time
+ * @param maySend - asked right before the statement is sent
+ * @returns the answer
+ * @throws RequestError with verdict `not-run` when the statement was not sent; the lease has been discarded
+ */
+export async function runWork (
+  work: DataWork, values: ReadonlyMap<string, string>, after: LogPosition | undefined,
+  options: RunOptions, maySend: () => boolean = () => true
+): Promise<TimedAnswer> {
+  const { lease, deadline } = options
+  let name = ''
+  try {
+    await deadline.race(alignValues(lease, values), 'not-run', 'setting session values')
+    if (work.prepared !== undefined) {
+      name = await deadline.race(prepareOn(lease, work.prepared), 'not-run', 'preparing the statement')
+    }
+  } catch (thrown) {
+    lease.discard()
+    throw toRequestError(thrown, 'not-run', true)
+  }
+  if (!maySend()) {
+    lease.release()
+    const group = options.used.pool.target.group
+    throw new RequestError('not-run', 'NoUpstream', { group, reason: 'the primary has changed', retryAfterMs: 0 })
+  }
+  const result = await runCommand(work.toCommand(name, after), options)
+  if (result.answer.failure?.kind === 'unknown-statement') {
+    lease.prepared.clear()
+  }
+  return result
+}
--- /dev/null
+++ b/src/entry/session.ts
@@ -0,0 +1,304 @@
+/** One caller's session: its values, its prepared statements, its floor, and its transaction. */
+import { RequestError } from '../core/errors/index.ts'
+import { Deadline } from '../core/time/deadline.ts'
+import { pause } from '../core/time/deadline.ts'
+import type {
+  CallerHandler, CallerLink, CallerRequest, CallerStatement, DesiredState, PreparedShape, Route, StatementAnswer,
+  TransactionState
+} from '../ports/index.ts'
+import { formatPosition, laterPosition, type LogPosition } from '../upstreams/position.ts'
+import { doneAnswer, failureAnswer, failureOf } from './answers.ts'
+import { NOT_RUN_PAUSE_MS } from './consts.ts'
+import { holds, leasePrimary } from './primary-access.ts'
+import { placeRead, recordProof, runOptions, serveRead } from './reads.ts'
+import { runWork } from './run-statement.ts'
+import { createTransaction, type CallerTransaction } from './transaction.ts'
+import type { DataWork, EntryContext, RequestScope } from './types.ts'
+
+/** Options of {@link createSession}. */
+export interface SessionOptions {
+  context: EntryContext
+  link: CallerLink
+  desiredState: () => DesiredState | undefined
+  /** Told of each request's end. */
+  onDone: (outcome: string, durationMs: number) => void
+  onClose: () => void
+}
+
+/** A caller's session. */
+export interface Session extends CallerHandler {
+  readonly busy: boolean
+  readonly inTransaction: boolean
+  /** Ends the open transaction from this side. */
+  abortTransaction: (reason: string) => void
+  /** Ends the connection, after the answer in progress. */
+  end: () => void
+}
+
+/** Values and prepared statements that a session may have; more is refused, so that memory stays bounded. */
+const MAXIMUM_NAMES = 256
+
+/** What is told of a request in the log. */
+interface RequestTrace {
+  group?: string
+  upstream?: string
+  floor?: string
+  attempts: number
+}
+
+/**
+ * Creates a session.
+ *
+ * @param options - the caller and the rest of the process
+ * @returns the session
+ */
+export function createSession (options: SessionOptions): Session {
+  const { context, link, desiredState } = options
+  const values = new Map<string, string>()
+  const prepared = new Map<string, PreparedShape>()
+  let transaction: CallerTransaction | undefined
+  let floor: LogPosition | undefined
+  let busy = false
+  let closed = false
+  let failureTold = false
+  let trace: RequestTrace = { attempts: 0 }
+
+  const stateNow = (): TransactionState => transaction === undefined ? 'idle' : transaction.failed ? 'failed' : 'open'
+  const findRoute = (): Route => {
+    const route = desiredState()?.routes.get(link.database)
+    if (route === undefined) {
+      throw new RequestError('not-run', 'UnknownGroup', { group: link.database })
+    }
+    return route
+  }
+  const scopeOf = (id: string, route: Route, timeoutMs = route.timeoutMs): RequestScope => {
+    trace = { attempts: 0, group: route.group }
+    return {
+      requestId: id,
+      group: route.group,
+      priority: route.priority,
+      values,
+      deadline: new Deadline(timeoutMs),
+      attempts: 0
+    }
+  }
+  const raiseFloor = ({ position }: StatementAnswer): void => {
+    if (position !== undefined) {
+      floor = floor === undefined ? position : laterPosition(floor, position)
+    }
+  }
+
+  const workOf = (id: string, statement: CallerStatement): DataWork => {
+    if (statement.type === 'data') {
+      const { access, text } = statement
+      return { requestId: id, access, toCommand: (_name, after) => ({ type: 'data', requestId: id, text, after }) }
+    }
+    if (statement.type !== 'execute') {
+      throw new Error(`a ${statement.type} is no work for an upstream`)
+    }
+    const { parameters } = statement
+    const shape = prepared.get(statement.name)!
+    return {
+      requestId: id,
+      access: shape.access,
+      prepared: shape,
+      toCommand: (name, after) => ({ type: 'execute', requestId: id, name, parameters, after })
+    }
+  }
+
+  const write = async (scope: RequestScope, work: DataWork): Promise<StatementAnswer> => {
+    for (;;) {
+      const chosen = await leasePrimary(context, scope)
+      trace.upstream = chosen.known.upstream
+      const timed = await runWork(work, values, undefined, runOptions(context, chosen, scope, false),
+        () => holds(context, scope.group, chosen.right))
+      chosen.lease.release()
+      recordProof(context, scope.group, chosen.right, timed)
+      const { answer } = timed
+      const again = ['busy', 'read-only', 'unknown-statement', 'misrouted'].includes(answer.failure?.kind ?? '')
+      if (!again || scope.deadline.leftMs < NOT_RUN_PAUSE_MS * 2) {
+        return answer
+      }
+      context.logger.log('info', 'write.repeated', {
+        id: scope.requestId, group: scope.group, upstream: trace.upstream, reason: answer.failure?.kind
+      })
+      await pause(NOT_RUN_PAUSE_MS)
+    }
+  }
+  const runSingle = async (id: string, work: DataWork): Promise<StatementAnswer> => {
+    const arrivedAt = performance.now()
+    const route = findRoute()
+    const scope = scopeOf(id, route)
+    try {
+      if (work.access === 'write') {
+        const answer = await write(scope, work)
+        if (answer.failure === undefined) {
+          raiseFloor(answer)
+        }
+        return answer
+      }
+      const place = placeRead(context, route.group, route.freshness, arrivedAt, floor)
+      trace.floor = place.type === 'after' ? formatPosition(place.position) : 'primary'
+      const answer = await serveRead(context, scope, work, place)
+      trace.upstream = answer.upstream
+      return answer
+    } catch (thrown) {
+      return { ...failureAnswer('busy', '', 'idle'), failure: failureOf(thrown, work.access === 'read') }
+    } finally {
+      trace.attempts = scope.attempts
+    }
+  }
+  const runInTransaction = async (id: string, open: CallerTransaction, work: DataWork): Promise<StatementAnswer> => {
+    const scope = scopeOf(id, open.route)
+    try {
+      return await open.execute(scope, work)
+    } catch (thrown) {
+      return { ...failureAnswer('aborted', '', 'failed'), failure: failureOf(thrown, true) }
+    } finally {
+      trace.upstream = open.upstream
+      trace.attempts = scope.attempts
+    }
+  }
+  const execute = async (id: string, statement: CallerStatement): Promise<StatementAnswer> => {
+    if (transaction?.failed === true) {
+      return refuseInFailed()
+    }
+    const work = workOf(id, statement)
+    return transaction === undefined ? await runSingle(id, work) : await runInTransaction(id, transaction, work)
+  }
+  /** A transaction that ended between two statements says so to the next one; after that only its end is taken. */
+  const refuseInFailed = (): StatementAnswer => failureTold
+    ? failureAnswer('malformed', 'the transaction has failed; roll it back', 'failed')
+    : failureAnswer('aborted', `the transaction was rolled back: ${transaction?.failedBecause ?? ''}`, 'failed')
+
+  const begin = (readOnly: boolean): StatementAnswer => {
+    if (transaction !== undefined) {
+      return failureAnswer('malformed', 'a transaction is open', stateNow())
+    }
+    const route = findRoute()
+    failureTold = false
+    transaction = createTransaction({
+      context,
+      route,
+      readOnly,
+      place: placeRead(context, route.group, route.freshness, performance.now(), floor),
+      idleMs: desiredState()?.transactionIdleMs ?? route.timeoutMs
+    })
+    return doneAnswer('open')
+  }
+  const commit = async (id: string, text: string): Promise<StatementAnswer> => {
+    const ending = transaction
+    if (ending === undefined) {
+      return failureAnswer('malformed', 'no transaction is open', 'idle')
+    }
+    transaction = undefined
+    if (ending.failed) {
+      return failureAnswer('aborted', 'the transaction had failed; it was rolled back', 'idle')
+    }
+    const scope = scopeOf(id, ending.route)
+    trace.upstream = ending.upstream
+    try {
+      const answer = await ending.commit(scope, { type: 'commit', requestId: id, text })
+      if (answer.failure === undefined && ending.wrote) {
+        raiseFloor(answer)
+      }
+      return { ...answer, state: 'idle' }
+    } catch (thrown) {
+      return { ...failureAnswer('aborted', '', 'idle'), failure: failureOf(thrown, !ending.wrote) }
+    } finally {
+      trace.attempts = scope.attempts
+    }
+  }
+  const rollBack = (): StatementAnswer => {
+    if (transaction === undefined) {
+      return failureAnswer('malformed', 'no transaction is open', 'idle')
+    }
+    transaction.rollBack()
+    transaction = undefined
+    return doneAnswer('idle')
+  }
+  const addName = <Value>(map: Map<string, Value>, name: string, value: Value): StatementAnswer => {
+    if (transaction?.failed === true) {
+      return refuseInFailed()
+    }
+    if (map.size >= MAXIMUM_NAMES && !map.has(name)) {
+      return failureAnswer('too-large', `a session may have ${MAXIMUM_NAMES} names`, stateNow())
+    }
+    map.set(name, value)
+    return doneAnswer(stateNow())
+  }
+
+  const handlers: {
+    [Type in CallerStatement['type']]:
+    (statement: Extract<CallerStatement, { type: Type }>, id: string) => Promise<StatementAnswer> | StatementAnswer
+  } = {
+    begin: ({ readOnly }) => begin(readOnly),
+    commit: async ({ text }, id) => await commit(id, text),
+    rollback: () => rollBack(),
+    data: async (statement, id) => await execute(id, statement),
+    execute: async (statement, id) => prepared.has(statement.name)
+      ? await execute(id, statement)
+      : failureAnswer('unknown-statement', `no statement '${statement.name}' is prepared`, stateNow()),
+    set: ({ name, value }) => addName(values, name, value),
+    prepare: ({ name, prepared: shape }) => addName(prepared, name, shape),
+    deallocate: ({ name }) => {
+      prepared.delete(name)
+      return doneAnswer(stateNow())
+    },
+    malformed: ({ reason }) => failureAnswer('malformed', reason, stateNow())
+  }
+  const answerOf = async ({ id, statement }: CallerRequest): Promise<StatementAnswer> => {
+    try {
+      const handle = handlers[statement.type] as (statement: CallerStatement, id: string) => Promise<StatementAnswer>
+      return await handle(statement, id)
+    } catch (thrown) {
+      const failure = failureOf(thrown, true)
+      return { rows: [], failure, state: stateNow() }
+    }
+  }
+  const report = ({ id, statement }: CallerRequest, answer: StatementAnswer, durationMs: number): void => {
+    const outcome = answer.failure?.kind ?? 'done'
+    options.onDone(outcome, durationMs)
+    if (answer.signature === undefined && answer.failure === undefined) {
+      return
+    }
+    context.logger.log(answer.failure === undefined ? 'info' : 'warn',
+      answer.failure === undefined ? 'request.done' : 'request.failed', {
+        id,
+        type: statement.type,
+        database: link.database,
+        ...trace,
+        outcome,
+        reason: answer.failure?.message,
+        state: answer.state,
+        position: formatPosition(answer.position),
+        ms: Math.round(durationMs)
+      })
+  }
+
+  return {
+    get busy () { return busy },
+    get inTransaction () { return transaction !== undefined },
+    serve: async (request) => {
+      const startedAt = performance.now()
+      busy = true
+      trace = { attempts: 0 }
+      const answer = await answerOf(request)
+      busy = false
+      failureTold ||= answer.state === 'failed'
+      report(request, answer, performance.now() - startedAt)
+      if (closed) {
+        transaction?.rollBack()
+      }
+      return answer
+    },
+    close: () => {
+      closed = true
+      transaction?.rollBack()
+      transaction = busy ? transaction : undefined
+      options.onClose()
+    },
+    abortTransaction: (reason) => transaction?.abort(reason),
+    end: link.end
+  }
+}
--- /dev/null
+++ b/src/entry/types.ts
@@ -0,0 +1,51 @@
+/** Types of serving callers. */
+import type { RetryBudget } from '../routing/retry-budget.ts'
+import type { Logger } from '../core/logger/index.ts'
+import type { Directory } from '../directory/index.ts'
+import type { FreshnessOfGroups } from '../freshness/index.ts'
+import type { Leadership } from '../leadership/index.ts'
+import type { Pools, UsedUpstream } from '../pools/index.ts'
+import type { Access, PreparedShape, UpstreamCommand } from '../ports/index.ts'
+import type { KnownUpstream } from '../directory/index.ts'
+import type { Deadline } from '../core/time/deadline.ts'
+import type { LogPosition } from '../upstreams/position.ts'
+
+/** What serving a request needs from the rest of the process. */
+export interface EntryContext {
+  pools: Pools
+  directory: Directory
+  leadership: Leadership
+  freshness: FreshnessOfGroups
+  logger: Logger
+  budget: RetryBudget
+  failureDomain: string
+  /** Time after which a leaving upstream must get nothing new, in milliseconds. */
+  drainMs: number
+}
+
+/** A statement that an upstream must run. */
+export interface DataWork {
+  requestId: string
+  access: Access
+  /** The statement's shape, when it was prepared. */
+  prepared?: PreparedShape
+  /** Builds the command; `name` is the prepared statement's name on the connection. */
+  toCommand: (name: string, after?: LogPosition) => UpstreamCommand
+}
+
+/** An upstream that was chosen. */
+export interface ChosenUpstream {
+  known: KnownUpstream
+  used: UsedUpstream
+}
+
+/** A request in progress. */
+export interface RequestScope {
+  requestId: string
+  group: string
+  priority: number
+  values: ReadonlyMap<string, string>
+  deadline: Deadline
+  /** Tries made, for the log. */
+  attempts: number
+}
--- /dev/null
+++ b/src/leadership/consts.ts
@@ -0,0 +1,37 @@
+/** Times of leadership, in milliseconds. */
+
+/**
+ * Time for which a host goes on working at a primary without a confirmation by the store, counted from sending the
+ * question. Longer outlasts longer outages of the store; shorter makes a failover quicker when a host is silent.
+ */
+export const RIGHT_MS = 8000
+/** What a promoter waits beyond {@link RIGHT_MS}: statements that are sent at the last moment end within it. */
+export const RIGHT_MARGIN_MS = 1000
+/** Time after the end of its right at which a host breaks what is still in progress at the primary. */
+export const LAPSE_SLACK_MS = 250
+/** Time that statements in progress have to end when a primary is closed. */
+export const CLOSING_MS = 150
+/** Length of the lease on the duty of promoting; a promotion takes less than half of it. */
+export const DUTY_LEASE_MS = 5000
+/** Least rest of the lease with which a promotion is ordered: the order's own time limit. */
+export const DUTY_REST_MS = 2000
+/** Time between two looks at every group. */
+export const WATCH_MS = 100
+/** Distance between the hosts that may act on a need, so that the first one is usually the only one. */
+export const STAGGER_MS = 120
+/** Time for which a primary must be unreachable before this host acts on it. */
+export const UNREACHABLE_MS = 150
+/** Time that an upstream has to say what it is. */
+export const PROBE_MS = 500
+/** Time that a peer has to say whether it reaches an upstream; it may have to probe it. */
+export const REACH_MS = 1300
+/** Time of one try to reach a peer that must stop working at a primary. */
+export const CLOSE_TRY_MS = 700
+/** Time that a successor has to catch up with a primary that was stopped in an orderly way. */
+export const CATCH_UP_MS = 1000
+/** Time between two looks at a successor. */
+export const SUCCESSOR_POLL_MS = 60
+/** Time within which a promotion must have taken effect; the slowest installation takes 600 ms. */
+export const TAKE_EFFECT_MS = 2500
+/** Pause of a host after a succession that did not come to its end. */
+export const RETRY_MS = 300
--- /dev/null
+++ b/src/leadership/index.ts
@@ -0,0 +1,230 @@
+/**
+ * Plug-in `leadership`: which upstream is the primary of each group, whether this host may work there, and the making
+ * of another primary. See docs/PLATFORM.md for why it is safe.
+ */
+import { describeThrown } from '../core/errors/index.ts'
+import { registerPlugin } from '../core/kernel/index.ts'
+import { pause } from '../core/time/deadline.ts'
+import { repeat } from '../core/time/repeat.ts'
+import { registryKeys, type DutyRow, type GroupRow } from '../registry/index.ts'
+import { isRefusal } from './closing.ts'
+import {
+  CLOSE_TRY_MS, CLOSING_MS, LAPSE_SLACK_MS, PROBE_MS, REACH_MS, RETRY_MS, RIGHT_MS, WATCH_MS
+} from './consts.ts'
+import { takeDuty } from './duty.ts'
+import { createRights, type Rights } from './rights.ts'
+import { runSuccession } from './succession.ts'
+import { closeGroupSchema, reachAnswerSchema, reachQuestionSchema } from './types.ts'
+import { assessGroup, staggerOf, type GroupNeed } from './watch.ts'
+
+export type { PrimaryRight } from './types.ts'
+
+/** Service of the plug-in. */
+export interface Leadership extends Pick<Rights, 'of' | 'wait'> {
+  /** The primary as far as known, whether or not this host may work there. */
+  primaryOf: (group: string) => string | undefined
+  /** An upstream has been silent for long; it is asked whether it is there. */
+  suspect: (upstream: string) => void
+}
+
+declare module '../core/kernel/index.ts' {
+  interface Services { leadership: Leadership }
+}
+
+registerPlugin({
+  name: 'leadership',
+  needs: ['ports', 'registry', 'directory', 'pools', 'peers', 'desiredState', 'freshness'],
+  start: (context) => {
+    const { logger } = context
+    const { promotion } = context.use('ports')
+    const registry = context.use('registry')
+    const directory = context.use('directory')
+    const pools = context.use('pools')
+    const peers = context.use('peers')
+    const desiredState = context.use('desiredState')
+    const freshness = context.use('freshness')
+    const rights = createRights(registry)
+    const needs = new Map<string, { need: GroupNeed, since: number }>()
+    const acting = new Set<string>()
+    const suspected = new Set<string>()
+
+    const abortAtPrimary = (name: string, reason: string): void => {
+      const primary = directory.get(name)
+      const pool = primary === undefined ? undefined : pools.of(primary).pool
+      if (pool !== undefined && pool.inUse > 0) {
+        logger.log('warn', 'leadership.aborted', { upstream: name, inUse: pool.inUse, reason })
+        pool.abortInUse()
+      }
+    }
+    const closeHere = async (group: string, epoch: number): Promise<void> => {
+      rights.close(group, epoch)
+      const { row } = registry.current.group(group)
+      const primary = row === undefined ? undefined : directory.get(row.primary)
+      if (row === undefined || primary === undefined || row.epoch > epoch) {
+        return
+      }
+      const until = performance.now() + CLOSING_MS
+      while (pools.of(primary).pool.inUse > 0 && performance.now() < until) {
+        await pause(10)
+      }
+      abortAtPrimary(row.primary, 'the epoch was closed')
+    }
+    peers.handle('close-group', async (body) => {
+      const { group, epoch } = closeGroupSchema.parse(body)
+      logger.log('info', 'leadership.closing', { group, epoch, confirmedAgeMs: Math.round(registry.confirmedAgeMs()) })
+      await closeHere(group, epoch)
+      return {}
+    })
+
+    const reaches = async (name: string): Promise<boolean> => {
+      const upstream = directory.get(name)
+      return upstream !== undefined && await pools.probe(upstream, PROBE_MS) !== undefined
+    }
+    peers.handle('reach', async (body) => ({ reached: await reaches(reachQuestionSchema.parse(body).upstream) }))
+
+    /** Whether at least half of the hosts that answer cannot reach an upstream. */
+    const isLostToMost = async (group: string, upstream: string): Promise<boolean> => {
+      const answers = await Promise.all([
+        reaches(upstream),
+        ...registry.peers().map(async (peer) => {
+          try {
+            return reachAnswerSchema.parse(await peers.request(peer, 'reach', { upstream }, REACH_MS)).reached
+          } catch (thrown) {
+            logger.log('debug', 'leadership.peer-silent', { peer: peer.name, reason: describeThrown(thrown) })
+            return undefined
+          }
+        })
+      ])
+      const reached = answers.filter((answer) => answer === true).length
+      const lost = answers.filter((answer) => answer === false).length
+      logger.log('info', 'leadership.reach', { group, upstream, reached, lost, silent: answers.length - reached - lost })
+      return lost >= reached
+    }
+    const hasEnded = async ({ holder, process }: DutyRow): Promise<boolean> => {
+      const row = registry.current.hosts.find(({ name }) => name === holder)
+      if (row === undefined || row.process !== process) {
+        return true
+      }
+      try {
+        await peers.request(row, 'registry-snapshot', {}, CLOSE_TRY_MS)
+        return false
+      } catch (thrown) {
+        return isRefusal(thrown)
+      }
+    }
+    let taking: ReturnType<typeof takeDuty> | undefined
+    /** Groups that need the duty at the same moment share one try, or they would contradict each other. */
+    const duty = async () => {
+      taking ??= takeDuty({ registry, logger, hasEnded }).finally(() => { taking = undefined })
+      return await taking
+    }
+
+    const nameFirstPrimary = async (group: string): Promise<void> => {
+      const claiming = directory.ofGroup(group).filter(({ claimsPrimary, draining }) => claimsPrimary && !draining)
+      const [first] = claiming
+      if (first === undefined || claiming.length !== 1) {
+        return
+      }
+      const key = registryKeys.group(group)
+      const row: GroupRow = {
+        epoch: 1, primary: first.upstream, state: 'open', term: 0, writtenBy: registry.self.name
+      }
+      const written = await registry.write({
+        expected: [{ key, version: 0 }], put: [{ key, value: JSON.stringify(row) }]
+      })
+      logger.log('info', 'leadership.first-primary', { group, upstream: first.upstream, written })
+      registry.nudgePeers()
+    }
+    const act = async (group: string, need: GroupNeed): Promise<void> => {
+      if (need === 'first-primary') {
+        await nameFirstPrimary(group)
+        return
+      }
+      const { row } = registry.current.group(group)
+      if (row === undefined || (need === 'unreachable' && !await isLostToMost(group, row.primary))) {
+        return
+      }
+      await runSuccession({
+        group,
+        reason: need,
+        knownTerm: Math.max(row.term, freshness.of(group).newest?.term ?? 0),
+        duty,
+        closeHere: async (epoch) => await closeHere(group, epoch),
+        registry,
+        directory,
+        pools,
+        peers,
+        promotion,
+        logger
+      })
+    }
+    const consider = (group: string): void => {
+      const need = assessGroup(group, { registry, directory, pools })
+      const known = needs.get(group)
+      if (need === undefined) {
+        needs.delete(group)
+        return
+      }
+      if (known?.need !== need) {
+        needs.set(group, { need, since: performance.now() })
+        return
+      }
+      if (acting.has(group) || performance.now() - known.since < staggerOf(group, registry)) {
+        return
+      }
+      acting.add(group)
+      act(group, need)
+        .catch((thrown: unknown) => logger.log('warn', 'succession.failed', { group, reason: describeThrown(thrown) }))
+        .then(async () => await pause(RETRY_MS))
+        .finally(() => acting.delete(group))
+    }
+    const groups = (): string[] => [...desiredState.current?.connectionCaps.keys() ?? []]
+
+    let lapsed = false
+    const noteLapse = (): void => {
+      const ageMs = registry.confirmedAgeMs()
+      const isLapsed = ageMs > RIGHT_MS
+      if (isLapsed !== lapsed && Number.isFinite(ageMs)) {
+        lapsed = isLapsed
+        logger.log(isLapsed ? 'warn' : 'info', isLapsed ? 'leadership.right-lapsed' : 'leadership.right-back', {
+          confirmedAgeMs: Math.round(ageMs)
+        })
+      }
+      if (ageMs > RIGHT_MS + LAPSE_SLACK_MS) {
+        groups().forEach((group) => {
+          const { row } = registry.current.group(group)
+          if (row !== undefined) {
+            abortAtPrimary(row.primary, 'the right has lapsed')
+          }
+        })
+      }
+    }
+    const stop = repeat(WATCH_MS, async () => {
+      noteLapse()
+      groups().forEach(consider)
+    }, (thrown) => logger.log('error', 'leadership.watch-failed', { reason: describeThrown(thrown) }))
+    registry.onChange(rights.notify)
+
+    return {
+      service: {
+        of: rights.of,
+        wait: rights.wait,
+        primaryOf: (group) => registry.current.group(group).row?.primary,
+        suspect: (name) => {
+          const upstream = directory.get(name)
+          if (upstream === undefined || suspected.has(name)) {
+            return
+          }
+          suspected.add(name)
+          void pools.probe(upstream, PROBE_MS).finally(() => suspected.delete(name))
+        }
+      },
+      dump: () => ({
+        groups: Object.fromEntries(groups().map((group) => [group, registry.current.group(group).row])),
+        needs: Object.fromEntries(needs),
+        confirmedAgeMs: Math.round(registry.confirmedAgeMs())
+      }),
+      close: stop
+    }
+  }
+})
--- /dev/null
+++ b/src/leadership/succession.ts
@@ -0,0 +1,228 @@
+/**
+ * Makes another upstream the primary of a group: closes the epoch for all hosts, stops the old primary where it can be
+ * reached, promotes the replica that has received most, and opens the next epoch when the promotion has taken effect.
+ * Each step can be taken over by another host: what has been done is read from the registry and from the upstreams.
+ */
+import { describeThrown } from '../core/errors/index.ts'
+import type { Logger } from '../core/logger/index.ts'
+import { pause } from '../core/time/deadline.ts'
+import type { Directory, KnownUpstream } from '../directory/index.ts'
+import type { Peers } from '../peers/index.ts'
+import type { Pools } from '../pools/index.ts'
+import type { PromotionPort, UpstreamReport } from '../ports/index.ts'
+import { registryKeys, type GroupRow, type Registry } from '../registry/index.ts'
+import { comparePositions, formatPosition, type LogPosition } from '../upstreams/position.ts'
+import { awaitClosed } from './closing.ts'
+import { CATCH_UP_MS, PROBE_MS, SUCCESSOR_POLL_MS, TAKE_EFFECT_MS } from './consts.ts'
+import type { HeldDuty } from './duty.ts'
+import type { SuccessionReason } from './types.ts'
+
+/** Options of {@link runSuccession}. */
+export interface SuccessionOptions {
+  group: string
+  reason: SuccessionReason
+  /** Newest term of the group that this host knows. */
+  knownTerm: number
+  duty: () => Promise<HeldDuty | undefined>
+  closeHere: (epoch: number) => Promise<void>
+  registry: Registry
+  directory: Pick<Directory, 'get' | 'ofGroup'>
+  pools: Pick<Pools, 'probe' | 'demote'>
+  peers: Peers
+  promotion: PromotionPort
+  logger: Logger
+}
+
+/** An upstream and what it said of itself. */
+interface Candidate {
+  upstream: KnownUpstream
+  report: UpstreamReport
+}
+
+/**
+ * Runs a succession as far as it gets.
+ *
+ * @param options - the group and everything needed
+ * @returns the new primary; undefined when it must be tried again
+ */
+export async function runSuccession (options: SuccessionOptions): Promise<string | undefined> {
+  const { group, logger, registry, reason } = options
+  const before = registry.current.group(group)
+  if (before.row === undefined || await options.duty() === undefined) {
+    return undefined
+  }
+  logger.log('warn', 'succession.started', {
+    group, reason, primary: before.row.primary, epoch: before.row.epoch, registryVersion: registry.current.version
+  })
+  const closedAt = await closeEpoch(options, before.row, before.version)
+  if (closedAt === undefined) {
+    return undefined
+  }
+  const { epoch, primary } = before.row
+  const old = options.directory.get(primary)
+  const [stopped, reports] = await Promise.all([
+    stopOld(options, old),
+    askAll(options),
+    options.closeHere(epoch),
+    awaitClosed({ ...options, epoch, closedAt })
+  ])
+  const caughtUp = stopped === undefined ? reports : await awaitCatchUp(options, stopped.received, primary)
+  const successor = await promoteOne(options, caughtUp, primary)
+  return successor === undefined ? undefined : await openEpoch(options, successor)
+}
+
+/** Writes that the epoch is closed; returns when that was certain. */
+async function closeEpoch (
+  { group, registry, logger, knownTerm }: SuccessionOptions, row: GroupRow, version: number
+): Promise<number | undefined> {
+  if (row.state === 'closed') {
+    return performance.now()
+  }
+  const key = registryKeys.group(group)
+  const closed: GroupRow = {
+    ...row, state: 'closed', term: Math.max(row.term, knownTerm), writtenBy: registry.self.name
+  }
+  try {
+    await registry.write({ expected: [{ key, version }], put: [{ key, value: JSON.stringify(closed) }] })
+  } catch (thrown) {
+    logger.log('warn', 'succession.answer-lost', { group, step: 'close', reason: describeThrown(thrown) })
+    await registry.refresh()
+  }
+  const now = registry.current.group(group).row
+  return now?.state === 'closed' && now.epoch === row.epoch ? performance.now() : undefined
+}
+
+async function stopOld (
+  options: SuccessionOptions, old: KnownUpstream | undefined
+): Promise<UpstreamReport | undefined> {
+  if (old === undefined) {
+    return undefined
+  }
+  const term = Math.max(options.knownTerm, options.registry.current.group(options.group).row?.term ?? 0) + 1
+  const report = await options.pools.demote(old, term, PROBE_MS)
+  options.logger.log('info', 'succession.old-primary', {
+    group: options.group,
+    upstream: old.upstream,
+    term,
+    stopped: report !== undefined,
+    role: report?.role,
+    position: formatPosition(report?.received)
+  })
+  return report
+}
+
+/** Asks every upstream of the group what it is. */
+async function askAll ({ group, directory, pools }: SuccessionOptions): Promise<Candidate[]> {
+  const answers = await Promise.all(directory.ofGroup(group).map(async (upstream) => {
+    const report = await pools.probe(upstream, PROBE_MS)
+    return report === undefined ? [] : [{ upstream, report }]
+  }))
+  return answers.flat()
+}
+
+/** Lets a successor receive what the stopped primary had, for a bounded time. */
+async function awaitCatchUp (
+  options: SuccessionOptions, goal: LogPosition, oldPrimary: string
+): Promise<Candidate[]> {
+  const until = performance.now() + CATCH_UP_MS
+  for (;;) {
+    const reports = await askAll(options)
+    const ready = reports.some(({ upstream, report }) =>
+      upstream.upstream !== oldPrimary && !upstream.draining && comparePositions(report.received, goal) >= 0)
+    if (ready || performance.now() >= until) {
+      return reports
+    }
+    await pause(SUCCESSOR_POLL_MS)
+  }
+}
+
+/** Orders candidates: those that stay before those that leave, the furthest first. */
+function rank (candidates: Candidate[], oldPrimary: string): Candidate[] {
+  const weight = ({ upstream }: Candidate): number =>
+    (upstream.draining ? 2 : 0) + (upstream.upstream === oldPrimary ? 1 : 0)
+  return [...candidates].sort((left, right) => weight(left) - weight(right) ||
+    comparePositions(right.report.received, left.report.received) ||
+    (left.upstream.upstream < right.upstream.upstream ? -1 : 1))
+}
+
+async function promoteOne (
+  options: SuccessionOptions, candidates: Candidate[], oldPrimary: string
+): Promise<Candidate | undefined> {
+  const { group, logger } = options
+  const led = candidates.find(({ upstream, report }) => report.role === 'primary' && upstream.upstream !== oldPrimary)
+  if (led !== undefined) {
+    logger.log('info', 'succession.already-promoted', { group, upstream: led.upstream.upstream, term: led.report.term })
+    return led
+  }
+  for (const candidate of rank(candidates, oldPrimary)) {
+    const promoted = await promote(options, candidate)
+    if (promoted !== undefined) {
+      return promoted
+    }
+  }
+  logger.log('warn', 'succession.no-successor', { group, candidates: candidates.length })
+  return undefined
+}
+
+async function promote (options: SuccessionOptions, { upstream, report }: Candidate): Promise<Candidate | undefined> {
+  const { group, logger, promotion, registry } = options
+  const duty = await options.duty()
+  if (duty === undefined || !duty.mayOrder()) {
+    return undefined
+  }
+  const name = upstream.upstream
+  logger.log('info', 'succession.promoting', {
+    group, upstream: name, fence: duty.fence, position: formatPosition(report.received)
+  })
+  try {
+    const outcome = await promotion.promote({ group, upstream: name, holder: registry.self.name, fence: duty.fence })
+    if (outcome === 'not-running') {
+      logger.log('warn', 'succession.not-running', { group, upstream: name })
+      return undefined
+    }
+  } catch (thrown) {
+    // It may have been taken; the upstream itself will tell.
+    logger.log('warn', 'succession.answer-lost', { group, step: 'promote', reason: describeThrown(thrown) })
+  }
+  return await awaitEffect(options, upstream)
+}
+
+async function awaitEffect (options: SuccessionOptions, upstream: KnownUpstream): Promise<Candidate | undefined> {
+  const until = performance.now() + TAKE_EFFECT_MS
+  while (performance.now() < until) {
+    const report = await options.pools.probe(upstream, PROBE_MS)
+    if (report?.role === 'primary') {
+      return { upstream, report }
+    }
+    await pause(SUCCESSOR_POLL_MS)
+  }
+  options.logger.log('warn', 'succession.no-effect', { group: options.group, upstream: upstream.upstream })
+  return undefined
+}
+
+async function openEpoch (options: SuccessionOptions, { upstream, report }: Candidate): Promise<string | undefined> {
+  const { group, registry, logger } = options
+  await registry.refresh()
+  const { row, version } = registry.current.group(group)
+  if (row?.state !== 'closed') {
+    return undefined
+  }
+  const key = registryKeys.group(group)
+  const opened: GroupRow = {
+    epoch: row.epoch + 1,
+    primary: upstream.upstream,
+    state: 'open',
+    term: report.term,
+    writtenBy: registry.self.name
+  }
+  try {
+    await registry.write({ expected: [{ key, version }], put: [{ key, value: JSON.stringify(opened) }] })
+  } catch (thrown) {
+    logger.log('warn', 'succession.answer-lost', { group, step: 'open', reason: describeThrown(thrown) })
+    await registry.refresh()
+  }
+  registry.nudgePeers()
+  const now = registry.current.group(group).row
+  logger.log('info', 'succession.done', { group, upstream: now?.primary, epoch: now?.epoch, term: now?.term })
+  return now?.state === 'open' ? now.primary : undefined
+}
--- a/src/membership/index.ts
+++ b/src/membership/index.ts
@@ -1,6 +1,7 @@
 /** Plug-in `membership`: who is there. */
 import type { MemberSettings } from '../core/config/index.ts'
 import { registerPlugin } from '../core/kernel/index.ts'
+import { repeat } from '../core/time/repeat.ts'
 import { parseEndpoint, type Endpoint } from '../core/wire/dialer.ts'
 import { createHeartbeats } from './heartbeats.ts'
 import { createMemberList } from './member-list.ts'
@@ -125,24 +126,3 @@
     state: 'live'
   }
 }
-
-/** Least part of an interval that is waited, and the random rest, so that processes do not act in step. */
-const SHORTEST_WAIT = 0.75
-const WAIT_JITTER = 0.5
-
-/** Does work again and again, with a jittered pause in between; returns how to stop. */
-function repeat (intervalMs: number, work: () => Promise<void>): () => void {
-  let timer: NodeJS.Timeout | undefined
-  const state = { stopped: false }
-  const again = async (): Promise<void> => {
-    await work().catch(() => {})
-    if (!state.stopped) {
-      timer = setTimeout(() => { void again() }, intervalMs * (SHORTEST_WAIT + Math.random() * WAIT_JITTER))
-    }
-  }
-  void again()
-  return () => {
-    state.stopped = true
-    clearTimeout(timer)
-  }
-}
--- /dev/null
+++ b/src/pools/index.ts
@@ -0,0 +1,144 @@
+/** Plug-in `pools`: this host's connections to every upstream, and what it has seen of each. */
+import { registerPlugin } from '../core/kernel/index.ts'
+import type { KnownUpstream } from '../directory/index.ts'
+import type { UpstreamReport } from '../ports/index.ts'
+import { TIMED_OUT, within } from '../core/time/deadline.ts'
+import { createUpstreamHealth, type UpstreamHealth } from './upstream-health.ts'
+import { createUpstreamPool, type UpstreamPool } from './upstream-pool.ts'
+
+export { alignValues, prepareOn } from './align-connection.ts'
+export type { ConnectionLease } from './types.ts'
+export type { UpstreamHealth } from './upstream-health.ts'
+export type { UpstreamPool } from './upstream-pool.ts'
+
+/** An upstream as this host uses it. */
+export interface UsedUpstream {
+  pool: UpstreamPool
+  health: UpstreamHealth
+}
+
+/** Service of the plug-in. */
+export interface Pools {
+  /** Returns the pool and the health of an upstream that is in the directory. */
+  of: (upstream: KnownUpstream) => UsedUpstream
+  /**
+   * Asks an upstream for its state on a connection of its own.
+   *
+   * @param upstream - the upstream
+   * @param timeoutMs - greatest wait, in milliseconds
+   * @returns its report; undefined when it gave none in time
+   */
+  probe: (upstream: KnownUpstream, timeoutMs: number) => Promise<UpstreamReport | undefined>
+  /** Makes a primary a replica; undefined when it gave no answer in time. */
+  demote: (upstream: KnownUpstream, term: number, timeoutMs: number) => Promise<UpstreamReport | undefined>
+}
+
+declare module '../core/kernel/index.ts' {
+  interface Services { pools: Pools }
+}
+
+/** Connections to an upstream that are assumed while its cap is unknown. */
+const UNKNOWN_CAP = 10
+/** Connections that a host may open beyond its share while they are needed; the upstream refuses what is too much. */
+const BURST_CONNECTIONS = 2
+
+registerPlugin({
+  name: 'pools',
+  needs: ['ports', 'directory', 'desiredState', 'registry'],
+  start: (context) => {
+    const { upstreams: port } = context.use('ports')
+    const directory = context.use('directory')
+    const desiredState = context.use('desiredState')
+    const registry = context.use('registry')
+    const used = new Map<string, UsedUpstream>()
+
+    const shareOf = (group: string): number => {
+      const cap = desiredState.current?.connectionCaps.get(group) ?? UNKNOWN_CAP
+      return Math.max(1, Math.floor(cap / Math.max(1, registry.current.hosts.length)))
+    }
+    const create = ({ upstream, group, endpoint }: KnownUpstream): UsedUpstream => {
+      const health = createUpstreamHealth()
+      const pool = createUpstreamPool({
+        target: { group, upstream, endpoint },
+        port,
+        share: () => shareOf(group),
+        maximum: () => shareOf(group) + BURST_CONNECTIONS,
+        events: {
+          onAnswer: () => {
+            if (health.unreachableSince !== undefined) {
+              context.logger.log('info', 'upstream.regained', { group, upstream })
+            }
+            health.answered()
+          },
+          onFault: (fault, reason) => {
+            if (health.unreachableSince === undefined && fault !== 'broken') {
+              context.logger.log('warn', 'upstream.unreachable', { group, upstream, fault, reason })
+            }
+            health.failed(fault)
+          }
+        }
+      })
+      return { pool, health }
+    }
+    const of = (upstream: KnownUpstream): UsedUpstream => {
+      const known = used.get(upstream.upstream) ?? create(upstream)
+      used.set(upstream.upstream, known)
+      return known
+    }
+    const forget = (name: string): void => {
+      used.get(name)?.pool.close()
+      used.delete(name)
+    }
+    directory.onChange(({ upstream, change }) => {
+      if (change === 'gone' || change === 'moved') {
+        forget(upstream.upstream)
+      }
+    })
+    const ask = async (
+      known: KnownUpstream, timeoutMs: number,
+      question: (connection: Awaited<ReturnType<typeof port.open>>) => Promise<UpstreamReport>
+    ): Promise<UpstreamReport | undefined> => {
+      const { health } = of(known)
+      const target = { group: known.group, upstream: known.upstream, endpoint: known.endpoint }
+      try {
+        const connection = await port.open(target, timeoutMs)
+        try {
+          const report = await within(question(connection), timeoutMs)
+          if (report === TIMED_OUT) {
+            health.failed('silent')
+            return undefined
+          }
+          health.answered()
+          return report
+        } finally {
+          connection.close()
+        }
+      } catch (thrown) {
+        context.logger.log('info', 'upstream.no-report', {
+          upstream: known.upstream, group: known.group, reason: (thrown as Error).message
+        })
+        health.failed('refused')
+        return undefined
+      }
+    }
+
+    return {
+      service: {
+        of,
+        probe: async (upstream, timeoutMs) => await ask(upstream, timeoutMs, async (link) => await link.status()),
+        demote: async (upstream, term, timeoutMs) =>
+          await ask(upstream, timeoutMs, async (link) => await link.demote(term))
+      },
+      dump: () => Object.fromEntries([...used].map(([name, { pool, health }]) => [name, {
+        group: pool.target.group,
+        open: pool.size,
+        inUse: pool.inUse,
+        waiting: pool.waiting,
+        latencyMs: Math.round(health.latencyMs),
+        avoided: health.avoided,
+        lagging: health.lagging
+      }])),
+      close: () => { [...used.keys()].forEach(forget) }
+    }
+  }
+})
--- /dev/null
+++ b/src/pools/upstream-health.ts
@@ -0,0 +1,89 @@
+/** What this host has seen of an upstream: whether it answers, how fast, and whether it has lagged. */
+import type { UpstreamFault } from './types.ts'
+
+/** Weight of a new latency in the running mean. */
+const SAMPLE_WEIGHT = 0.2
+/** Latency that is assumed of an upstream that has not been used yet, in milliseconds. */
+const INITIAL_LATENCY_MS = 15
+/** Time in which the memory of a high latency halves while the upstream is not used, in milliseconds. */
+const LATENCY_HALF_LIFE_MS = 800
+/** First and greatest time for which an upstream that failed is avoided, in milliseconds; it doubles in between. */
+const AVOID_MS = { first: 250, greatest: 2000 } as const
+/** First and greatest time for which a replica that lagged is avoided, in milliseconds; it doubles in between. */
+const LAG_MS = { first: 100, greatest: 800 } as const
+
+/** Health of one upstream as this host sees it. */
+export interface UpstreamHealth {
+  /** When it last answered anything, on the steady clock. */
+  readonly lastAnswerAt: number
+  /** Since when it has not answered although it was asked; undefined while it answers. */
+  readonly unreachableSince: number | undefined
+  /** Whether reads should go elsewhere because it failed. */
+  readonly avoided: boolean
+  /** Whether reads should go elsewhere because it lagged. */
+  readonly lagging: boolean
+  /** Expected time of a statement, in milliseconds. */
+  readonly latencyMs: number
+  answered: () => void
+  /** Takes the time of a statement, in milliseconds. */
+  recordLatency: (latencyMs: number) => void
+  failed: (fault: UpstreamFault) => void
+  lagged: () => void
+  caughtUp: () => void
+}
+
+/**
+ * Creates the health of an upstream that is taken for good.
+ *
+ * @returns the health
+ */
+export function createUpstreamHealth (): UpstreamHealth {
+  let lastAnswerAt = -Infinity
+  let unreachableSince: number | undefined
+  let avoidUntil = -Infinity
+  let avoidMs: number = AVOID_MS.first
+  let lagUntil = -Infinity
+  let lagMs: number = LAG_MS.first
+  let latency = INITIAL_LATENCY_MS
+  let measuredAt = -Infinity
+
+  const decayed = (): number => {
+    const age = performance.now() - measuredAt
+    const excess = Math.max(0, latency - INITIAL_LATENCY_MS)
+    return latency - excess * (1 - 0.5 ** (age / LATENCY_HALF_LIFE_MS))
+  }
+  return {
+    get lastAnswerAt () { return lastAnswerAt },
+    get unreachableSince () { return unreachableSince },
+    get avoided () { return performance.now() < avoidUntil },
+    get lagging () { return performance.now() < lagUntil },
+    get latencyMs () { return decayed() },
+    answered: () => {
+      lastAnswerAt = performance.now()
+      unreachableSince = undefined
+      avoidUntil = -Infinity
+      avoidMs = AVOID_MS.first
+    },
+    recordLatency: (latencyMs) => {
+      const before = decayed()
+      latency = before + SAMPLE_WEIGHT * (latencyMs - before)
+      measuredAt = performance.now()
+    },
+    failed: (fault) => {
+      if (fault === 'broken') {
+        return
+      }
+      unreachableSince ??= performance.now()
+      avoidUntil = performance.now() + avoidMs
+      avoidMs = Math.min(AVOID_MS.greatest, avoidMs * 2)
+    },
+    lagged: () => {
+      lagUntil = performance.now() + lagMs
+      lagMs = Math.min(LAG_MS.greatest, lagMs * 2)
+    },
+    caughtUp: () => {
+      lagUntil = -Infinity
+      lagMs = LAG_MS.first
+    }
+  }
+}
--- /dev/null
+++ b/src/pools/upstream-pool.ts
@@ -0,0 +1,228 @@
+/** Connections of this host to one upstream. */
+import { RequestError } from '../core/errors/index.ts'
+import type { UpstreamPort, UpstreamTarget } from '../ports/index.ts'
+import { mismatchOf } from './align-connection.ts'
+import type { ConnectionLease, LeaseRequest, PooledConnection, PoolEvents, UpstreamFault } from './types.ts'
+
+/** Time to connect, in milliseconds: a new connection takes 12 ms, more while the upstream's slots are taken. */
+const CONNECT_TIMEOUT_MS = 700
+/** Time for which no further connection is tried after the upstream had no room, in milliseconds. */
+const FULL_PAUSE_MS = 400
+/** Time after which an idle connection beyond the share of this host is closed, in milliseconds. */
+const SURPLUS_IDLE_MS = 4000
+/** Time between two looks for surplus connections, in milliseconds. */
+const TRIM_MS = 1000
+
+/** Options of {@link createUpstreamPool}. */
+export interface UpstreamPoolOptions {
+  target: UpstreamTarget
+  port: UpstreamPort
+  /** Connections that this host may keep. */
+  share: () => number
+  /** Connections that it may open in all; those beyond the share are closed again when idle. */
+  maximum: () => number
+  events: PoolEvents
+}
+
+/** Someone who waits for a connection. */
+interface Waiter {
+  request: LeaseRequest
+  resolve: (lease: ConnectionLease) => void
+  reject: (error: RequestError) => void
+  timer: NodeJS.Timeout
+}
+
+/** Connections of this host to one upstream. */
+export interface UpstreamPool {
+  readonly target: UpstreamTarget
+  /** Statements and transactions that hold a connection. */
+  readonly inUse: number
+  readonly waiting: number
+  /** Open connections, those being opened included. */
+  readonly size: number
+  /** Whether a new user would get a connection at once, opening one included. */
+  readonly hasRoom: boolean
+  /**
+   * Takes a connection.
+   *
+   * @param request - what the user needs
+   * @returns the lease
+   * @throws RequestError with verdict `not-run`
+   */
+  acquire: (request: LeaseRequest) => Promise<ConnectionLease>
+  /** Closes every connection that is in use. */
+  abortInUse: () => void
+  /** Takes no new users; connections close as they come back. */
+  close: () => void
+}
+
+/**
+ * Creates a pool.
+ *
+ * @param options - the upstream and the limits
+ * @returns the pool
+ */
+export function createUpstreamPool (options: UpstreamPoolOptions): UpstreamPool {
+  const { target, port, events } = options
+  const idle: PooledConnection[] = []
+  const used = new Set<PooledConnection>()
+  const waiters: Waiter[] = []
+  let opening = 0
+  let fullUntil = -Infinity
+  let closed = false
+
+  const size = (): number => idle.length + used.size + opening
+  const mayOpen = (): boolean => !closed && size() < options.maximum() && performance.now() >= fullUntil
+
+  const lease = (pooled: PooledConnection): ConnectionLease => {
+    used.add(pooled)
+    let done = false
+    const finish = (): boolean => {
+      const first = !done
+      done = true
+      used.delete(pooled)
+      return first
+    }
+    return Object.assign(Object.create(pooled) as ConnectionLease, {
+      release: () => {
+        if (finish()) {
+          putBack(pooled)
+        }
+      },
+      discard: () => {
+        if (finish()) {
+          pooled.connection.close()
+          serveWaiters()
+        }
+      }
+    })
+  }
+  const putBack = (pooled: PooledConnection): void => {
+    if (closed || pooled.connection.closed) {
+      pooled.connection.close()
+    } else {
+      pooled.idleSince = performance.now()
+      idle.push(pooled)
+    }
+    serveWaiters()
+  }
+  const takeIdle = ({ values }: LeaseRequest): PooledConnection | undefined => {
+    let best = -1
+    let leastMismatch = Infinity
+    for (let index = idle.length - 1; index >= 0; index--) {
+      const mismatch = mismatchOf(idle[index]!.values, values)
+      if (mismatch < leastMismatch) {
+        best = index
+        leastMismatch = mismatch
+      }
+    }
+    return best < 0 ? undefined : idle.splice(best, 1)[0]
+  }
+  const serveWaiters = (): void => {
+    while (waiters.length > 0 && idle.length > 0) {
+      const [waiter] = waiters.splice(0, 1)
+      clearTimeout(waiter!.timer)
+      waiter!.resolve(lease(takeIdle(waiter!.request)!))
+    }
+    while (waiters.length > opening && mayOpen()) {
+      void open()
+    }
+  }
+  const failWaiters = (error: RequestError): void => {
+    for (const waiter of waiters.splice(0)) {
+      clearTimeout(waiter.timer)
+      waiter.reject(error)
+    }
+  }
+  const open = async (): Promise<void> => {
+    opening++
+    try {
+      const connection = await port.open(target, CONNECT_TIMEOUT_MS)
+      opening--
+      events.onAnswer()
+      const pooled: PooledConnection = { connection, values: new Map(), prepared: new Map(), idleSince: 0 }
+      connection.onClose(() => {
+        const index = idle.indexOf(pooled)
+        if (index >= 0) {
+          idle.splice(index, 1)
+          events.onFault('broken', 'an idle connection was closed')
+        }
+      })
+      putBack(pooled)
+    } catch (thrown) {
+      opening--
+      takeOpenFailure(thrown as RequestError)
+    }
+  }
+  const takeOpenFailure = (error: RequestError): void => {
+    if (error.entry === 'UpstreamRefused' && (error.details as { reason: string }).reason !== 'misrouted') {
+      fullUntil = performance.now() + FULL_PAUSE_MS
+      if (size() === 0) {
+        failWaiters(error)
+      }
+      return
+    }
+    events.onFault(faultOf(error), error.message)
+    failWaiters(error)
+  }
+  const trim = setInterval(() => {
+    const now = performance.now()
+    while (size() > options.share() && idle.length > 0 && now - idle[0]!.idleSince > SURPLUS_IDLE_MS) {
+      const [surplus] = idle.splice(0, 1)
+      surplus!.connection.close()
+    }
+    serveWaiters()
+  }, TRIM_MS)
+  trim.unref()
+
+  return {
+    target,
+    get inUse () { return used.size },
+    get waiting () { return waiters.length },
+    get size () { return size() },
+    get hasRoom () { return idle.length > 0 || mayOpen() },
+    acquire: async (request) => {
+      if (closed) {
+        throw new RequestError('not-run', 'ConnectionLost', { upstream: target.upstream, reason: 'it is leaving' })
+      }
+      const ready = takeIdle(request)
+      if (ready !== undefined) {
+        return lease(ready)
+      }
+      return await new Promise((resolve, reject) => {
+        const waiter: Waiter = {
+          request,
+          resolve,
+          reject,
+          timer: setTimeout(() => {
+            waiters.splice(waiters.indexOf(waiter), 1)
+            reject(new RequestError('not-run', 'Overloaded', {
+              group: target.group, reason: `no connection to ${target.upstream} in time`, retryAfterMs: request.waitMs
+            }))
+          }, request.waitMs)
+        }
+        const after = waiters.findIndex((other) => other.request.priority > request.priority)
+        waiters.splice(after < 0 ? waiters.length : after, 0, waiter)
+        serveWaiters()
+      })
+    },
+    abortInUse: () => {
+      const all = [...used]
+      all.forEach(({ connection }) => connection.close())
+    },
+    close: () => {
+      closed = true
+      clearInterval(trim)
+      idle.splice(0).forEach(({ connection }) => connection.close())
+      failWaiters(new RequestError('not-run', 'ConnectionLost', { upstream: target.upstream, reason: 'it is leaving' }))
+    }
+  }
+}
+
+function faultOf (error: RequestError): UpstreamFault {
+  if (error.entry === 'UpstreamRefused') {
+    return 'misrouted'
+  }
+  const { reason } = error.details as { reason: string }
+  return reason.includes('ECONNREFUSED') || reason.includes('ECONNRESET') ? 'refused' : 'silent'
+}
--- /dev/null
+++ b/src/processes/entry.ts
@@ -0,0 +1,27 @@
+/** The process `worksward-entry`: takes callers on every entry host, and makes primaries together with its peers. */
+import '../../platform/index.ts'
+import '../desired-state/index.ts'
+import '../directory/index.ts'
+import '../entry/index.ts'
+import '../freshness/index.ts'
+import '../leadership/index.ts'
+import '../metrics/index.ts'
+import '../peers/index.ts'
+import '../pools/index.ts'
+import '../readiness/index.ts'
+import '../registry/index.ts'
+import type { EntrySettings } from '../core/config/entry-settings.ts'
+import { startKernel, type Kernel, type KernelOptions } from '../core/kernel/index.ts'
+
+/**
+ * Starts an entry process.
+ *
+ * @param settings - its settings
+ * @param options - logger and dialer
+ * @returns the running kernel
+ */
+export async function startEntry (
+  settings: EntrySettings, options: Pick<KernelOptions, 'logger' | 'dialer'>
+): Promise<Kernel> {
+  return await startKernel({ ...options, settings, plugins: ['readiness'] })
+}
--- /dev/null
+++ b/src/registry/index.ts
@@ -0,0 +1,210 @@
+/**
+ * Plug-in `registry`: the rows that entry processes share. It registers this process, reads the table every second, and
+ * asks peers for their copy while the store does not answer this host.
+ */
+import { randomUUID } from 'node:crypto'
+import type { EntrySettings } from '../core/config/entry-settings.ts'
+import { describeThrown } from '../core/errors/index.ts'
+import { registerPlugin } from '../core/kernel/index.ts'
+import { repeat } from '../core/time/repeat.ts'
+import type { StoreTransaction } from '../ports/index.ts'
+import { createSnapshot, UNKNOWN_REGISTRY, type KnownHost, type RegistrySnapshot } from './snapshot.ts'
+import { REGISTRY_TABLE, registryKeys, relayedSnapshotSchema, type HostRow } from './types.ts'
+
+export type { KnownHost, RegistrySnapshot } from './snapshot.ts'
+export * from './types.ts'
+
+/** Service of the plug-in. */
+export interface Registry {
+  readonly self: { name: string, process: string }
+  /** The newest snapshot. */
+  readonly current: RegistrySnapshot
+  /** Time since the store was last asked with an answer that shows this process as registered, in milliseconds. */
+  confirmedAgeMs: () => number
+  /** Other hosts that are registered. */
+  peers: () => KnownHost[]
+  /**
+   * Reads the table now.
+   *
+   * @returns whether the store answered
+   */
+  refresh: () => Promise<boolean>
+  /**
+   * Writes rows of the table under conditions, and reads it again.
+   *
+   * @returns whether the conditions held
+   * @throws WorkswardError `PlatformUnavailable`; the rows may have been written
+   */
+  write: (transaction: Omit<StoreTransaction, 'table'>) => Promise<boolean>
+  /** Calls back after each new snapshot. */
+  onChange: (listener: () => void) => void
+  /** Asks peers to read the table now. */
+  nudgePeers: () => void
+  /** Time of the store's clock now, as the least it can be, in milliseconds. */
+  storeNowAtLeastMs: () => number
+  /** Time of the store's clock now, as the most it can be, in milliseconds. */
+  storeNowAtMostMs: () => number
+}
+
+declare module '../core/kernel/index.ts' {
+  interface Services { registry: Registry }
+}
+
+/** Time between two reads of the table, in milliseconds: an eighth of the time a host may go on unconfirmed. */
+const POLL_MS = 1000
+/** Age of the newest confirmation beyond which peers are asked, in milliseconds: one read has failed. */
+const RELAY_AFTER_MS = 2000
+/** Time a peer has to answer, in milliseconds. */
+const PEER_TIMEOUT_MS = 600
+/** Peers asked in one round. */
+const PEERS_ASKED = 3
+
+registerPlugin({
+  name: 'registry',
+  needs: ['ports', 'peers'],
+  start: (context) => {
+    const { host } = context.settings as EntrySettings
+    const { store } = context.use('ports')
+    const peers = context.use('peers')
+    const { logger } = context
+    const self = { name: host.name, process: randomUUID() }
+    const ownRow: HostRow = {
+      address: host.address, port: peers.port, failureDomain: host.failureDomain, process: self.process
+    }
+    const listeners: Array<() => void> = []
+    let current = UNKNOWN_REGISTRY
+    let confirmedAt = -Infinity
+    let storeAnswers = true
+    let clockOffsets = { least: 0, most: 0 }
+    let leaving = false
+    let reading: Promise<boolean> | undefined
+    let round = 0
+
+    const takeOver = (snapshot: RegistrySnapshot): void => {
+      if (snapshot.version < current.version) {
+        return
+      }
+      current = snapshot
+      if (snapshot.hosts.some(({ name, process }) => name === self.name && process === self.process)) {
+        confirmedAt = Math.max(confirmedAt, snapshot.askedAt)
+      }
+      listeners.forEach((listener) => listener())
+    }
+    const noteStore = (answers: boolean, reason?: string): void => {
+      if (answers !== storeAnswers) {
+        storeAnswers = answers
+        logger.log(answers ? 'info' : 'warn', answers ? 'store.regained' : 'store.lost', {
+          reason, confirmedAgeMs: Math.round(performance.now() - confirmedAt), version: current.version
+        })
+      }
+    }
+    const read = async (): Promise<boolean> => {
+      const askedAt = performance.now()
+      try {
+        const { rows, version, nowMs } = await store.list(REGISTRY_TABLE)
+        clockOffsets = { least: nowMs - performance.now(), most: nowMs - askedAt }
+        noteStore(true)
+        takeOver(createSnapshot(rows, version, askedAt))
+        return true
+      } catch (thrown) {
+        noteStore(false, describeThrown(thrown))
+        return false
+      }
+    }
+    const refresh = async (): Promise<boolean> => {
+      reading ??= read().finally(() => { reading = undefined })
+      return await reading
+    }
+    const register = async (): Promise<void> => {
+      const own = current.hosts.find(({ name }) => name === self.name)
+      if (current.version < 0 || leaving || own?.process === self.process) {
+        return
+      }
+      const key = registryKeys.host(self.name)
+      await store.write({
+        table: REGISTRY_TABLE,
+        expected: [{ key, version: own?.version ?? 0 }],
+        put: [{ key, value: JSON.stringify(ownRow) }]
+      })
+      logger.log('info', 'registry.registered', { process: self.process })
+      await refresh()
+    }
+    const others = (): KnownHost[] => current.hosts.filter(({ name }) => name !== self.name)
+    const askPeers = async (): Promise<void> => {
+      const all = others()
+      const asked = all.length <= PEERS_ASKED
+        ? all
+        : Array.from({ length: PEERS_ASKED }, (_, index) => all[(round * PEERS_ASKED + index) % all.length]!)
+      round++
+      await Promise.all(asked.map(async (peer) => {
+        const askedAt = performance.now()
+        try {
+          const reply = await peers.request(peer, 'registry-snapshot', {}, PEER_TIMEOUT_MS)
+          const { rows, version, ageMs } = relayedSnapshotSchema.parse(reply)
+          takeOver(createSnapshot(rows, version, askedAt - ageMs))
+        } catch (thrown) {
+          logger.log('debug', 'registry.peer-silent', { peer: peer.name, reason: describeThrown(thrown) })
+        }
+      }))
+    }
+
+    peers.handle('registry-snapshot', async () => ({
+      version: current.version,
+      rows: current.rows,
+      ageMs: current.version < 0 ? Number.MAX_SAFE_INTEGER : performance.now() - current.askedAt
+    }))
+    peers.handle('registry-nudge', async () => {
+      void refresh()
+      return {}
+    })
+    const stopPolling = repeat(POLL_MS, async () => {
+      await refresh()
+      await register()
+    }, (thrown) => logger.log('warn', 'registry.register-failed', { reason: describeThrown(thrown) }))
+    const stopRelay = repeat(POLL_MS, async () => {
+      if (performance.now() - current.askedAt > RELAY_AFTER_MS) {
+        await askPeers()
+      }
+    })
+
+    const write = async (transaction: Omit<StoreTransaction, 'table'>): Promise<boolean> => {
+      const applied = await store.write({ ...transaction, table: REGISTRY_TABLE })
+      await refresh()
+      return applied
+    }
+
+    return {
+      service: {
+        self,
+        get current () { return current },
+        confirmedAgeMs: () => performance.now() - confirmedAt,
+        peers: others,
+        refresh,
+        write,
+        onChange: (listener) => { listeners.push(listener) },
+        nudgePeers: () => others().forEach((peer) => {
+          peers.request(peer, 'registry-nudge', {}, PEER_TIMEOUT_MS).catch((thrown: unknown) =>
+            logger.log('debug', 'registry.peer-silent', { peer: peer.name, reason: describeThrown(thrown) }))
+        }),
+        storeNowAtLeastMs: () => performance.now() + clockOffsets.least,
+        storeNowAtMostMs: () => performance.now() + clockOffsets.most
+      },
+      dump: () => ({ self, version: current.version, hosts: current.hosts, duty: current.duty.row }),
+      drain: async () => {
+        leaving = true
+        const own = current.hosts.find(({ name }) => name === self.name)
+        if (own?.process === self.process) {
+          const key = registryKeys.host(self.name)
+          await store.write({
+            table: REGISTRY_TABLE, expected: [{ key, version: own.version }], put: [], remove: [key]
+          }).catch((thrown: unknown) =>
+            logger.log('warn', 'registry.unregister-failed', { reason: describeThrown(thrown) }))
+        }
+      },
+      close: () => {
+        stopPolling()
+        stopRelay()
+      }
+    }
+  }
+})
--- /dev/null
+++ b/src/registry/types.ts
@@ -0,0 +1,67 @@
+/** Rows that the entry processes keep in the store, all in one table, so that one read shows them as of one moment. */
+import { z } from 'zod'
+
+/** Table of the rows. */
+export const REGISTRY_TABLE = 'worksward'
+
+/** A host on which an entry process runs or ran. */
+export const hostRowSchema = z.object({
+  address: z.string(),
+  /** Port for peers. */
+  port: z.number().int(),
+  failureDomain: z.string(),
+  /** Identity of the running process; a restart makes another one. */
+  process: z.string()
+})
+
+/** Who leads a group. */
+export const groupRowSchema = z.object({
+  /** Raised whenever work at the primary is allowed or stopped anew. */
+  epoch: z.number().int(),
+  primary: z.string(),
+  /** `open`: hosts may work at the primary. `closed`: they may not; a successor is being made. */
+  state: z.enum(['open', 'closed']),
+  /** Newest term of the group's log that the writer knew. */
+  term: z.number().int(),
+  /** Host that wrote the row. */
+  writtenBy: z.string()
+})
+
+/** The lease on the duty of promoting. */
+export const dutyRowSchema = z.object({
+  holder: z.string(),
+  /** Process of the holder. */
+  process: z.string(),
+  /** Fencing token; raised with every change of the holder. */
+  fence: z.number().int(),
+  /** End of the lease on the store's clock, in milliseconds. */
+  expiresMs: z.number()
+})
+
+/** A host on which an entry process runs or ran. */
+export type HostRow = z.infer<typeof hostRowSchema>
+/** Who leads a group. */
+export type GroupRow = z.infer<typeof groupRowSchema>
+/** The lease on the duty of promoting. */
+export type DutyRow = z.infer<typeof dutyRowSchema>
+
+/** A row with its version; 0 when there is none. */
+export interface Versioned<Row> {
+  row: Row | undefined
+  version: number
+}
+
+/** Keys of the rows. */
+export const registryKeys = {
+  host: (name: string): string => `host/${name}`,
+  group: (name: string): string => `group/${name}`,
+  duty: 'duty/promotion'
+} as const
+
+/** A snapshot of the table as peers pass it on. */
+export const relayedSnapshotSchema = z.object({
+  version: z.number(),
+  rows: z.array(z.object({ key: z.string(), value: z.string(), version: z.number() })),
+  /** Time since the question to the store was sent, in milliseconds. */
+  ageMs: z.number()
+})
--- a/src/upstreams/position.ts
+++ b/src/upstreams/position.ts
@@ -90,3 +90,13 @@
 export function majorityOf (upstreams: number): number {
   return Math.floor(upstreams / 2) + 1
 }
+
+/**
+ * Formats a place for logs.
+ *
+ * @param place - the place
+ * @returns `term.position`; undefined for none
+ */
+export function formatPosition (place: LogPosition | undefined): string | undefined {
+  return place === undefined ? undefined : `${place.term}.${place.position}`
+}
--- /dev/null
+++ b/test/platform/caller-port.test.ts
@@ -0,0 +1,130 @@
+import { once } from 'node:events'
+import { connect, type Socket } from 'node:net'
+import { afterEach, describe, it } from 'node:test'
+import { expect } from 'earl'
+import { createCallerPort } from '../../platform/caller-port.ts'
+import { MAXIMUM_MESSAGE_BYTES } from '../../platform/line-wire.ts'
+import { silentLogger } from '../../src/core/logger/index.ts'
+import type { CallerHandler, CallerLink, CallerRequest, StatementAnswer } from '../../src/ports/index.ts'
+
+const closers: Array<() => Promise<void> | void> = []
+
+interface Listening {
+  port: number
+  links: CallerLink[]
+  served: CallerRequest[]
+}
+
+async function freePort (): Promise<number> {
+  const { createServer } = await import('node:net')
+  const server = createServer().listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  const address = server.address()
+  server.close()
+  await once(server, 'close')
+  return typeof address === 'object' && address !== null ? address.port : 0
+}
+
+async function listen (answer: (request: CallerRequest) => Promise<StatementAnswer>): Promise<Listening> {
+  const links: CallerLink[] = []
+  const served: CallerRequest[] = []
+  const port = await freePort()
+  const listener = await createCallerPort(silentLogger).listen({ address: '127.0.0.1', port }, (link) => {
+    links.push(link)
+    const handler: CallerHandler = {
+      serve: async (request) => {
+        served.push(request)
+        return await answer(request)
+      },
+      close: () => {}
+    }
+    return handler
+  })
+  closers.push(listener.close)
+  return { port, links, served }
+}
+
+interface Calling {
+  socket: Socket
+  text: () => string
+  until: (part: string) => Promise<void>
+}
+
+async function call (port: number): Promise<Calling> {
+  const socket = connect({ port, host: '127.0.0.1', allowHalfOpen: true })
+  closers.push(() => { socket.destroy() })
+  let received = ''
+  socket.on('data', (data) => { received += data.toString('latin1') })
+  socket.on('error', () => {})
+  await once(socket, 'connect')
+  return {
+    socket,
+    text: () => received,
+    until: async (part) => {
+      while (!received.includes(part) && !socket.readableEnded) {
+        await Promise.race([once(socket, 'data'), once(socket, 'end'), once(socket, 'close')])
+      }
+    }
+  }
+}
+
+const done: StatementAnswer = { rows: ['r w'], signature: 's.1', state: 'idle', position: { term: 3, position: 9 } }
+
+afterEach(async () => {
+  for (const close of closers.splice(0)) {
+    await close()
+  }
+})
+
+describe('callers on the line wire', () => {
+  it('passes texts on byte for byte and writes the answer in full', async () => {
+    const { port, served } = await listen(async () => done)
+    const caller = await call(port)
+    caller.socket.write(Buffer.from('START d1 u1\r\nQUERY 7a WRITE k a  b\xe9 \r\n', 'latin1'))
+    await caller.until('3.9')
+    expect(caller.text()).toEqual('READY I -\r\nROW r w\r\nDONE s.1\r\nREADY I 3.9\r\n')
+    expect(served).toEqual([{ id: '7a', statement: { type: 'data', access: 'write', text: 'WRITE k a  b\xe9 ' } }])
+  })
+
+  it('serves nothing that comes after it has ended the connection', async () => {
+    const { port, links, served } = await listen(async () => done)
+    const caller = await call(port)
+    caller.socket.write('START d1 u1\r\n')
+    await caller.until('READY')
+    links[0]!.end()
+    await once(caller.socket, 'end')
+    caller.socket.write('QUERY 7a WRITE k v\r\n')
+    await new Promise((resolve) => { setTimeout(resolve, 50) })
+    expect(served).toEqual([])
+  })
+
+  it('answers what is in progress before it ends the connection', async () => {
+    let finish = (_answer: StatementAnswer): void => {}
+    const { port, links } = await listen(async () => await new Promise((resolve) => { finish = resolve }))
+    const caller = await call(port)
+    caller.socket.write('START d1 u1\r\nQUERY 7a READ k\r\n')
+    await caller.until('READY')
+    await new Promise((resolve) => { setTimeout(resolve, 20) })
+    links[0]!.end()
+    finish(done)
+    await once(caller.socket, 'end')
+    expect(caller.text()).toEqual('READY I -\r\nROW r w\r\nDONE s.1\r\nREADY I 3.9\r\n')
+  })
+
+  it('refuses bad input with a clear error and harms nobody else', async () => {
+    const { port } = await listen(async () => done)
+    const other = await call(port)
+    other.socket.write('START d1 u1\r\n')
+    const wrong = await call(port)
+    wrong.socket.write('HELLO\r\n')
+    await wrong.until('ERR')
+    expect(wrong.text()).toEqual('ERR MALFORMED the first line must be START\r\n')
+    const long = await call(port)
+    long.socket.write('START d1 u1\r\n' + 'x'.repeat(MAXIMUM_MESSAGE_BYTES + 1))
+    await long.until('TOOBIG')
+    expect(long.text()).toEqual('READY I -\r\nERR TOOBIG a message may have 1 MiB\r\n')
+    other.socket.write('QUERY 1 READ k\r\n')
+    await other.until('3.9')
+    expect(other.text().endsWith('READY I 3.9\r\n')).toEqual(true)
+  })
+})
