Serve callers that connect at the last moment of a planned stop; end in time without the store

A host whose store did not answer waited for the removal of its row and was killed at the end of its time.

Conclusion: stop listening first, then wait.

--- a/src/entry/consts.ts
+++ b/src/entry/consts.ts
@@ -16,6 +16,8 @@
 export const STOP_IDLE_MS = 2200
 /** Time before the kill at which everything left is ended. */
 export const STOP_RESERVE_MS = 900
+/** Time without a request after which a session is ended while stopping; callers send the next one sooner or later. */
+export const STOP_QUIET_MS = 150
 /** Time between two looks at the sessions while stopping. */
 export const STOP_POLL_MS = 50
 /** Time of `drainMs` that is kept back, so that what is under way still arrives before its end. */
--- a/src/entry/index.ts
+++ b/src/entry/index.ts
@@ -4,7 +4,7 @@
 import { pause } from '../core/time/deadline.ts'
 import { parseEndpoint } from '../core/wire/dialer.ts'
 import { createRetryBudget } from '../routing/retry-budget.ts'
-import { STOP_IDLE_MS, STOP_POLL_MS, STOP_RESERVE_MS } from './consts.ts'
+import { STOP_IDLE_MS, STOP_POLL_MS, STOP_QUIET_MS, STOP_RESERVE_MS } from './consts.ts'
 import { createSession, type Session } from './session.ts'
 import type { EntryContext } from './types.ts'
 
@@ -58,7 +58,7 @@
         if (session.inTransaction && elapsedMs > graceMs / 2) {
           session.abortTransaction('this host is stopping')
         }
-        if (!session.busy && !session.inTransaction && elapsedMs > STOP_IDLE_MS) {
+        if (session.idleMs > STOP_QUIET_MS && elapsedMs > STOP_IDLE_MS) {
           session.end()
         }
       }
@@ -69,10 +69,16 @@
       drain: async () => {
         const startedAt = performance.now()
         const elapsed = (): number => performance.now() - startedAt
-        while (elapsed() < graceMs - STOP_RESERVE_MS && (sessions.size > 0 || elapsed() < STOP_IDLE_MS)) {
-          endSome(elapsed())
-          await pause(STOP_POLL_MS)
+        const emptyUntil = async (leastMs: number): Promise<void> => {
+          while (elapsed() < graceMs - STOP_RESERVE_MS && (sessions.size > 0 || elapsed() < leastMs)) {
+            endSome(elapsed())
+            await pause(STOP_POLL_MS)
+          }
         }
+        await emptyUntil(STOP_IDLE_MS)
+        // Callers that connected at the last moment are served before the process ends.
+        listener.stopAccepting()
+        await emptyUntil(elapsed() + STOP_QUIET_MS)
         logger.log('info', 'callers.drained', { left: sessions.size })
       },
       close: async () => { await listener.close() }
--- a/src/entry/session.ts
+++ b/src/entry/session.ts
@@ -28,6 +28,8 @@
 /** A caller's session. */
 export interface Session extends CallerHandler {
   readonly busy: boolean
+  /** Time without a request or an open transaction, in milliseconds. */
+  readonly idleMs: number
   readonly inTransaction: boolean
   /** Ends the open transaction from this side. */
   abortTransaction: (reason: string) => void
@@ -60,6 +62,7 @@
   let floor: LogPosition | undefined
   let busy = false
   let closed = false
+  let idleSince = performance.now()
   let failureTold = false
   let trace: RequestTrace = { attempts: 0 }
 
@@ -278,6 +281,7 @@
 
   return {
     get busy () { return busy },
+    get idleMs () { return busy || transaction !== undefined ? 0 : performance.now() - idleSince },
     get inTransaction () { return transaction !== undefined },
     serve: async (request) => {
       const startedAt = performance.now()
@@ -285,6 +289,7 @@
       trace = { attempts: 0 }
       const answer = await answerOf(request)
       busy = false
+      idleSince = performance.now()
       failureTold ||= answer.state === 'failed'
       report(request, answer, performance.now() - startedAt)
       if (closed) {
--- a/src/ports/types.ts
+++ b/src/ports/types.ts
@@ -6,6 +6,8 @@
 /** A listening socket for callers. */
 export interface CallerListener {
   readonly connections: number
+  /** Takes no further connections; those that are open go on. */
+  stopAccepting: () => void
   /** Stops listening and breaks what is left. */
   close: () => Promise<void>
 }
--- a/src/registry/index.ts
+++ b/src/registry/index.ts
@@ -6,6 +6,7 @@
 import type { EntrySettings } from '../core/config/entry-settings.ts'
 import { describeThrown } from '../core/errors/index.ts'
 import { registerPlugin } from '../core/kernel/index.ts'
+import { within } from '../core/time/deadline.ts'
 import { repeat } from '../core/time/repeat.ts'
 import type { StoreTransaction } from '../ports/index.ts'
 import { createSnapshot, UNKNOWN_REGISTRY, type KnownHost, type RegistrySnapshot } from './snapshot.ts'
@@ -54,6 +55,8 @@
 const POLL_MS = 1000
 /** Age of the newest confirmation beyond which peers are asked, in milliseconds: one read has failed. */
 const RELAY_AFTER_MS = 2000
+/** Time that a stop waits for this host's row to be removed, in milliseconds; peers forget the row otherwise. */
+const UNREGISTER_MS = 400
 /** Time a peer has to answer, in milliseconds. */
 const PEER_TIMEOUT_MS = 600
 /** Peers asked in one round. */
@@ -195,10 +198,11 @@
         const own = current.hosts.find(({ name }) => name === self.name)
         if (own?.process === self.process) {
           const key = registryKeys.host(self.name)
-          await store.write({
+          const removing = store.write({
             table: REGISTRY_TABLE, expected: [{ key, version: own.version }], put: [], remove: [key]
           }).catch((thrown: unknown) =>
             logger.log('warn', 'registry.unregister-failed', { reason: describeThrown(thrown) }))
+          await within(removing, UNREGISTER_MS)
         }
       },
       close: () => {
