Give up silent hosts before a failover needs it; keep the duty while waiting for one

Each host now watches the next one and retires its row; the rights of a retired host lapse while nobody waits. The test of the time of a failover showed two more: the promoter's lease ended while it waited, so that another one began anew, and both promoted in the end; a host that did not answer held up the count of who reaches a primary. Ruled out: a shorter right, which would stop work in outages of the store.

Conclusion: membership must be known before it is needed.

--- a/src/leadership/closing.ts
+++ b/src/leadership/closing.ts
@@ -1,13 +1,14 @@
 /** Makes sure that no host works at a primary any more before another upstream is promoted. */
-import { describeThrown, RequestError } from '../core/errors/index.ts'
+import { describeThrown } from '../core/errors/index.ts'
 import type { Logger } from '../core/logger/index.ts'
 import { pause } from '../core/time/deadline.ts'
 import type { Peers } from '../peers/index.ts'
-import { registryKeys, type KnownHost, type Registry } from '../registry/index.ts'
-import { CLOSE_TRY_MS, RIGHT_MARGIN_MS, RIGHT_MS } from './consts.ts'
+import { isRefusal, type KnownHost, type Registry } from '../registry/index.ts'
+import { CLOSE_TRY_MS } from './consts.ts'
+import { RIGHT_MARGIN_MS, RIGHT_MS } from '../registry/consts.ts'
 
 /** How it is known that a host does not work at the primary any more. */
-type ClosedBecause = 'acknowledged' | 'not-running' | 'restarted' | 'unregistered' | 'right-lapsed'
+type ClosedBecause = 'acknowledged' | 'not-running' | 'restarted' | 'unregistered' | 'right-lapsed' | 'retired'
 
 /** Options of {@link awaitClosed}. */
 export interface ClosingOptions {
@@ -32,17 +33,13 @@
  */
 export async function awaitClosed (options: ClosingOptions): Promise<void> {
   const { registry, logger, group, epoch } = options
-  const silent: KnownHost[] = []
-  await Promise.all(registry.peers().map(async (host) => {
+  const others = registry.current.hosts.filter(({ name }) => name !== registry.self.name)
+  await Promise.all(others.map(async (host) => {
     const because = await awaitHost(host, options)
-    if (because === 'right-lapsed') {
-      silent.push(host)
-    }
     logger.log('info', 'leadership.host-closed', {
       group, epoch, peer: host.name, because, waitedMs: Math.round(performance.now() - options.closedAt)
     })
   }))
-  await forgetSilent(silent, options)
 }
 
 async function awaitHost (host: KnownHost, options: ClosingOptions): Promise<ClosedBecause> {
@@ -53,7 +50,11 @@
     if (now === undefined) {
       return 'unregistered'
     }
-    if (now.process !== host.process) {
+    if (now.retiredUntilMs !== undefined && registry.storeNowAtLeastMs() >= now.retiredUntilMs) {
+      return 'retired'
+    }
+    // A host that was given up and is back may be the same process, which has not read the table yet: it is asked.
+    if (host.retiredUntilMs === undefined && now.retiredUntilMs === undefined && now.process !== host.process) {
       return 'restarted'
     }
     if (performance.now() >= lapsesAt) {
@@ -71,26 +72,3 @@
     }
   }
 }
-
-/** A silent host registers itself anew if it comes back; until then nobody need wait for it again. */
-async function forgetSilent (silent: KnownHost[], { registry, logger }: ClosingOptions): Promise<void> {
-  for (const { name, version } of silent) {
-    const key = registryKeys.host(name)
-    try {
-      const removed = await registry.write({ expected: [{ key, version }], put: [], remove: [key] })
-      logger.log('info', 'registry.host-removed', { peer: name, removed })
-    } catch (thrown) {
-      logger.log('warn', 'registry.host-not-removed', { peer: name, reason: describeThrown(thrown) })
-    }
-  }
-}
-
-/**
- * Says whether a failed request to a peer shows that no process listens there.
- *
- * @param thrown - the failure
- * @returns whether the connection was refused
- */
-export function isRefusal (thrown: unknown): boolean {
-  return thrown instanceof RequestError && thrown.verdict === 'not-run' && thrown.message.includes('ECONNREFUSED')
-}
--- a/src/leadership/consts.ts
+++ b/src/leadership/consts.ts
@@ -1,18 +1,15 @@
 /** Times of leadership, in milliseconds. */
 
-/**
- * Time for which a host goes on working at a primary without a confirmation by the store, counted from sending the
- * question. Longer outlasts longer outages of the store; shorter makes a failover quicker when a host is silent.
- */
-export const RIGHT_MS = 8000
-/** What a promoter waits beyond {@link RIGHT_MS}: statements that are sent at the last moment end within it. */
-export const RIGHT_MARGIN_MS = 1000
 /** Time after the end of its right at which a host breaks what is still in progress at the primary. */
 export const LAPSE_SLACK_MS = 250
 /** Time that statements in progress have to end when a primary is closed. */
 export const CLOSING_MS = 150
 /** Length of the lease on the duty of promoting; a promotion takes less than half of it. */
 export const DUTY_LEASE_MS = 5000
+/** Time between two renewals while a promoter waits for hosts to stop. */
+export const DUTY_RENEW_MS = 1500
+/** Least time between two questions whether a silent upstream is there. */
+export const SUSPECT_MS = 250
 /** Least rest of the lease with which a promotion is ordered: the order's own time limit. */
 export const DUTY_REST_MS = 2000
 /** Time between two looks at every group. */
--- a/src/leadership/index.ts
+++ b/src/leadership/index.ts
@@ -6,14 +6,13 @@
 import { registerPlugin } from '../core/kernel/index.ts'
 import { pause } from '../core/time/deadline.ts'
 import { repeat } from '../core/time/repeat.ts'
-import { registryKeys, type DutyRow, type GroupRow } from '../registry/index.ts'
-import { isRefusal } from './closing.ts'
-import {
-  CLOSE_TRY_MS, CLOSING_MS, LAPSE_SLACK_MS, PROBE_MS, REACH_MS, RETRY_MS, RIGHT_MS, WATCH_MS
-} from './consts.ts'
+import { isRefusal, registryKeys, type DutyRow, type GroupRow, type KnownHost } from '../registry/index.ts'
+import { CLOSE_TRY_MS, CLOSING_MS, LAPSE_SLACK_MS, PROBE_MS, REACH_MS, RETRY_MS, SUSPECT_MS, WATCH_MS } from './consts.ts'
+import { RIGHT_MS } from '../registry/consts.ts'
 import { takeDuty } from './duty.ts'
 import { createRights, type Rights } from './rights.ts'
 import { runSuccession } from './succession.ts'
+import { countReach } from './reach.ts'
 import { closeGroupSchema, reachAnswerSchema, reachQuestionSchema } from './types.ts'
 import { assessGroup, staggerOf, type GroupNeed } from './watch.ts'
 
@@ -82,23 +81,20 @@
     }
     peers.handle('reach', async (body) => ({ reached: await reaches(reachQuestionSchema.parse(body).upstream) }))
 
+    const askReach = async (peer: KnownHost, upstream: string): Promise<boolean | undefined> => {
+      try {
+        return reachAnswerSchema.parse(await peers.request(peer, 'reach', { upstream }, REACH_MS)).reached
+      } catch (thrown) {
+        logger.log('debug', 'leadership.peer-silent', { peer: peer.name, reason: describeThrown(thrown) })
+        return undefined
+      }
+    }
     /** Whether at least half of the hosts that answer cannot reach an upstream. */
     const isLostToMost = async (group: string, upstream: string): Promise<boolean> => {
-      const answers = await Promise.all([
-        reaches(upstream),
-        ...registry.peers().map(async (peer) => {
-          try {
-            return reachAnswerSchema.parse(await peers.request(peer, 'reach', { upstream }, REACH_MS)).reached
-          } catch (thrown) {
-            logger.log('debug', 'leadership.peer-silent', { peer: peer.name, reason: describeThrown(thrown) })
-            return undefined
-          }
-        })
-      ])
-      const reached = answers.filter((answer) => answer === true).length
-      const lost = answers.filter((answer) => answer === false).length
-      logger.log('info', 'leadership.reach', { group, upstream, reached, lost, silent: answers.length - reached - lost })
-      return lost >= reached
+      const questions = [reaches(upstream), ...registry.peers().map(async (peer) => await askReach(peer, upstream))]
+      const verdict = await countReach(questions)
+      logger.log('info', 'leadership.reach', { group, upstream, ...verdict })
+      return verdict.lost >= verdict.reached
     }
     const hasEnded = async ({ holder, process }: DutyRow): Promise<boolean> => {
       const row = registry.current.hosts.find(({ name }) => name === holder)
@@ -217,7 +213,7 @@
             return
           }
           suspected.add(name)
-          void pools.probe(upstream, PROBE_MS).finally(() => suspected.delete(name))
+          void Promise.all([pools.probe(upstream, PROBE_MS), pause(SUSPECT_MS)]).finally(() => suspected.delete(name))
         }
       },
       dump: () => ({
--- a/src/leadership/rights.ts
+++ b/src/leadership/rights.ts
@@ -3,7 +3,7 @@
  * registry, and on what peers have asked to be closed.
  */
 import type { Registry } from '../registry/index.ts'
-import { RIGHT_MS } from './consts.ts'
+import { RIGHT_MS } from '../registry/consts.ts'
 import type { PrimaryRight } from './types.ts'
 
 /** Rights to primaries. */
--- a/src/leadership/succession.ts
+++ b/src/leadership/succession.ts
@@ -6,6 +6,7 @@
 import { describeThrown } from '../core/errors/index.ts'
 import type { Logger } from '../core/logger/index.ts'
 import { pause } from '../core/time/deadline.ts'
+import { repeat } from '../core/time/repeat.ts'
 import type { Directory, KnownUpstream } from '../directory/index.ts'
 import type { Peers } from '../peers/index.ts'
 import type { Pools } from '../pools/index.ts'
@@ -13,7 +14,7 @@
 import { registryKeys, type GroupRow, type Registry } from '../registry/index.ts'
 import { comparePositions, formatPosition, type LogPosition } from '../upstreams/position.ts'
 import { awaitClosed } from './closing.ts'
-import { CATCH_UP_MS, OUTDATED_WAIT_MS, PROBE_MS, SUCCESSOR_POLL_MS, TAKE_EFFECT_MS } from './consts.ts'
+import { CATCH_UP_MS, DUTY_RENEW_MS, OUTDATED_WAIT_MS, PROBE_MS, SUCCESSOR_POLL_MS, TAKE_EFFECT_MS } from './consts.ts'
 import type { HeldDuty } from './duty.ts'
 import type { SuccessionReason } from './types.ts'
 
@@ -62,23 +63,24 @@
   }
   const { epoch, primary } = before.row
   const old = options.directory.get(primary)
+  const stopRenewing = repeat(DUTY_RENEW_MS, async () => { await options.duty() })
   const [stopped, reports] = await Promise.all([
     stopOld(options, old),
     askAll(options),
     options.closeHere(epoch),
     awaitClosed({ ...options, epoch, closedAt })
-  ])
+  ]).finally(stopRenewing)
   const caughtUp = stopped === undefined ? reports : await awaitCatchUp(options, stopped.received, primary)
-  const successor = await promoteOne(options, caughtUp, primary, options.closedSince ?? closedAt)
+  const successor = await promoteOne(options, caughtUp, before.row, closedAt)
   return successor === undefined ? undefined : await openEpoch(options, successor)
 }
 
 /** Writes that the epoch is closed; returns when that was certain. */
 async function closeEpoch (
-  { group, registry, logger, knownTerm }: SuccessionOptions, row: GroupRow, version: number
+  { group, registry, logger, knownTerm, closedSince }: SuccessionOptions, row: GroupRow, version: number
 ): Promise<number | undefined> {
   if (row.state === 'closed') {
-    return performance.now()
+    return closedSince ?? performance.now()
   }
   const key = registryKeys.group(group)
   const closed: GroupRow = {
@@ -148,9 +150,10 @@
 }
 
 async function promoteOne (
-  options: SuccessionOptions, candidates: Candidate[], oldPrimary: string, closedAt: number
+  options: SuccessionOptions, candidates: Candidate[], closed: GroupRow, closedAt: number
 ): Promise<Candidate | undefined> {
   const { group, logger, registry, knownTerm } = options
+  const oldPrimary = closed.primary
   const closedTerm = Math.max(knownTerm, registry.current.group(group).row?.term ?? 0)
   const led = candidates.find(({ upstream, report }) =>
     report.role === 'primary' && upstream.upstream !== oldPrimary && report.term > closedTerm)
@@ -162,7 +165,7 @@
   const mayBeOutdated = performance.now() - closedAt >= OUTDATED_WAIT_MS
   const fit = candidates.filter(({ report }) => mayBeOutdated || report.term >= closedTerm)
   for (const candidate of rank(fit, oldPrimary)) {
-    const promoted = await promote(options, candidate)
+    const promoted = await promote(options, candidate, closed.epoch)
     if (promoted !== undefined) {
       return promoted
     }
@@ -171,10 +174,13 @@
   return undefined
 }
 
-async function promote (options: SuccessionOptions, { upstream, report }: Candidate): Promise<Candidate | undefined> {
+async function promote (
+  options: SuccessionOptions, { upstream, report }: Candidate, epoch: number
+): Promise<Candidate | undefined> {
   const { group, logger, promotion, registry } = options
   const duty = await options.duty()
-  if (duty === undefined || !duty.mayOrder()) {
+  const { row } = registry.current.group(group)
+  if (duty === undefined || !duty.mayOrder() || row?.state !== 'closed' || row.epoch !== epoch) {
     return undefined
   }
   const name = upstream.upstream
--- a/src/leadership/watch.ts
+++ b/src/leadership/watch.ts
@@ -58,5 +58,5 @@
   const order = (name: string): string =>
     name === holder ? '' : createHash('sha256').update(`${group} ${name}`).digest('hex')
   const own = order(self.name)
-  return STAGGER_MS * current.hosts.filter(({ name }) => order(name) < own).length
+  return STAGGER_MS * current.liveHosts.filter(({ name }) => order(name) < own).length
 }
--- a/src/pools/index.ts
+++ b/src/pools/index.ts
@@ -54,7 +54,7 @@
 
     const shareOf = (group: string): number => {
       const cap = desiredState.current?.connectionCaps.get(group) ?? UNKNOWN_CAP
-      return Math.max(1, Math.floor(cap / Math.max(1, registry.current.hosts.length)))
+      return Math.max(1, Math.floor(cap / Math.max(1, registry.current.liveHosts.length)))
     }
     const create = ({ upstream, group, endpoint }: KnownUpstream): UsedUpstream => {
       const health = createUpstreamHealth()
--- a/src/registry/index.ts
+++ b/src/registry/index.ts
@@ -9,10 +9,13 @@
 import { within } from '../core/time/deadline.ts'
 import { repeat } from '../core/time/repeat.ts'
 import type { StoreTransaction } from '../ports/index.ts'
+import { watchNeighbour } from './neighbour-watch.ts'
+import { RIGHT_MARGIN_MS, RIGHT_MS } from './consts.ts'
 import { createSnapshot, UNKNOWN_REGISTRY, type KnownHost, type RegistrySnapshot } from './snapshot.ts'
 import { REGISTRY_TABLE, registryKeys, relayedSnapshotSchema, type HostRow } from './types.ts'
 
 export type { KnownHost, RegistrySnapshot } from './snapshot.ts'
+export { isRefusal } from './neighbour-watch.ts'
 export * from './types.ts'
 
 /** Service of the plug-in. */
@@ -22,7 +25,7 @@
   readonly current: RegistrySnapshot
   /** Time since the store was last asked with an answer that shows this process as registered, in milliseconds. */
   confirmedAgeMs: () => number
-  /** Other hosts that are registered. */
+  /** Other hosts that are registered and have not been given up. */
   peers: () => KnownHost[]
   /**
    * Reads the table now.
@@ -124,15 +127,15 @@
         return
       }
       const key = registryKeys.host(self.name)
-      await store.write({
+      const written = await store.write({
         table: REGISTRY_TABLE,
         expected: [{ key, version: own?.version ?? 0 }],
         put: [{ key, value: JSON.stringify(ownRow) }]
       })
-      logger.log('info', 'registry.registered', { process: self.process })
+      logger.log('info', 'registry.registered', { process: self.process, before: own?.process, written })
       await refresh()
     }
-    const others = (): KnownHost[] => current.hosts.filter(({ name }) => name !== self.name)
+    const others = (): KnownHost[] => current.liveHosts.filter(({ name }) => name !== self.name)
     const askPeers = async (): Promise<void> => {
       const all = others()
       const asked = all.length <= PEERS_ASKED
@@ -176,22 +179,25 @@
       return applied
     }
 
+    const service: Registry = {
+      self,
+      get current () { return current },
+      confirmedAgeMs: () => performance.now() - confirmedAt,
+      peers: others,
+      refresh,
+      write,
+      onChange: (listener) => { listeners.push(listener) },
+      nudgePeers: () => others().forEach((peer) => {
+        peers.request(peer, 'registry-nudge', {}, PEER_TIMEOUT_MS).catch((thrown: unknown) =>
+          logger.log('debug', 'registry.peer-silent', { peer: peer.name, reason: describeThrown(thrown) }))
+      }),
+      storeNowAtLeastMs: () => performance.now() + clockOffsets.least,
+      storeNowAtMostMs: () => performance.now() + clockOffsets.most
+    }
+    const stopWatching = watchNeighbour({ registry: service, peers, logger, rightMs: RIGHT_MS + RIGHT_MARGIN_MS })
+
     return {
-      service: {
-        self,
-        get current () { return current },
-        confirmedAgeMs: () => performance.now() - confirmedAt,
-        peers: others,
-        refresh,
-        write,
-        onChange: (listener) => { listeners.push(listener) },
-        nudgePeers: () => others().forEach((peer) => {
-          peers.request(peer, 'registry-nudge', {}, PEER_TIMEOUT_MS).catch((thrown: unknown) =>
-            logger.log('debug', 'registry.peer-silent', { peer: peer.name, reason: describeThrown(thrown) }))
-        }),
-        storeNowAtLeastMs: () => performance.now() + clockOffsets.least,
-        storeNowAtMostMs: () => performance.now() + clockOffsets.most
-      },
+      service,
       dump: () => ({ self, version: current.version, hosts: current.hosts, duty: current.duty.row }),
       drain: async () => {
         leaving = true
@@ -206,6 +212,7 @@
         }
       },
       close: () => {
+        stopWatching()
         stopPolling()
         stopRelay()
       }
--- a/src/registry/snapshot.ts
+++ b/src/registry/snapshot.ts
@@ -19,6 +19,8 @@
   readonly askedAt: number
   readonly rows: StoreRow[]
   readonly hosts: KnownHost[]
+  /** Hosts that have not been given up. */
+  readonly liveHosts: KnownHost[]
   group: (name: string) => Versioned<GroupRow>
   readonly duty: Versioned<DutyRow>
 }
@@ -50,6 +52,7 @@
     askedAt,
     rows,
     hosts,
+    liveHosts: hosts.filter(({ retiredUntilMs }) => retiredUntilMs === undefined),
     group: (name) => {
       const known = groups.get(name) ?? read(registryKeys.group(name), groupRowSchema)
       groups.set(name, known)
--- a/src/registry/types.ts
+++ b/src/registry/types.ts
@@ -10,10 +10,15 @@
   /** Port for peers. */
   port: z.number().int(),
   failureDomain: z.string(),
-  /** Identity of the running process; a restart makes another one. */
-  process: z.string()
+  /** Identity of the running process; a restart makes another one. {@link RETIRED_PROCESS} when it was given up. */
+  process: z.string(),
+  /** Time of the store's clock at which the last right of a retired process has lapsed, in milliseconds. */
+  retiredUntilMs: z.number().optional()
 })
 
+/** Stands for the process of a host that peers have given up. */
+export const RETIRED_PROCESS = 'retired'
+
 /** Who leads a group. */
 export const groupRowSchema = z.object({
   /** Raised whenever work at the primary is allowed or stopped anew. */
