Leave a primary in place that only a cut-off minority has lost; break peer links that hang

Cause: in a split, two hosts that still reached the store closed the epoch although the seven others, silent to them, worked at the primary; the closing took effect when the split healed. One of the hosts then acknowledged only after 5.4 s, because the peer's connection from before the split waited for its next retransmission. Ruled out: the lapse of the seven hosts' rights (two lapsed, for 0.4 s).

Conclusion: silent hosts may be at work; they must not be outvoted.

--- a/src/leadership/closing.ts
+++ b/src/leadership/closing.ts
@@ -61,7 +61,7 @@
       return 'right-lapsed'
     }
     try {
-      await peers.request(host, 'close-group', { group, epoch }, CLOSE_TRY_MS)
+      await peers.ask(host, 'close-group', { group, epoch }, CLOSE_TRY_MS)
       return 'acknowledged'
     } catch (thrown) {
       if (isRefusal(thrown)) {
--- a/src/leadership/index.ts
+++ b/src/leadership/index.ts
@@ -12,7 +12,7 @@
 import { takeDuty } from './duty.ts'
 import { createRights, type Rights } from './rights.ts'
 import { runSuccession } from './succession.ts'
-import { countReach } from './reach.ts'
+import { countReach, isLostToMost, type ReachAnswer } from './reach.ts'
 import { closeGroupSchema, reachAnswerSchema, reachQuestionSchema } from './types.ts'
 import { assessGroup, staggerOf, type GroupNeed } from './watch.ts'
 
@@ -81,20 +81,21 @@
     }
     peers.handle('reach', async (body) => ({ reached: await reaches(reachQuestionSchema.parse(body).upstream) }))
 
-    const askReach = async (peer: KnownHost, upstream: string): Promise<boolean | undefined> => {
+    const askReach = async (peer: KnownHost, upstream: string): Promise<ReachAnswer> => {
       try {
-        return reachAnswerSchema.parse(await peers.request(peer, 'reach', { upstream }, REACH_MS)).reached
+        const { reached } = reachAnswerSchema.parse(await peers.ask(peer, 'reach', { upstream }, REACH_MS))
+        return reached ? 'reached' : 'lost'
       } catch (thrown) {
         logger.log('debug', 'leadership.peer-silent', { peer: peer.name, reason: describeThrown(thrown) })
-        return undefined
+        return isRefusal(thrown) ? 'not-running' : 'silent'
       }
     }
-    /** Whether at least half of the hosts that answer cannot reach an upstream. */
-    const isLostToMost = async (group: string, upstream: string): Promise<boolean> => {
-      const questions = [reaches(upstream), ...registry.peers().map(async (peer) => await askReach(peer, upstream))]
+    const shouldReplace = async (group: string, upstream: string): Promise<boolean> => {
+      const own = reaches(upstream).then((reached): ReachAnswer => reached ? 'reached' : 'lost')
+      const questions = [own, ...registry.peers().map(async (peer) => await askReach(peer, upstream))]
       const verdict = await countReach(questions)
       logger.log('info', 'leadership.reach', { group, upstream, ...verdict })
-      return verdict.lost >= verdict.reached
+      return isLostToMost(verdict)
     }
     const hasEnded = async ({ holder, process }: DutyRow): Promise<boolean> => {
       const row = registry.current.hosts.find(({ name }) => name === holder)
@@ -102,7 +103,7 @@
         return true
       }
       try {
-        await peers.request(row, 'registry-snapshot', {}, CLOSE_TRY_MS)
+        await peers.ask(row, 'registry-snapshot', {}, CLOSE_TRY_MS)
         return false
       } catch (thrown) {
         return isRefusal(thrown)
@@ -137,7 +138,7 @@
         return
       }
       const { row } = registry.current.group(group)
-      if (row === undefined || (need === 'unreachable' && !await isLostToMost(group, row.primary))) {
+      if (row === undefined || (need === 'unreachable' && !await shouldReplace(group, row.primary))) {
         return
       }
       await runSuccession({
--- a/src/peers/index.ts
+++ b/src/peers/index.ts
@@ -2,6 +2,7 @@
 import type { MemberSettings } from '../core/config/index.ts'
 import { registerPlugin } from '../core/kernel/index.ts'
 import type { Endpoint } from '../core/wire/dialer.ts'
+import { askPeer } from './ask-peer.ts'
 import { createPeerClient } from './peer-client.ts'
 import { listenForPeers } from './peer-server.ts'
 import type { PeerHandler } from './types.ts'
@@ -12,6 +13,11 @@
   port: number
   /** Sends a request; see {@link PeerClient.request}. */
   request: (endpoint: Endpoint, type: string, body: unknown, timeoutMs: number) => Promise<unknown>
+  /**
+   * Sends a request like {@link Peers.request}, and breaks the link when no answer comes in time: after a partition a
+   * connection may stay silent for many seconds while a new one works.
+   */
+  ask: (endpoint: Endpoint, type: string, body: unknown, timeoutMs: number) => Promise<unknown>
   /** Breaks the link to a peer; see {@link PeerClient.disconnect}. */
   disconnect: (endpoint: Endpoint) => void
   /** Registers the handler for a type of request. */
@@ -40,6 +46,7 @@
       service: {
         port: server.port,
         request: client.request,
+        ask: async (endpoint, type, body, timeoutMs) => await askPeer(client, endpoint, type, body, timeoutMs),
         disconnect: client.disconnect,
         handle: (type, handler) => handlers.set(type, handler),
         get inProgress () { return server.inProgress }
--- a/src/registry/index.ts
+++ b/src/registry/index.ts
@@ -145,7 +145,7 @@
       await Promise.all(asked.map(async (peer) => {
         const askedAt = performance.now()
         try {
-          const reply = await peers.request(peer, 'registry-snapshot', {}, PEER_TIMEOUT_MS)
+          const reply = await peers.ask(peer, 'registry-snapshot', {}, PEER_TIMEOUT_MS)
           const { rows, version, ageMs } = relayedSnapshotSchema.parse(reply)
           takeOver(createSnapshot(rows, version, askedAt - ageMs))
         } catch (thrown) {
@@ -188,7 +188,7 @@
       write,
       onChange: (listener) => { listeners.push(listener) },
       nudgePeers: () => others().forEach((peer) => {
-        peers.request(peer, 'registry-nudge', {}, PEER_TIMEOUT_MS).catch((thrown: unknown) =>
+        peers.ask(peer, 'registry-nudge', {}, PEER_TIMEOUT_MS).catch((thrown: unknown) =>
           logger.log('debug', 'registry.peer-silent', { peer: peer.name, reason: describeThrown(thrown) }))
       }),
       storeNowAtLeastMs: () => performance.now() + clockOffsets.least,
--- a/src/registry/neighbour-watch.ts
+++ b/src/registry/neighbour-watch.ts
@@ -21,7 +21,7 @@
 /** Options of {@link watchNeighbour}. */
 export interface NeighbourWatchOptions {
   registry: Pick<Registry, 'self' | 'current' | 'peers' | 'write' | 'storeNowAtLeastMs' | 'storeNowAtMostMs'>
-  peers: Pick<Peers, 'request' | 'handle'>
+  peers: Pick<Peers, 'ask' | 'handle'>
   logger: Logger
   /** Time for which a host that is not heard may still work at primaries, in milliseconds. */
   rightMs: number
@@ -69,7 +69,7 @@
     }
     const since = silent?.name === host.name && silent.process === host.process ? silent.since : performance.now()
     try {
-      await peers.request(host, 'neighbour', {}, ANSWER_MS)
+      await peers.ask(host, 'neighbour', {}, ANSWER_MS)
       silent = undefined
     } catch (thrown) {
       silent = { name: host.name, process: host.process, since }
--- a/test/entry/failover-time.test.ts
+++ b/test/entry/failover-time.test.ts
@@ -65,6 +65,20 @@
     expect(gap > 6000 && gap < 12_000).toEqual(true)
   })
 
+  it('leaves a primary in place that a cut-off minority of the hosts cannot reach', async () => {
+    world.upstreams.all.get('g-a')!.cutOff.add('h3')
+    world.silent.add('h3')
+    world.store.cutOff.add('h1')
+    world.store.cutOff.add('h2')
+    const lost = world.connect('h3', 'money').write()
+    await clock.tickAsync(5000)
+    expect((await lost).failure === undefined).toEqual(false)
+    const writing = world.connect('h1', 'money').write()
+    await clock.tickAsync(300)
+    expect((await writing).failure).toEqual(undefined)
+    expect(world.upstreams.promotions).toEqual([])
+  })
+
   it('keeps a host at work that its neighbour does not hear but the store does', async () => {
     world.silent.add('h2')
     await clock.tickAsync(14_000)
