Keep to the share of connections while an upstream has no room

Cause: after all hosts had lost power, their old connections counted at the upstreams for three more seconds; hosts that came back first took four connections each of the few that were left, and the others went without for six seconds (1,237 refusals 'no connection in time'). A pool now keeps to its share for 5 s after it met a full upstream, waits for room instead of failing, and reads go elsewhere when this host has no connection there. Ruled out: start-up (the processes were registered 0.5 s after the machines were back).

The test of two pools at one upstream fails before.

--- a/src/entry/choose-upstream.ts
+++ b/src/entry/choose-upstream.ts
@@ -8,6 +8,8 @@
 const PRIMARY_MS = 12
 /** Cost of a connection that must be opened or waited for, in milliseconds. */
 const NO_ROOM_MS = 25
+/** Cost of an upstream that has no room for a first connection of this host, in milliseconds: it may take seconds. */
+const NO_CONNECTION_MS = 400
 /** Cost of a replica that lagged lately, in milliseconds: a refusal, a second try, and likely a third. */
 const LAGGING_MS = 60
 /** Cost of an upstream that failed lately, in milliseconds: it comes last. */
@@ -50,6 +52,7 @@
     (known.failureDomain === failureDomain ? 0 : OTHER_DOMAIN_MS) +
     (isPrimary ? PRIMARY_MS : 0) +
     (pool.hasRoom ? 0 : NO_ROOM_MS) +
+    (pool.hasRoom || pool.size > 0 ? 0 : NO_CONNECTION_MS) +
     (health.lagging ? LAGGING_MS : 0) +
     (health.avoided ? AVOIDED_MS : 0)
 }
--- a/src/pools/index.ts
+++ b/src/pools/index.ts
@@ -39,6 +39,8 @@
 
 /** Connections to an upstream that are assumed while its cap is unknown. */
 const UNKNOWN_CAP = 10
+/** Hosts that are assumed before the registry has been read; more than any installation has per connection. */
+const UNKNOWN_HOSTS = 12
 /** Connections that a host may open beyond its share while they are needed; the upstream refuses what is too much. */
 const BURST_CONNECTIONS = 2
 
@@ -54,7 +56,8 @@
 
     const shareOf = (group: string): number => {
       const cap = desiredState.current?.connectionCaps.get(group) ?? UNKNOWN_CAP
-      return Math.max(1, Math.floor(cap / Math.max(1, registry.current.liveHosts.length)))
+      const hosts = registry.current.liveHosts.length
+      return Math.max(1, Math.floor(cap / (hosts === 0 ? UNKNOWN_HOSTS : hosts)))
     }
     const create = ({ upstream, group, endpoint }: KnownUpstream): UsedUpstream => {
       const health = createUpstreamHealth()
@@ -62,7 +65,7 @@
         target: { group, upstream, endpoint },
         port,
         share: () => shareOf(group),
-        maximum: () => shareOf(group) + BURST_CONNECTIONS,
+        burst: BURST_CONNECTIONS,
         events: {
           onAnswer: () => {
             if (health.unreachableSince !== undefined) {
--- a/src/pools/upstream-pool.ts
+++ b/src/pools/upstream-pool.ts
@@ -7,7 +7,12 @@
 /** Time to connect, in milliseconds: a new connection takes 12 ms, more while the upstream's slots are taken. */
 const CONNECT_TIMEOUT_MS = 700
 /** Time for which no further connection is tried after the upstream had no room, in milliseconds. */
-const FULL_PAUSE_MS = 400
+const FULL_PAUSE_MS = 150
+/**
+ * Time for which this host keeps to its share after the upstream had no room, in milliseconds: longer than connections
+ * of hosts that lost power count there, 3 s, so that those that come back do not take each other's share.
+ */
+const KEEP_TO_SHARE_MS = 5000
 /** Time after which an idle connection beyond the share of this host is closed, in milliseconds. */
 const SURPLUS_IDLE_MS = 4000
 /** Time between two looks for surplus connections, in milliseconds. */
@@ -19,8 +24,8 @@
   port: UpstreamPort
   /** Connections that this host may keep. */
   share: () => number
-  /** Connections that it may open in all; those beyond the share are closed again when idle. */
-  maximum: () => number
+  /** Connections that it may open beyond the share; they are closed again when idle. */
+  burst: number
   events: PoolEvents
 }
 
@@ -72,7 +77,9 @@
   let closed = false
 
   const size = (): number => idle.length + used.size + opening
-  const mayOpen = (): boolean => !closed && size() < options.maximum() && performance.now() >= fullUntil
+  const maximum = (): number =>
+    options.share() + (performance.now() < fullUntil + KEEP_TO_SHARE_MS ? 0 : options.burst)
+  const mayOpen = (): boolean => !closed && size() < maximum() && performance.now() >= fullUntil
 
   const lease = (pooled: PooledConnection): ConnectionLease => {
     used.add(pooled)
@@ -157,9 +164,7 @@
   const takeOpenFailure = (error: RequestError): void => {
     if (error.entry === 'UpstreamRefused' && (error.details as { reason: string }).reason !== 'misrouted') {
       fullUntil = performance.now() + FULL_PAUSE_MS
-      if (size() === 0) {
-        failWaiters(error)
-      }
+      setTimeout(serveWaiters, FULL_PAUSE_MS)
       return
     }
     events.onFault(faultOf(error), error.message)
@@ -197,7 +202,7 @@
           timer: setTimeout(() => {
             waiters.splice(waiters.indexOf(waiter), 1)
             reject(new RequestError('not-run', 'Overloaded', {
-              group: target.group, reason: `no connection to ${target.upstream} in time`, retryAfterMs: request.waitMs
+              group: target.group, reason: `no connection to ${target.upstream} in time`, retryAfterMs: Math.round(request.waitMs)
             }))
           }, request.waitMs)
         }
