Keep only half of a host's share of connections open when idle

Cause: after all hosts lost power, the upstreams counted 32 of 38 connections (18 of 23) as taken for three seconds. With half kept, there is room for all hosts at once; what is needed beyond is opened on demand and closed again.

--- a/src/pools/index.ts
+++ b/src/pools/index.ts
@@ -41,6 +41,11 @@
 const UNKNOWN_CAP = 10
 /** Hosts that are assumed before the registry has been read; more than any installation has per connection. */
 const UNKNOWN_HOSTS = 12
+/**
+ * Part of its share that a host keeps open when idle. Connections of hosts that lose power count at the upstream for
+ * some seconds; with half of them free, all hosts can be back at once.
+ */
+const KEPT_PART = 0.5
 /** Connections that a host may open beyond its share while they are needed; the upstream refuses what is too much. */
 const BURST_CONNECTIONS = 2
 
@@ -54,8 +59,8 @@
     const registry = context.use('registry')
     const used = new Map<string, UsedUpstream>()
 
-    const shareOf = (group: string): number => {
-      const cap = desiredState.current?.connectionCaps.get(group) ?? UNKNOWN_CAP
+    const shareOf = (group: string, part = 1): number => {
+      const cap = (desiredState.current?.connectionCaps.get(group) ?? UNKNOWN_CAP) * part
       const hosts = registry.current.liveHosts.length
       return Math.max(1, Math.floor(cap / (hosts === 0 ? UNKNOWN_HOSTS : hosts)))
     }
@@ -64,6 +69,7 @@
       const pool = createUpstreamPool({
         target: { group, upstream, endpoint },
         port,
+        kept: () => shareOf(group, KEPT_PART),
         share: () => shareOf(group),
         burst: BURST_CONNECTIONS,
         events: {
--- a/src/pools/upstream-pool.ts
+++ b/src/pools/upstream-pool.ts
@@ -13,8 +13,8 @@
  * of hosts that lost power count there, 3 s, so that those that come back do not take each other's share.
  */
 const KEEP_TO_SHARE_MS = 5000
-/** Time after which an idle connection beyond the share of this host is closed, in milliseconds. */
-const SURPLUS_IDLE_MS = 4000
+/** Time after which an idle connection beyond those that are kept is closed, in milliseconds. */
+const SURPLUS_IDLE_MS = 1500
 /** Time between two looks for surplus connections, in milliseconds. */
 const TRIM_MS = 1000
 
@@ -22,9 +22,11 @@
 export interface UpstreamPoolOptions {
   target: UpstreamTarget
   port: UpstreamPort
-  /** Connections that this host may keep. */
+  /** Connections that this host keeps open when idle. */
+  kept: () => number
+  /** Connections that are this host's part of all that the upstream takes. */
   share: () => number
-  /** Connections that it may open beyond the share; they are closed again when idle. */
+  /** Connections that it may open beyond the share, while the upstream has room. */
   burst: number
   events: PoolEvents
 }
@@ -172,7 +174,7 @@
   }
   const trim = setInterval(() => {
     const now = performance.now()
-    while (size() > options.share() && idle.length > 0 && now - idle[0]!.idleSince > SURPLUS_IDLE_MS) {
+    while (size() > options.kept() && idle.length > 0 && now - idle[0]!.idleSince > SURPLUS_IDLE_MS) {
       const [surplus] = idle.splice(0, 1)
       surplus!.connection.close()
     }
--- a/test/pools/upstream-pool.test.ts
+++ b/test/pools/upstream-pool.test.ts
@@ -49,10 +49,11 @@
     pools.splice(0).forEach((pool) => pool.close())
     clock.uninstall()
   })
-  const createPool = (share = 2): UpstreamPool => {
+  const createPool = (share = 2, kept = share): UpstreamPool => {
     const pool = createUpstreamPool({
       target: { group: 'g', upstream: 'u', endpoint: { address: '127.0.0.1', port: 1 } },
       port,
+      kept: () => kept,
       share: () => share,
       burst: 2,
       events: { onAnswer: () => {}, onFault: () => {} }
@@ -80,6 +81,14 @@
     expect(pool.size).toEqual(2)
   })
 
+  it('keeps only a part of its share when idle, so that hosts that come back find room', async () => {
+    const pool = createPool(4, 2)
+    const leases = await acquire(pool, 4)
+    leases.forEach((lease) => lease.release())
+    await clock.tickAsync(10_000)
+    expect(pool.size).toEqual(2)
+  })
+
   it('keeps to its share once the upstream had no room, so that every host gets its own', async () => {
     port.room = 4
     const hosts = [createPool(), createPool()]
