Ask the store less: feeds that wait long, a read of the registry every two seconds

Feeds now wait 12 s; a connection that may hang is given up when the read of the registry, which is tried again twice a second while it fails, gets no answer.

--- a/src/desired-state/index.ts
+++ b/src/desired-state/index.ts
@@ -17,7 +17,7 @@
 
 registerPlugin({
   name: 'desiredState',
-  needs: ['ports'],
+  needs: ['ports', 'registry'],
   start: (context) => {
     const { store, desiredState: port } = context.use('ports')
     const { logger } = context
@@ -44,7 +44,12 @@
       }
     }
     const stop = followTable({
-      store, table: port.table, logger, onRows: (rows) => take(rows), onChanges: (changed) => take(changed)
+      store,
+      table: port.table,
+      logger,
+      onRows: (rows) => take(rows),
+      onChanges: (changed) => take(changed),
+      onStoreLost: context.use('registry').onStoreLost
     })
     return {
       service: {
--- a/src/directory/index.ts
+++ b/src/directory/index.ts
@@ -15,9 +15,12 @@
   interface Services { directory: Directory }
 }
 
+/** Time between two looks for rows that have been missing for long, in milliseconds. */
+const EXPIRY_LOOK_MS = 500
+
 registerPlugin({
   name: 'directory',
-  needs: ['ports'],
+  needs: ['ports', 'registry'],
   start: (context) => {
     const { store, directory: port } = context.use('ports')
     const directory = createUpstreamDirectory()
@@ -36,6 +39,7 @@
       context.logger.log('info', 'directory.changed', { upstream, group, change: change.change, draining, claimsPrimary })
       listeners.forEach((listener) => listener(change))
     })
+    let reread = (): void => {}
     const stop = followTable({
       store,
       table: port.table,
@@ -45,8 +49,15 @@
         tell(directory.expire())
       },
       onChanges: (changed, removed) => tell(directory.update(decode(changed), removed)),
-      wantsReread: directory.awaitsExpiry
+      onStoreLost: context.use('registry').onStoreLost,
+      onReread: (listener) => { reread = listener }
     })
+    /** A missing row counts only after another look at the table. */
+    const look = setInterval(() => {
+      if (directory.awaitsExpiry()) {
+        reread()
+      }
+    }, EXPIRY_LOOK_MS)
     return {
       service: {
         get: directory.get,
@@ -55,7 +66,10 @@
         onChange: (listener) => { listeners.push(listener) }
       },
       dump: () => ({ upstreams: directory.all() }),
-      close: stop
+      close: () => {
+        clearInterval(look)
+        stop()
+      }
     }
   }
 })
--- a/src/ports/types.ts
+++ b/src/ports/types.ts
@@ -126,9 +126,10 @@
    * @param table - the table
    * @param after - version of the last change that is known
    * @param waitMs - time after which an empty answer comes, in milliseconds
+   * @param signal - gives the question up
    * @returns the changes, or undefined when the history since then is gone
    */
-  follow: (table: string, after: number, waitMs: number) => Promise<StoreChanges | undefined>
+  follow: (table: string, after: number, waitMs: number, signal: AbortSignal) => Promise<StoreChanges | undefined>
   /**
    * Writes rows.
    *
--- a/src/registry/follow-table.ts
+++ b/src/registry/follow-table.ts
@@ -4,13 +4,8 @@
 import { repeat } from '../core/time/repeat.ts'
 import type { StorePort, StoreRow } from '../ports/index.ts'
 
-/**
- * Time after which an empty answer to a question for changes comes, in milliseconds. Short, so that a connection that
- * hangs after a partition is noticed while the desired state may still be late.
- */
-const FOLLOW_WAIT_MS = 1500
-/** Time after which the table is read whole although changes come, in ms: a silent feed hides nothing longer. */
-const REREAD_MS = 10_000
+/** Time after which an empty answer to a question for changes comes, in milliseconds. Calls to the store are priced. */
+const FOLLOW_WAIT_MS = 12_000
 /** Pause after a failure, in milliseconds. */
 const RETRY_MS = 150
 
@@ -22,8 +17,10 @@
   /** Takes the whole table; `askedAt` is when the question was sent, on the steady clock. */
   onRows: (rows: StoreRow[], askedAt: number) => void
   onChanges: (changed: StoreRow[], removed: string[]) => void
-  /** Whether the table must be read whole now. */
-  wantsReread?: () => boolean
+  /** Calls back when the store has stopped answering this host: a question that waits may hang for long. */
+  onStoreLost: (listener: () => void) => void
+  /** Calls back when the table must be read whole now. */
+  onReread?: (listener: () => void) => void
 }
 
 /**
@@ -33,20 +30,30 @@
  * @returns stops following
  */
 export function followTable (options: FollowOptions): () => void {
-  const { store, table, logger, onRows, onChanges, wantsReread = () => false } = options
+  const { store, table, logger, onRows, onChanges } = options
   let version: number | undefined
-  let readAt = -Infinity
   let failing = false
+  let waiting = new AbortController()
+  const startAgain = (): void => {
+    version = undefined
+    waiting.abort()
+  }
+  options.onStoreLost(startAgain)
+  options.onReread?.(startAgain)
 
   const readWhole = async (): Promise<void> => {
     const askedAt = performance.now()
     const snapshot = await store.list(table)
     version = snapshot.version
-    readAt = askedAt
     onRows(snapshot.rows, askedAt)
   }
   const followOnce = async (after: number): Promise<void> => {
-    const changes = await store.follow(table, after, FOLLOW_WAIT_MS)
+    waiting = new AbortController()
+    const { signal } = waiting
+    const changes = await store.follow(table, after, FOLLOW_WAIT_MS, signal)
+    if (signal.aborted) {
+      return
+    }
     if (changes === undefined) {
       logger.log('warn', 'feed.history-lost', { table, version: after })
       version = undefined
@@ -58,18 +65,22 @@
     }
   }
   const step = async (): Promise<void> => {
-    const stale = performance.now() - readAt > REREAD_MS || wantsReread()
-    version === undefined || stale ? await readWhole() : await followOnce(version)
+    version === undefined ? await readWhole() : await followOnce(version)
     if (failing) {
       failing = false
       logger.log('info', 'feed.regained', { table, version })
     }
   }
-  return repeat(1, step, (thrown) => {
+  const stop = repeat(1, step, (thrown) => {
+    const given = version === undefined && waiting.signal.aborted
     version = undefined
-    if (!failing) {
+    if (!failing && !given) {
       failing = true
       logger.log('warn', 'feed.lost', { table, reason: describeThrown(thrown) })
     }
   }, RETRY_MS)
+  return () => {
+    stop()
+    waiting.abort()
+  }
 }
--- a/src/registry/index.ts
+++ b/src/registry/index.ts
@@ -4,7 +4,7 @@
  */
 import { randomUUID } from 'node:crypto'
 import type { EntrySettings } from '../core/config/entry-settings.ts'
-import { describeThrown } from '../core/errors/index.ts'
+import { describeThrown, WorkswardError } from '../core/errors/index.ts'
 import { registerPlugin } from '../core/kernel/index.ts'
 import { within } from '../core/time/deadline.ts'
 import { repeat } from '../core/time/repeat.ts'
@@ -42,6 +42,8 @@
   write: (transaction: Omit<StoreTransaction, 'table'>) => Promise<boolean>
   /** Calls back after each new snapshot. */
   onChange: (listener: () => void) => void
+  /** Calls back when the store has stopped answering this host. */
+  onStoreLost: (listener: () => void) => void
   /** Asks peers to read the table now. */
   nudgePeers: () => void
   /** Time of the store's clock now, as the least it can be, in milliseconds. */
@@ -54,10 +56,14 @@
   interface Services { registry: Registry }
 }
 
-/** Time between two reads of the table, in milliseconds: an eighth of the time a host may go on unconfirmed. */
-const POLL_MS = 1000
+/** Time between two reads of the table, in milliseconds: a fifth of the time a host may go on unconfirmed. */
+const POLL_MS = 2000
+/** Time between two tries while the store does not answer or a row is not written, in milliseconds. */
+const RETRY_MS = 500
 /** Age of the newest confirmation beyond which peers are asked, in milliseconds: one read has failed. */
-const RELAY_AFTER_MS = 2000
+const RELAY_AFTER_MS = 3500
+/** Time between two looks at that age, in milliseconds. */
+const RELAY_LOOK_MS = 700
 /** Time that a stop waits for this host's row to be removed, in milliseconds; peers forget the row otherwise. */
 const UNREGISTER_MS = 400
 /** Time a peer has to answer, in milliseconds. */
@@ -78,6 +84,7 @@
       address: host.address, port: peers.port, failureDomain: host.failureDomain, process: self.process
     }
     const listeners: Array<() => void> = []
+    const lostListeners: Array<() => void> = []
     let current = UNKNOWN_REGISTRY
     let confirmedAt = -Infinity
     let storeAnswers = true
@@ -99,6 +106,9 @@
     const noteStore = (answers: boolean, reason?: string): void => {
       if (answers !== storeAnswers) {
         storeAnswers = answers
+        if (!answers) {
+          lostListeners.forEach((listener) => listener())
+        }
         logger.log(answers ? 'info' : 'warn', answers ? 'store.regained' : 'store.lost', {
           reason, confirmedAgeMs: Math.round(performance.now() - confirmedAt), version: current.version
         })
@@ -121,10 +131,11 @@
       reading ??= read().finally(() => { reading = undefined })
       return await reading
     }
-    const register = async (): Promise<void> => {
+    /** Makes sure that this process is registered; returns whether it is. */
+    const register = async (): Promise<boolean> => {
       const own = current.hosts.find(({ name }) => name === self.name)
       if (current.version < 0 || leaving || own?.process === self.process) {
-        return
+        return true
       }
       const key = registryKeys.host(self.name)
       const written = await store.write({
@@ -133,7 +144,7 @@
         put: [{ key, value: JSON.stringify(ownRow) }]
       })
       logger.log('info', 'registry.registered', { process: self.process, before: own?.process, written })
-      await refresh()
+      return await refresh() && written
     }
     const others = (): KnownHost[] => current.liveHosts.filter(({ name }) => name !== self.name)
     const askPeers = async (): Promise<void> => {
@@ -164,10 +175,11 @@
       return {}
     })
     const stopPolling = repeat(POLL_MS, async () => {
-      await refresh()
-      await register()
-    }, (thrown) => logger.log('warn', 'registry.register-failed', { reason: describeThrown(thrown) }))
-    const stopRelay = repeat(POLL_MS, async () => {
+      if (!await refresh() || !await register()) {
+        throw new WorkswardError('PlatformUnavailable', { operation: 'register', reason: 'no confirmation' })
+      }
+    }, (thrown) => logger.log('debug', 'registry.register-failed', { reason: describeThrown(thrown) }), RETRY_MS)
+    const stopRelay = repeat(RELAY_LOOK_MS, async () => {
       if (performance.now() - current.askedAt > RELAY_AFTER_MS) {
         await askPeers()
       }
@@ -187,6 +199,7 @@
       refresh,
       write,
       onChange: (listener) => { listeners.push(listener) },
+      onStoreLost: (listener) => { lostListeners.push(listener) },
       nudgePeers: () => others().forEach((peer) => {
         peers.ask(peer, 'registry-nudge', {}, PEER_TIMEOUT_MS).catch((thrown: unknown) =>
           logger.log('debug', 'registry.peer-silent', { peer: peer.name, reason: describeThrown(thrown) }))
