Wait for a primary for less than half of a request's time

Cause: requests that waited 0.85 of their time for a primary and were refused then counted as held to the end; callers retry on other hosts, which may reach it.

--- a/src/entry/consts.ts
+++ b/src/entry/consts.ts
@@ -3,7 +3,7 @@
 /** Time without any answer of an upstream after which a statement there makes it suspect: ten times an ordinary one. */
 export const SILENCE_MS = 400
 /** Part of a route's timeout for which a request waits for a primary, or for a connection, before it is refused. */
-export const WAIT_SHARE = 0.85
+export const WAIT_SHARE = 0.45
 /** Upstreams or tries that a read may use. */
 export const READ_ATTEMPTS = 6
 /** Pause before a statement is repeated that an upstream did not run. */
