--- a/src/cli/worksward/index.ts
+++ b/src/cli/worksward/index.ts
@@ -2,8 +2,10 @@
 import { randomUUID } from 'node:crypto'
 import { setTimeout as sleep } from 'node:timers/promises'
 import type { Command } from 'cac'
-import { declarationsSchema, loadFile } from '../../core/config/index.ts'
+import { declarationsSchema, entrySettingsSchema, loadFile, readText } from '../../core/config/index.ts'
 import { WorkswardError } from '../../core/errors/index.ts'
+import { parseLogLine } from '../../explain/parse-log.ts'
+import { formatStory, tellStory } from '../../explain/story.ts'
 import { parseCommand } from '../../language/parser.ts'
 import { doubleSha1 } from '../../mysql/password.ts'
 import { hashOperatorKey } from '../../operators/authentication.ts'
@@ -34,6 +36,13 @@
     const { groups } = loadFile(file, declarationsSchema)
     process.stdout.write(`${file}: ${Object.keys(groups).length} groups, no mistakes\n`)
   })
+  program.command('check-entry <file>', 'Check the settings file of an entry process').action((file: string) => {
+    const { host } = loadFile(file, entrySettingsSchema)
+    process.stdout.write(`${file}: host ${host.name}, no mistakes\n`)
+  })
+  program.command('explain-log <...files>', 'Tell the story of one request from the logs of several processes')
+    .option('--request <id>', 'Id of the request')
+    .action(explainLog)
   withAccess(program.command('plan <file>', 'Show what a declarations file would change')).action(planFile)
   withAccess(program.command('apply <file>', 'Bring a declarations file into force'))
     .option('--wait', 'Wait until every live host has it in force')
@@ -73,6 +82,19 @@
   return json === true ? JSON.stringify(rows) + '\n' : formatTable(rows)
 }
 
+async function explainLog (files: string[], { request }: { request?: string | number }): Promise<void> {
+  if (request === undefined) {
+    throw new WorkswardError('InvalidCommand', { reason: '--request ID is missing' })
+  }
+  const entries = files.flatMap((file) =>
+    readText(file).split('\n').flatMap((line) => parseLogLine(line) ?? []))
+  const story = tellStory(entries, String(request))
+  if (story.lines.length === 0) {
+    throw new WorkswardError('InvalidCommand', { reason: `no line of ${files.join(', ')} carries the id ${request}` })
+  }
+  process.stdout.write(formatStory(story))
+}
+
 async function planFile (file: string, options: AccessOptions): Promise<void> {
   const declarations = loadFile(file, declarationsSchema)
   const { rows } = await callConsole<{ rows: ShownRow[] }>(accessOf(options), '/plan', { declarations })
--- a/src/core/config/index.ts
+++ b/src/core/config/index.ts
@@ -2,4 +2,4 @@
 export * from './declarations.ts'
 export * from './entry-settings.ts'
 export * from './settings.ts'
-export { loadFile, parseContent } from './load-file.ts'
+export { loadFile, parseContent, readText } from './load-file.ts'
--- a/src/core/config/load-file.ts
+++ b/src/core/config/load-file.ts
@@ -45,7 +45,14 @@
   throw new WorkswardError('InvalidSettings', { mistakes })
 }
 
-function readText (file: string): string {
+/**
+ * Reads a text file.
+ *
+ * @param file - path of the file
+ * @returns its content
+ * @throws WorkswardError `UnreadableFile`
+ */
+export function readText (file: string): string {
   try {
     return readFileSync(file, 'utf8')
   } catch (thrown) {
--- a/src/core/logger/budget.ts
+++ b/src/core/logger/budget.ts
@@ -16,9 +16,10 @@
  * Puts budgets before a logger.
  *
  * @param logger - the logger
+ * @param onLeftOut - told of each line that is left out
  * @returns a logger that writes no more than the budgets allow
  */
-export function createBudgetedLogger (logger: Logger): Logger {
+export function createBudgetedLogger (logger: Logger, onLeftOut: (event: EventName) => void = () => {}): Logger {
   const budgets = new Map<EventName, EventBudget>()
   let periodEnds = performance.now() + PERIOD_MS
 
@@ -41,6 +42,7 @@
       budgets.set(event, budget)
       if (budget.written >= LINES_PER_SECOND[level]) {
         budget.leftOut++
+        onLeftOut(event)
         return
       }
       budget.written++
--- a/src/desired-state/index.ts
+++ b/src/desired-state/index.ts
@@ -17,9 +17,10 @@
 
 registerPlugin({
   name: 'desiredState',
-  needs: ['ports', 'registry'],
+  needs: ['ports', 'store', 'registry'],
   start: (context) => {
-    const { store, desiredState: port } = context.use('ports')
+    const { desiredState: port } = context.use('ports')
+    const store = context.use('store')
     const { logger } = context
     const listeners: Array<(state: DesiredState) => void> = []
     let current: DesiredState | undefined
--- a/src/directory/index.ts
+++ b/src/directory/index.ts
@@ -20,9 +20,10 @@
 
 registerPlugin({
   name: 'directory',
-  needs: ['ports', 'registry'],
+  needs: ['ports', 'store', 'registry'],
   start: (context) => {
-    const { store, directory: port } = context.use('ports')
+    const { directory: port } = context.use('ports')
+    const store = context.use('store')
     const directory = createUpstreamDirectory()
     const listeners: Array<(change: DirectoryChange) => void> = []
 
--- a/src/entry/index.ts
+++ b/src/entry/index.ts
@@ -36,6 +36,12 @@
       freshness: context.use('freshness'),
       logger,
       budget: createRetryBudget(),
+      measures: {
+        request: metrics.time('worksward_entry_request_milliseconds', 'Time of requests, by type and outcome'),
+        queue: metrics.time('worksward_entry_queue_milliseconds', 'Time that requests waited for a connection'),
+        upstream: metrics.time('worksward_entry_upstream_milliseconds', 'Time of statements at upstreams, by outcome'),
+        retry: metrics.count('worksward_entry_retries', 'Statements that were sent again, by reason')
+      },
       failureDomain: settings.host.failureDomain,
       drainMs: settings.drainMs
     }
--- a/src/entry/primary-access.ts
+++ b/src/entry/primary-access.ts
@@ -2,11 +2,35 @@
 import { RequestError } from '../core/errors/index.ts'
 import { pause } from '../core/time/deadline.ts'
 import type { PrimaryRight } from '../leadership/index.ts'
-import type { ConnectionLease } from '../pools/index.ts'
+import type { ConnectionLease, UsedUpstream } from '../pools/index.ts'
 import type { KnownUpstream } from '../directory/index.ts'
 import { DRAIN_RESERVE_MS, NOT_RUN_PAUSE_MS, RETRY_AFTER_MS, WAIT_SHARE } from './consts.ts'
 import type { ChosenUpstream, EntryContext, RequestScope } from './types.ts'
 
+/**
+ * Takes a connection from a pool and measures the wait.
+ *
+ * @param context - the rest of the process
+ * @param scope - the request
+ * @param used - the upstream
+ * @param waitMs - greatest wait, in milliseconds
+ * @returns the connection
+ * @throws RequestError with verdict `not-run`
+ */
+export async function acquire (
+  { measures }: EntryContext, { values, priority }: RequestScope, { pool }: UsedUpstream, waitMs: number
+): Promise<ConnectionLease> {
+  const startedAt = performance.now()
+  try {
+    const lease = await pool.acquire({ values, priority, waitMs })
+    measures.queue('done', performance.now() - startedAt)
+    return lease
+  } catch (thrown) {
+    measures.queue('failed', performance.now() - startedAt)
+    throw thrown
+  }
+}
+
 /** A connection to the primary. */
 export interface PrimaryLease extends ChosenUpstream {
   lease: ConnectionLease
@@ -45,8 +69,7 @@
       continue
     }
     scope.attempts++
-    const lease = await used.pool
-      .acquire({ values: scope.values, priority: scope.priority, waitMs: Math.max(1, until - performance.now()) })
+    const lease = await acquire(context, scope, used, Math.max(1, until - performance.now()))
       .catch((thrown: RequestError) => {
         reason = thrown.message
         return undefined
--- a/src/entry/reads.ts
+++ b/src/entry/reads.ts
@@ -6,7 +6,7 @@
 import { formatPosition, type LogPosition } from '../upstreams/position.ts'
 import { chooseForRead } from './choose-upstream.ts'
 import { NOT_RUN_PAUSE_MS, READ_ATTEMPTS, WAIT_SHARE } from './consts.ts'
-import { holds, leasePrimary, type PrimaryLease } from './primary-access.ts'
+import { acquire, holds, leasePrimary, type PrimaryLease } from './primary-access.ts'
 import { runWork, type RunOptions, type TimedAnswer } from './run-statement.ts'
 import type { ChosenUpstream, DataWork, EntryContext, RequestScope } from './types.ts'
 
@@ -67,7 +67,7 @@
     scope.attempts++
     try {
       const waitMs = Math.max(1, scope.deadline.leftMs * WAIT_SHARE / 2)
-      const lease = await chosen.used.pool.acquire({ values: scope.values, priority: scope.priority, waitMs })
+      const lease = await acquire(context, scope, chosen.used, waitMs)
       const right = context.leadership.of(scope.group)
       const isPrimary = right?.upstream === chosen.known.upstream
       return { ...chosen, lease, after: place.position, right: isPrimary ? right : undefined }
@@ -97,6 +97,7 @@
     used,
     lease,
     deadline: scope.deadline,
+    onTime: context.measures.upstream,
     onSilence: () => {
       context.leadership.suspect(known.upstream)
       return mayLeave && used.health.unreachableSince !== undefined
@@ -201,9 +202,10 @@
 }
 
 function logRepeat (
-  { logger }: EntryContext, { requestId, group, attempts }: RequestScope, upstream: string, reason: string,
+  { logger, measures }: EntryContext, { requestId, group, attempts }: RequestScope, upstream: string, reason: string,
   place: ReadPlace
 ): void {
+  measures.retry(reason.includes(' ') ? 'connection' : reason)
   logger.log('info', 'read.repeated', {
     id: requestId,
     group,
--- a/src/entry/run-statement.ts
+++ b/src/entry/run-statement.ts
@@ -12,6 +12,8 @@
   used: UsedUpstream
   lease: ConnectionLease
   deadline: Deadline
+  /** Takes the time at the upstream, by outcome. */
+  onTime: (outcome: string, durationMs: number) => void
   /** Told when the upstream has answered nobody since the statement was sent; true gives the statement up. */
   onSilence: () => boolean
 }
@@ -49,9 +51,11 @@
     const answer = await deadline.race(pending, 'may-have-run', `waiting for ${used.pool.target.upstream}`)
     used.health.answered()
     used.health.recordLatency(performance.now() - sentAt)
+    options.onTime(answer.failure?.kind ?? 'done', performance.now() - sentAt)
     return { answer, sentAt }
   } catch (thrown) {
     lease.discard()
+    options.onTime('lost', performance.now() - sentAt)
     throw thrown
   } finally {
     clearInterval(watch)
--- a/src/entry/session.ts
+++ b/src/entry/session.ts
@@ -122,6 +122,7 @@
       if (!again || scope.deadline.leftMs < NOT_RUN_PAUSE_MS * 2) {
         return answer
       }
+      context.measures.retry(answer.failure?.kind ?? 'unknown')
       context.logger.log('info', 'write.repeated', {
         id: scope.requestId, group: scope.group, upstream: trace.upstream, reason: answer.failure?.kind
       })
@@ -262,6 +263,7 @@
   const report = ({ id, statement }: CallerRequest, answer: StatementAnswer, durationMs: number): void => {
     const outcome = answer.failure?.kind ?? 'done'
     options.onDone(outcome, durationMs)
+    context.measures.request(`${statement.type} ${outcome}`, durationMs)
     if (answer.signature === undefined && answer.failure === undefined) {
       return
     }
--- a/src/entry/types.ts
+++ b/src/entry/types.ts
@@ -18,11 +18,24 @@
   freshness: FreshnessOfGroups
   logger: Logger
   budget: RetryBudget
+  measures: EntryMeasures
   failureDomain: string
   /** Time after which a leaving upstream must get nothing new, in milliseconds. */
   drainMs: number
 }
 
+/** Where the times and counts of serving callers go. */
+export interface EntryMeasures {
+  /** Time of a caller's request, by type and outcome. */
+  request: (label: string, durationMs: number) => void
+  /** Time that a request waited for a connection, by outcome. */
+  queue: (label: string, durationMs: number) => void
+  /** Time of a statement at an upstream, by outcome. */
+  upstream: (label: string, durationMs: number) => void
+  /** Statements that were sent again, by reason. */
+  retry: (label: string) => void
+}
+
 /** A statement that an upstream must run. */
 export interface DataWork {
   requestId: string
--- a/src/leadership/index.ts
+++ b/src/leadership/index.ts
@@ -32,7 +32,7 @@
 
 registerPlugin({
   name: 'leadership',
-  needs: ['ports', 'registry', 'directory', 'pools', 'peers', 'desiredState', 'freshness'],
+  needs: ['ports', 'registry', 'directory', 'pools', 'peers', 'desiredState', 'freshness', 'metrics'],
   start: (context) => {
     const { logger } = context
     const { promotion } = context.use('ports')
@@ -43,6 +43,10 @@
     const desiredState = context.use('desiredState')
     const freshness = context.use('freshness')
     const rights = createRights(registry)
+    const metrics = context.use('metrics')
+    const countSuccession = metrics.count('worksward_successions', 'Successions run here, by reason and outcome')
+    metrics.expose('worksward_confirmed_age_milliseconds', 'Age of the confirmation by the store', () =>
+      ({ age: Number.isFinite(registry.confirmedAgeMs()) ? registry.confirmedAgeMs() : -1 }))
     const needs = new Map<string, { need: GroupNeed, since: number }>()
     const acting = new Set<string>()
     const suspected = new Set<string>()
@@ -141,7 +145,7 @@
       if (row === undefined || (need === 'unreachable' && !await shouldReplace(group, row.primary))) {
         return
       }
-      await runSuccession({
+      const primary = await runSuccession({
         group,
         reason: need,
         closedSince: need === 'unfinished' ? needs.get(group)?.since : undefined,
@@ -155,6 +159,7 @@
         promotion,
         logger
       })
+      countSuccession(`${need} ${primary === undefined ? 'unfinished' : 'done'}`)
     }
     const consider = (group: string): void => {
       const need = assessGroup(group, { registry, directory, pools })
--- a/src/metrics/index.ts
+++ b/src/metrics/index.ts
@@ -2,6 +2,7 @@
 import { Gauge, Registry } from 'prom-client'
 import { build, type Histogram } from 'hdr-histogram-js'
 import { registerPlugin } from '../core/kernel/index.ts'
+import { createTiming, OTHER_LABEL, type Timing } from './timings.ts'
 
 /** Service of the plug-in. */
 export interface Metrics {
@@ -21,12 +22,30 @@
    * @param read - returns the numbers by label
    */
   expose: (name: string, help: string, read: () => Record<string, number>) => void
+  /**
+   * Shows times by label, as quantiles and counts.
+   *
+   * @param name - name of the metric
+   * @param help - what it is
+   * @returns records the times
+   */
+  time: (name: string, help: string) => Timing['record']
+  /**
+   * Shows a counter by label.
+   *
+   * @param name - name of the metric
+   * @param help - what it is
+   * @returns counts one under a label
+   */
+  count: (name: string, help: string) => (label: string) => void
 }
 
 declare module '../core/kernel/index.ts' {
   interface Services { metrics: Metrics }
 }
 
+/** Labels that one counter may have. */
+const MAXIMUM_COUNTED_LABELS = 64
 const QUANTILES = [50, 90, 99, 99.9]
 const MICROSECONDS = 1000
 const HIGHEST_MICROSECONDS = 60_000_000
@@ -55,6 +74,19 @@
         }
       })
     }
+    const time: Metrics['time'] = (name, help) => {
+      const timing = createTiming()
+      expose(name, help, timing.read)
+      return timing.record
+    }
+    const count: Metrics['count'] = (name, help) => {
+      const counts = new Map<string, number>()
+      expose(name, help, () => Object.fromEntries(counts))
+      return (label) => {
+        const bounded = counts.has(label) || counts.size < MAXIMUM_COUNTED_LABELS ? label : OTHER_LABEL
+        counts.set(bounded, (counts.get(bounded) ?? 0) + 1)
+      }
+    }
     expose('worksward_request_milliseconds', 'Time of callers\' requests, by quantile', readQuantiles)
     expose('worksward_requests', 'Callers\' requests, by outcome', () => Object.fromEntries(outcomes))
 
@@ -62,6 +94,8 @@
       service: {
         registry,
         expose,
+        time,
+        count,
         recordRequest: (outcome, durationMs) => {
           outcomes.set(outcome, (outcomes.get(outcome) ?? 0) + 1)
           histogram.recordValue(Math.min(HIGHEST_MICROSECONDS, Math.max(1, Math.round(durationMs * MICROSECONDS))))
--- a/src/processes/entry.ts
+++ b/src/processes/entry.ts
@@ -10,6 +10,7 @@
 import '../pools/index.ts'
 import '../readiness/index.ts'
 import '../registry/index.ts'
+import '../store/index.ts'
 import type { EntrySettings } from '../core/config/entry-settings.ts'
 import { startKernel, type Kernel, type KernelOptions } from '../core/kernel/index.ts'
 
--- a/src/registry/index.ts
+++ b/src/registry/index.ts
@@ -73,10 +73,10 @@
 
 registerPlugin({
   name: 'registry',
-  needs: ['ports', 'peers'],
+  needs: ['store', 'peers'],
   start: (context) => {
     const { host } = context.settings as EntrySettings
-    const { store } = context.use('ports')
+    const store = context.use('store')
     const peers = context.use('peers')
     const { logger } = context
     const self = { name: host.name, process: randomUUID() }
--- /dev/null
+++ b/src/store/index.ts
@@ -0,0 +1,35 @@
+/** Plug-in `store`: the store with the time of each call measured. */
+import { registerPlugin } from '../core/kernel/index.ts'
+import type { StorePort } from '../ports/index.ts'
+
+declare module '../core/kernel/index.ts' {
+  interface Services { store: StorePort }
+}
+
+registerPlugin({
+  name: 'store',
+  needs: ['ports', 'metrics'],
+  start: (context) => {
+    const { store } = context.use('ports')
+    const record = context.use('metrics').time('worksward_store_milliseconds', 'Time of calls to the store, by outcome')
+    const measure = async <Result>(operation: string, call: () => Promise<Result>): Promise<Result> => {
+      const startedAt = performance.now()
+      try {
+        const result = await call()
+        record(operation, performance.now() - startedAt)
+        return result
+      } catch (thrown) {
+        record(`${operation}-failed`, performance.now() - startedAt)
+        throw thrown
+      }
+    }
+    return {
+      service: {
+        list: async (table) => await measure('list', async () => await store.list(table)),
+        follow: async (table, after, waitMs, signal) =>
+          await measure('follow', async () => await store.follow(table, after, waitMs, signal)),
+        write: async (transaction) => await measure('write', async () => await store.write(transaction))
+      }
+    }
+  }
+})
