Shorten rights to three seconds, extended by a majority of peers while the store is away

A right now lasts 3 s; a host that the store does not answer asks its peers, and a majority extends it, up to 15 s after its last confirmation. Hosts that have stopped at a primary say so with their grant, so a promoter that has stopped three quarters of the hosts need not wait longer than 3.6 s for the rest.

Conclusion: the wait for a silent host is now 3.6 s; the safety rests on majorities only while the store is away.

--- a/src/leadership/closing.ts
+++ b/src/leadership/closing.ts
@@ -4,8 +4,8 @@
 import { pause } from '../core/time/deadline.ts'
 import type { Peers } from '../peers/index.ts'
 import { isRefusal, type KnownHost, type Registry } from '../registry/index.ts'
-import { CLOSE_TRY_MS } from './consts.ts'
-import { RIGHT_MARGIN_MS, RIGHT_MS } from '../registry/consts.ts'
+import { CLOSE_TRY_MS, SILENT_PART } from './consts.ts'
+import { EXTENDED_RIGHT_MS, RIGHT_MARGIN_MS, RIGHT_MS } from '../registry/consts.ts'
 
 /** How it is known that a host does not work at the primary any more. */
 type ClosedBecause = 'acknowledged' | 'not-running' | 'restarted' | 'unregistered' | 'right-lapsed' | 'retired'
@@ -24,6 +24,16 @@
 /** Pause before a silent host is asked again, in milliseconds. */
 const RETRY_MS = 100
 
+/** What is known of the hosts while one waits for them. */
+interface ClosingProgress {
+  /** Hosts that were registered, this one included. */
+  hosts: number
+  /** Hosts that have not been heard yet. */
+  silent: number
+  /** When the last of the others stopped, on the steady clock. */
+  lastStoppedAt: number
+}
+
 /**
  * Waits until no host works at the primary of an epoch. A host that answers stops at once; one that refuses
  * connections does not run; one that runs as another process has no right of its former life;
@@ -32,19 +42,31 @@
  * @param options - the group and the epoch
  */
 export async function awaitClosed (options: ClosingOptions): Promise<void> {
-  const { registry, logger, group, epoch } = options
+  const { registry, logger, group, epoch, closedAt } = options
   const others = registry.current.hosts.filter(({ name }) => name !== registry.self.name)
+  const progress: ClosingProgress = { hosts: others.length + 1, silent: others.length, lastStoppedAt: closedAt }
   await Promise.all(others.map(async (host) => {
-    const because = await awaitHost(host, options)
+    const because = await awaitHost(host, options, progress)
+    progress.silent--
+    progress.lastStoppedAt = because === 'right-lapsed' ? progress.lastStoppedAt : performance.now()
     logger.log('info', 'leadership.host-closed', {
-      group, epoch, peer: host.name, because, waitedMs: Math.round(performance.now() - options.closedAt)
+      group, epoch, peer: host.name, because, waitedMs: Math.round(performance.now() - closedAt)
     })
   }))
 }
 
-async function awaitHost (host: KnownHost, options: ClosingOptions): Promise<ClosedBecause> {
+/**
+ * Returns when the rights of silent hosts have lapsed. With few of them no majority can extend their rights any more
+ * once the others have stopped; with many, only the greatest age of a confirmation counts.
+ */
+function lapsesAt ({ hosts, silent, lastStoppedAt }: ClosingProgress, closedAt: number): number {
+  return silent <= hosts * SILENT_PART
+    ? lastStoppedAt + RIGHT_MS + RIGHT_MARGIN_MS
+    : closedAt + EXTENDED_RIGHT_MS + RIGHT_MARGIN_MS
+}
+
+async function awaitHost (host: KnownHost, options: ClosingOptions, progress: ClosingProgress): Promise<ClosedBecause> {
   const { registry, peers, group, epoch, closedAt, logger } = options
-  const lapsesAt = closedAt + RIGHT_MS + RIGHT_MARGIN_MS
   for (;;) {
     const now = registry.current.hosts.find(({ name }) => name === host.name)
     if (now === undefined) {
@@ -57,7 +79,7 @@
     if (host.retiredUntilMs === undefined && now.retiredUntilMs === undefined && now.process !== host.process) {
       return 'restarted'
     }
-    if (performance.now() >= lapsesAt) {
+    if (performance.now() >= lapsesAt(progress, closedAt)) {
       return 'right-lapsed'
     }
     try {
--- a/src/leadership/consts.ts
+++ b/src/leadership/consts.ts
@@ -37,3 +37,14 @@
  * than the longest crash in the users' descriptions, 7 s.
  */
 export const OUTDATED_WAIT_MS = 10_000
+/** Age of the last confirmation by the store from which on peers are asked for extensions: one read has failed. */
+export const EXTEND_AFTER_MS = 2100
+/** Time between two looks at that age; several fit into a right. */
+export const EXTEND_LOOK_MS = 600
+/** Time that a peer has to grant an extension. */
+export const GRANT_MS = 500
+/**
+ * Greatest part of the hosts that may be silent for a promoter to rely on extensions having ended: less than any
+ * majority that could still grant them, also when a host knows only half of the others.
+ */
+export const SILENT_PART = 0.25
--- a/src/leadership/index.ts
+++ b/src/leadership/index.ts
@@ -10,6 +10,7 @@
 import { CLOSE_TRY_MS, CLOSING_MS, LAPSE_SLACK_MS, PROBE_MS, REACH_MS, RETRY_MS, SUSPECT_MS, WATCH_MS } from './consts.ts'
 import { RIGHT_MS } from '../registry/consts.ts'
 import { takeDuty } from './duty.ts'
+import { createExtensions } from './extensions.ts'
 import { createRights, type Rights } from './rights.ts'
 import { runSuccession } from './succession.ts'
 import { countReach, isLostToMost, type ReachAnswer } from './reach.ts'
@@ -120,6 +121,18 @@
       return await taking
     }
 
+    /** Whether a need that only rests on what was heard holds when looked at. */
+    const isConfirmed = async (group: string, need: GroupNeed, { primary }: GroupRow): Promise<boolean> => {
+      if (need === 'unreachable') {
+        return await shouldReplace(group, primary)
+      }
+      if (need !== 'deposed') {
+        return true
+      }
+      const upstream = directory.get(primary)
+      const report = upstream === undefined ? undefined : await pools.probe(upstream, PROBE_MS)
+      return report?.role === 'replica'
+    }
     const nameFirstPrimary = async (group: string): Promise<void> => {
       const claiming = directory.ofGroup(group).filter(({ claimsPrimary, draining }) => claimsPrimary && !draining)
       const [first] = claiming
@@ -142,7 +155,7 @@
         return
       }
       const { row } = registry.current.group(group)
-      if (row === undefined || (need === 'unreachable' && !await shouldReplace(group, row.primary))) {
+      if (row === undefined || !await isConfirmed(group, need, row)) {
         return
       }
       const primary = await runSuccession({
@@ -172,7 +185,7 @@
         needs.set(group, { need, since: performance.now() })
         return
       }
-      if (acting.has(group) || performance.now() - known.since < staggerOf(group, registry)) {
+      if (acting.has(group) || performance.now() - known.since < staggerOf(group, need, registry)) {
         return
       }
       acting.add(group)
@@ -185,12 +198,12 @@
 
     let lapsed = false
     const noteLapse = (): void => {
-      const ageMs = registry.confirmedAgeMs()
+      const ageMs = rights.ageMs()
       const isLapsed = ageMs > RIGHT_MS
       if (isLapsed !== lapsed && Number.isFinite(ageMs)) {
         lapsed = isLapsed
         logger.log(isLapsed ? 'warn' : 'info', isLapsed ? 'leadership.right-lapsed' : 'leadership.right-back', {
-          confirmedAgeMs: Math.round(ageMs)
+          ageMs: Math.round(ageMs), confirmedAgeMs: Math.round(registry.confirmedAgeMs())
         })
       }
       if (ageMs > RIGHT_MS + LAPSE_SLACK_MS) {
@@ -207,6 +220,7 @@
       groups().forEach(consider)
     }, (thrown) => logger.log('error', 'leadership.watch-failed', { reason: describeThrown(thrown) }))
     registry.onChange(rights.notify)
+    const stopExtending = createExtensions({ registry, peers, rights, logger })
 
     return {
       service: {
@@ -227,7 +241,10 @@
         needs: Object.fromEntries(needs),
         confirmedAgeMs: Math.round(registry.confirmedAgeMs())
       }),
-      close: stop
+      close: () => {
+        stop()
+        stopExtending()
+      }
     }
   }
 })
--- a/src/leadership/rights.ts
+++ b/src/leadership/rights.ts
@@ -3,13 +3,19 @@
  * registry, and on what peers have asked to be closed.
  */
 import type { Registry } from '../registry/index.ts'
-import { RIGHT_MS } from '../registry/consts.ts'
-import type { PrimaryRight } from './types.ts'
+import { EXTENDED_RIGHT_MS, RIGHT_MS } from '../registry/consts.ts'
+import type { ClosedEpoch, PrimaryRight } from './types.ts'
 
 /** Rights to primaries. */
 export interface Rights {
   /** The right at this moment; it must be asked again right before each sending. */
   of: (group: string) => PrimaryRight | undefined
+  /** Takes note that peers have extended the rights, and when they were asked. */
+  extend: (askedAt: number) => void
+  /** Time since the rights were last confirmed or extended, in milliseconds. */
+  ageMs: () => number
+  /** Epochs that are closed as far as this host knows. */
+  closed: () => ClosedEpoch[]
   /** Gives up the right to a group in an epoch and all before it. */
   close: (group: string, epoch: number) => void
   /** Waits until there is a right, for a bounded time. */
@@ -33,15 +39,26 @@
  */
 export function createRights (registry: Pick<Registry, 'current' | 'confirmedAgeMs'>): Rights {
   const closedEpochs = new Map<string, number>()
+  let extendedAt = -Infinity
+  const ageMs = (): number => {
+    const confirmedMs = registry.confirmedAgeMs()
+    return confirmedMs <= EXTENDED_RIGHT_MS ? Math.min(confirmedMs, performance.now() - extendedAt) : confirmedMs
+  }
   const waiters = new Set<Waiter>()
 
   const of = (group: string): PrimaryRight | undefined => {
     const { row } = registry.current.group(group)
     const closed = row === undefined || row.state !== 'open' || row.epoch <= (closedEpochs.get(group) ?? 0)
-    return closed || registry.confirmedAgeMs() > RIGHT_MS ? undefined : { upstream: row.primary, epoch: row.epoch }
+    return closed || ageMs() > RIGHT_MS ? undefined : { upstream: row.primary, epoch: row.epoch }
   }
   return {
     of,
+    ageMs,
+    extend: (askedAt) => { extendedAt = Math.max(extendedAt, askedAt) },
+    closed: () => {
+      const known = [...closedEpochs].map(([group, epoch]) => ({ group, epoch }))
+      return [...known, ...registry.current.closedGroups]
+    },
     close: (group, epoch) => { closedEpochs.set(group, Math.max(epoch, closedEpochs.get(group) ?? 0)) },
     wait: async (group, timeoutMs) => {
       const right = of(group)
--- a/src/leadership/succession.ts
+++ b/src/leadership/succession.ts
@@ -37,7 +37,7 @@
 }
 
 /** An upstream and what it said of itself. */
-interface Candidate {
+export interface Candidate {
   upstream: KnownUpstream
   report: UpstreamReport
 }
@@ -149,14 +149,27 @@
     (left.upstream.upstream < right.upstream.upstream ? -1 : 1))
 }
 
+/**
+ * Finds the upstream that leads already, because a promotion took effect that nobody saw. Several may say that they
+ * lead, when more than one promotion was ordered: only the one of the newest term does.
+ *
+ * @param candidates - upstreams and what they said of themselves
+ * @param closedTerm - newest term of the epoch that was closed
+ * @returns the leader; undefined when there is none
+ */
+export function findLeader (candidates: Candidate[], closedTerm: number): Candidate | undefined {
+  return candidates
+    .filter(({ report }) => report.role === 'primary' && report.term > closedTerm)
+    .sort((left, right) => right.report.term - left.report.term)[0]
+}
+
 async function promoteOne (
   options: SuccessionOptions, candidates: Candidate[], closed: GroupRow, closedAt: number
 ): Promise<Candidate | undefined> {
   const { group, logger, registry, knownTerm } = options
   const oldPrimary = closed.primary
   const closedTerm = Math.max(knownTerm, registry.current.group(group).row?.term ?? 0)
-  const led = candidates.find(({ upstream, report }) =>
-    report.role === 'primary' && upstream.upstream !== oldPrimary && report.term > closedTerm)
+  const led = findLeader(candidates.filter(({ upstream }) => upstream.upstream !== oldPrimary), closedTerm)
   if (led !== undefined) {
     logger.log('info', 'succession.already-promoted', { group, upstream: led.upstream.upstream, term: led.report.term })
     return led
--- a/src/leadership/types.ts
+++ b/src/leadership/types.ts
@@ -8,7 +8,7 @@
 }
 
 /** Why a group needs another primary. */
-export type SuccessionReason = 'draining' | 'gone' | 'unreachable' | 'unfinished'
+export type SuccessionReason = 'draining' | 'gone' | 'unreachable' | 'deposed' | 'unfinished'
 
 /** Body of the order to stop working at a primary. */
 export const closeGroupSchema = z.object({ group: z.string(), epoch: z.number().int() })
@@ -18,3 +18,21 @@
 
 /** Whether a host reaches an upstream. */
 export const reachAnswerSchema = z.object({ reached: z.boolean() })
+
+/** Body of the question for an extension. */
+export const extendQuestionSchema = z.object({ host: z.string(), process: z.string() })
+
+/** An epoch in which nobody may work at the primary. */
+export const closedEpochSchema = z.object({ group: z.string(), epoch: z.number().int() })
+
+/** Answer to the question for an extension. */
+export const grantSchema = z.object({
+  granted: z.boolean(),
+  /** Epochs that are closed as far as the granting host knows. */
+  closed: z.array(closedEpochSchema)
+})
+
+/** An epoch in which nobody may work at the primary. */
+export type ClosedEpoch = z.infer<typeof closedEpochSchema>
+/** Answer to the question for an extension. */
+export type Grant = z.infer<typeof grantSchema>
--- a/src/leadership/watch.ts
+++ b/src/leadership/watch.ts
@@ -41,22 +41,34 @@
   if (primary.draining) {
     return 'draining'
   }
+  if (!primary.claimsPrimary) {
+    return 'deposed'
+  }
   const { unreachableSince } = pools.of(primary).health
   const unreachable = unreachableSince !== undefined && performance.now() - unreachableSince >= UNREACHABLE_MS
   return unreachable ? 'unreachable' : undefined
 }
 
+/** Least time for which a need must stand before anyone acts on it, in milliseconds. */
+const STANDING_MS: Partial<Record<GroupNeed, number>> = {
+  // The row of a new primary changes when the promotion has taken effect, and may be late.
+  deposed: 1500
+}
+
 /**
  * Returns how long this host leaves a need to others that come before it.
  *
  * @param group - the group
+ * @param need - what it needs
  * @param registry - the hosts, and who holds the duty
  * @returns the delay, in milliseconds
  */
-export function staggerOf (group: string, { current, self }: Pick<Registry, 'current' | 'self'>): number {
+export function staggerOf (
+  group: string, need: GroupNeed, { current, self }: Pick<Registry, 'current' | 'self'>
+): number {
   const holder = current.duty.row?.holder
   const order = (name: string): string =>
     name === holder ? '' : createHash('sha256').update(`${group} ${name}`).digest('hex')
   const own = order(self.name)
-  return STAGGER_MS * current.liveHosts.filter(({ name }) => order(name) < own).length
+  return (STANDING_MS[need] ?? 0) + STAGGER_MS * current.liveHosts.filter(({ name }) => order(name) < own).length
 }
--- a/src/registry/consts.ts
+++ b/src/registry/consts.ts
@@ -1,9 +1,15 @@
 /** How long what the registry has confirmed may be relied on, in milliseconds. */
 
 /**
- * Time for which a host goes on working at a primary without a confirmation by the store, counted from sending the
- * question. Longer outlasts longer outages of the store; shorter makes a failover quicker when a host is silent.
+ * Time for which a host goes on working at a primary after a confirmation by the store or an extension by its peers,
+ * counted from sending the question. Two reads of the registry fit into it. Shorter makes a failover quicker while a
+ * host is silent, but costs more calls to the store.
  */
-export const RIGHT_MS = 10_000
-/** What a promoter waits beyond {@link RIGHT_MS}: statements that are sent at the last moment end within it. */
-export const RIGHT_MARGIN_MS = 1000
+export const RIGHT_MS = 3000
+/**
+ * Greatest age of the last confirmation by the store with which extensions still count: longer than most outages of the
+ * store in the users' descriptions.
+ */
+export const EXTENDED_RIGHT_MS = 15_000
+/** What a promoter waits beyond a right: statements that are sent at the last moment are broken off within it. */
+export const RIGHT_MARGIN_MS = 600
--- a/src/registry/index.ts
+++ b/src/registry/index.ts
@@ -10,7 +10,7 @@
 import { repeat } from '../core/time/repeat.ts'
 import type { StoreTransaction } from '../ports/index.ts'
 import { watchNeighbour } from './neighbour-watch.ts'
-import { RIGHT_MARGIN_MS, RIGHT_MS } from './consts.ts'
+import { EXTENDED_RIGHT_MS, RIGHT_MARGIN_MS } from './consts.ts'
 import { createSnapshot, UNKNOWN_REGISTRY, type KnownHost, type RegistrySnapshot } from './snapshot.ts'
 import { REGISTRY_TABLE, registryKeys, relayedSnapshotSchema, type HostRow } from './types.ts'
 
@@ -56,8 +56,8 @@
   interface Services { registry: Registry }
 }
 
-/** Time between two reads of the table, in milliseconds: a fifth of the time a host may go on unconfirmed. */
-const POLL_MS = 2000
+/** Time between two reads of the table, in milliseconds: half of the time a host may go on unconfirmed. */
+const POLL_MS = 1500
 /** Time between two tries while the store does not answer or a row is not written, in milliseconds. */
 const RETRY_MS = 500
 /** Age of the newest confirmation beyond which peers are asked, in milliseconds: one read has failed. */
@@ -207,7 +207,8 @@
       storeNowAtLeastMs: () => performance.now() + clockOffsets.least,
       storeNowAtMostMs: () => performance.now() + clockOffsets.most
     }
-    const stopWatching = watchNeighbour({ registry: service, peers, logger, rightMs: RIGHT_MS + RIGHT_MARGIN_MS })
+    const rightMs = EXTENDED_RIGHT_MS + RIGHT_MARGIN_MS
+    const stopWatching = watchNeighbour({ registry: service, peers, logger, rightMs })
 
     return {
       service,
--- a/src/registry/snapshot.ts
+++ b/src/registry/snapshot.ts
@@ -22,10 +22,13 @@
   /** Hosts that have not been given up. */
   readonly liveHosts: KnownHost[]
   group: (name: string) => Versioned<GroupRow>
+  /** Groups at whose primaries nobody may work, and the epoch that is closed. */
+  readonly closedGroups: Array<{ group: string, epoch: number }>
   readonly duty: Versioned<DutyRow>
 }
 
 const HOST_PREFIX = registryKeys.host('')
+const GROUP_PREFIX = registryKeys.group('')
 
 /**
  * Decodes the rows of the registry.
@@ -58,6 +61,10 @@
       groups.set(name, known)
       return known
     },
+    closedGroups: rows.filter(({ key }) => key.startsWith(GROUP_PREFIX)).flatMap(({ key, value }) => {
+      const { state, epoch } = groupRowSchema.parse(JSON.parse(value))
+      return state === 'closed' ? [{ group: key.slice(GROUP_PREFIX.length), epoch }] : []
+    }),
     duty: read(registryKeys.duty, dutyRowSchema)
   }
 }
