Ask upstreams less while a primary is lost

Hosts share a question in progress and need none when the upstream answered within 0.3 s. The story of a request leaves out such lines of other hosts.

--- a/src/explain/story.ts
+++ b/src/explain/story.ts
@@ -27,6 +27,8 @@
   offsets: Map<string, number>
 }
 
+/** Events of other hosts that say something about a group everywhere. */
+const GROUP_EVENTS = /^(succession\.|leadership\.|upstream\.unreachable)/
 /** Events that say something about every group of a host. */
 const HOST_EVENTS = /^(store\.|feed\.|leadership\.right|process\.|desired-state\.|registry\.(registered|host-retired))/
 
@@ -50,7 +52,8 @@
   const group = own.find(({ fields }) => fields['group'] !== undefined)?.fields['group']
   const belongs = (entry: LogEntry): boolean => {
     const sameGroup = group !== undefined && entry.fields['group'] === group && entry.fields['id'] === undefined
-    return sameGroup || (entry.host === last.host && HOST_EVENTS.test(entry.event))
+    const sameHost = entry.host === last.host
+    return (sameGroup && (sameHost || GROUP_EVENTS.test(entry.event))) || (sameHost && HOST_EVENTS.test(entry.event))
   }
   const around = entries.filter((entry) =>
     !own.includes(entry) && timeOf(entry) >= from && timeOf(entry) <= end + LOOK_ON_MS && belongs(entry))
@@ -95,6 +98,7 @@
 function findCauses (lines: StoryLine[], last: LogEntry): string[] {
   const found = lines.flatMap((line) => FINDERS[line.entry.event]?.(line, last) ?? [])
   const old = lines.filter(({ entry }) => Number(entry.fields['confirmedAgeMs']) > OLD_INPUT_MS && entry.host === last.host)
+    .filter(({ entry }) => Number.isFinite(Number(entry.fields['confirmedAgeMs'])))
     .map(({ atMs, entry }) => `${atMs} ms: an old input: confirmed ${entry.fields['confirmedAgeMs']} ms before`)
   return [...new Set([...found, ...old])]
 }
--- a/src/leadership/consts.ts
+++ b/src/leadership/consts.ts
@@ -20,6 +20,8 @@
 export const UNREACHABLE_MS = 150
 /** Time that an upstream has to say what it is. */
 export const PROBE_MS = 500
+/** Age of an answer of an upstream that needs no question whether it is reached. */
+export const HEARD_MS = 300
 /** Time that a peer has to say whether it reaches an upstream; it may have to probe it. */
 export const REACH_MS = 1300
 /** Time of one try to reach a peer that must stop working at a primary. */
--- a/src/leadership/index.ts
+++ b/src/leadership/index.ts
@@ -7,7 +7,9 @@
 import { pause } from '../core/time/deadline.ts'
 import { repeat } from '../core/time/repeat.ts'
 import { isRefusal, registryKeys, type DutyRow, type GroupRow, type KnownHost } from '../registry/index.ts'
-import { CLOSE_TRY_MS, CLOSING_MS, LAPSE_SLACK_MS, PROBE_MS, REACH_MS, RETRY_MS, SUSPECT_MS, WATCH_MS } from './consts.ts'
+import {
+  CLOSE_TRY_MS, CLOSING_MS, HEARD_MS, LAPSE_SLACK_MS, PROBE_MS, REACH_MS, RETRY_MS, SUSPECT_MS, WATCH_MS
+} from './consts.ts'
 import { RIGHT_MS } from '../registry/consts.ts'
 import { takeDuty } from './duty.ts'
 import { createExtensions } from './extensions.ts'
@@ -82,7 +84,12 @@
 
     const reaches = async (name: string): Promise<boolean> => {
       const upstream = directory.get(name)
-      return upstream !== undefined && await pools.probe(upstream, PROBE_MS) !== undefined
+      if (upstream === undefined) {
+        return false
+      }
+      const { lastAnswerAt } = pools.of(upstream).health
+      const heard = performance.now() - lastAnswerAt < HEARD_MS
+      return heard || await pools.probe(upstream, PROBE_MS) !== undefined
     }
     peers.handle('reach', async (body) => ({ reached: await reaches(reachQuestionSchema.parse(body).upstream) }))
 
--- a/src/pools/index.ts
+++ b/src/pools/index.ts
@@ -58,6 +58,8 @@
     const desiredState = context.use('desiredState')
     const registry = context.use('registry')
     const used = new Map<string, UsedUpstream>()
+    /** Questions to upstreams in progress: those who ask at the same time share the answer. */
+    const probing = new Map<string, Promise<UpstreamReport | undefined>>()
 
     const shareOf = (group: string, part = 1): number => {
       const cap = (desiredState.current?.connectionCaps.get(group) ?? UNKNOWN_CAP) * part
@@ -134,7 +136,12 @@
     return {
       service: {
         of,
-        probe: async (upstream, timeoutMs) => await ask(upstream, timeoutMs, async (link) => await link.status()),
+        probe: async (upstream, timeoutMs) => {
+          const name = upstream.upstream
+          const asking = probing.get(name) ?? ask(upstream, timeoutMs, async (link) => await link.status())
+          probing.set(name, asking)
+          return await asking.finally(() => probing.delete(name))
+        },
         demote: async (upstream, term, timeoutMs) =>
           await ask(upstream, timeoutMs, async (link) => await link.demote(term))
       },
