--- a/src/cli/entry/index.ts
+++ b/src/cli/entry/index.ts
@@ -6,7 +6,7 @@
 import { createLogger } from '../../core/logger/index.ts'
 import { createDialer } from '../../core/wire/dialer.ts'
 import { startEntry } from '../../processes/entry.ts'
-import { runProgram, serveUntilStopped } from '../run-command.ts'
+import { endAfter, runProgram, serveUntilStopped } from '../run-command.ts'
 
 /** Names the settings file when the command line does not. */
 const SETTINGS_VARIABLE = 'WORKSWARD_BOOT'
@@ -23,6 +23,7 @@
       logger.log('info', 'process.started', {
         role: 'entry', callers: settings.listen.callers, peers: settings.listen.peers, http: settings.listen.metrics
       })
+      process.on('uncaughtException', (error) => endAfter(error, logger))
       process.on('SIGHUP', () => {
         logger.log('info', 'process.reload', { changed: 'nothing that applies without a restart' })
       })
--- a/src/cli/run-command.ts
+++ b/src/cli/run-command.ts
@@ -8,6 +8,8 @@
 /** Exit code for a wrong command line or file. */
 export const EXIT_BAD_INPUT = 2
 const EXIT_FAILED = 1
+/** Time for the last line to be written, in milliseconds. */
+const FLUSH_MS = 50
 const VERSION = '0.1.0'
 const STANDARD_ERROR = 2
 
@@ -80,6 +82,17 @@
   process.on('SIGUSR2', () => { process.stdout.write(JSON.stringify(kernel.dump(), null, 2) + '\n') })
 }
 
+/**
+ * Ends a process that met an error nobody expected: its state cannot be relied on. The line is written first.
+ *
+ * @param error - the error
+ * @param logger - for the line
+ */
+export function endAfter (error: Error, logger: Logger): void {
+  logger.log('error', 'process.crashed', { reason: error.message, stack: error.stack?.split('\n').slice(1, 4).join(' ') })
+  setTimeout(() => process.exit(EXIT_FAILED), FLUSH_MS)
+}
+
 function describeUnknown (program: CAC): string {
   const [given] = program.args
   const known = program.commands.map((command) => command.name).filter((name) => name !== '')
--- a/src/core/logger/events.ts
+++ b/src/core/logger/events.ts
@@ -48,6 +48,7 @@
   'operator.promote': { level: 'info', pairs: 'group, upstream, operator', when: 'an operator asks for another primary' },
   'peer.link-error': { level: 'warn', pairs: 'peer, reason', when: 'a link broke, or garbage came' },
   'peer.refused': { level: 'warn', pairs: 'peer, reason', when: 'a peer does not know the key' },
+  'process.crashed': { level: 'error', pairs: 'reason, stack', when: 'the process ends by an error that nobody expected' },
   'process.reload': { level: 'info', pairs: 'changed', when: 'the settings may have changed' },
   'process.started': { level: 'info', pairs: 'role, ports', when: 'a process serves' },
   'process.stop-failed': { level: 'error', pairs: 'reason', when: 'it could not' },
--- a/src/leadership/reach.ts
+++ b/src/leadership/reach.ts
@@ -28,7 +28,8 @@
   await new Promise<void>((resolve) => {
     let open = questions.length
     for (const question of questions) {
-      void question.then((answer) => {
+      // A question that fails says nothing of the upstream; who asks logs why.
+      void question.catch((): ReachAnswer => 'silent').then((answer) => {
         open--
         count.silent--
         count[answer]++
--- a/test/entry/reach.test.ts
+++ b/test/entry/reach.test.ts
@@ -15,6 +15,10 @@
     expect(await ask(['lost', 'silent', 'silent'])).toEqual(false)
     expect(await ask(['lost', 'lost', 'silent'])).toEqual(true)
   })
+  it('takes a question that fails for silence', async () => {
+    const failing = new Promise<ReachAnswer>((_resolve, reject) => { setImmediate(reject, new Error('broken')) })
+    expect(await ask(['lost', 'silent'], [failing])).toEqual(false)
+  })
   it('does not count hosts on which nothing runs', async () => {
     expect(await ask(['lost', 'not-running', 'not-running'])).toEqual(true)
   })
