--- a/bench/capacity/lines.ts
+++ b/bench/capacity/lines.ts
@@ -1,5 +1,6 @@
 /** The lines of the capacity page, computed from measured slopes. */
 import type { SlopeData } from '../slopes/types.ts'
+import { platformEntryLines } from './platform-lines.ts'
 import { DAY_SECONDS, DESIGN, SETTINGS_AT_SIZE } from './design-size.ts'
 
 /** A line of the page. */
@@ -28,7 +29,7 @@
  */
 export function computeLines (data: SlopeData): CapacityLine[] {
   return [...entryLines(data), ...homeLines(data), ...keeperLines(data), ...membershipLines(data),
-    ...configurationLines(data), ...platformLines(data)]
+    ...configurationLines(data), ...platformLines(data), ...platformEntryLines()]
 }
 
 /** Control of one node: processor share, bytes a second, memory. */
--- a/src/core/errors/catalogue.ts
+++ b/src/core/errors/catalogue.ts
@@ -33,7 +33,7 @@
   InvalidSettings: entry<{ mistakes: FileMistake[] }>({
     title: 'Invalid file',
     message: ({ mistakes }) => mistakes.map(describeMistake).join('\n'),
-    hint: 'Correct the named lines; examples/ holds complete files and every field is described in docs/OPERATING.md.'
+    hint: 'Correct the named lines; examples/ holds complete files and every field is described in docs/OPERATIONS.md.'
   }),
   UnreadableFile: entry<{ file: string, reason: string }>({
     title: 'File cannot be read',
@@ -80,7 +80,7 @@
   UnsupportedStatement: entry<{ reason: string }>({
     title: 'Unsupported statement',
     message: ({ reason }) => `this statement cannot be served: ${reason}`,
-    hint: 'See "What callers may send" in docs/OPERATING.md.',
+    hint: 'See "What callers may send" in docs/OPERATIONS.md.',
     mysqlCode: 1235
   }),
   InvalidToken: entry<{ reason: string }>({
@@ -181,7 +181,7 @@
   InvalidCommand: entry<{ reason: string }>({
     title: 'Invalid command',
     message: ({ reason }) => reason,
-    hint: 'See "worksward --help" and docs/OPERATING.md.'
+    hint: 'See "worksward --help" and docs/OPERATIONS.md.'
   })
 } as const
 
--- a/src/explain/story.ts
+++ b/src/explain/story.ts
@@ -4,8 +4,8 @@
 
 /** How long before a request began its story looks back, in milliseconds: longer than any right lasts. */
 const LOOK_BACK_MS = 12_000
-/** How long after its end the story goes on, in milliseconds. */
-const LOOK_ON_MS = 500
+/** How long after its end the story goes on, in milliseconds: a silent upstream is noticed within that time. */
+const LOOK_ON_MS = 1500
 /** Age of an input beyond which it is pointed out, in milliseconds: two reads of the registry have failed. */
 const OLD_INPUT_MS = 4500
 
@@ -73,9 +73,10 @@
   'leadership.host-closed': ({ atMs, entry: { fields } }) => Number(fields['waitedMs']) > 1000
     ? `${atMs} ms: the succession waited ${fields['waitedMs']} ms for host ${fields['peer']} (${fields['because']})`
     : undefined,
-  'upstream.unreachable': ({ atMs, entry: { host, fields } }, last) => host === last.host
-    ? `${atMs} ms: this host lost upstream ${fields['upstream']}: ${fields['fault']}`
-    : undefined,
+  'upstream.unreachable': ({ atMs, entry: { host, fields } }, last) =>
+    host === last.host || fields['upstream'] === last.fields['upstream']
+      ? `${atMs} ms: ${host} lost upstream ${fields['upstream']}: ${fields['fault']}`
+      : undefined,
   'store.lost': ({ atMs, entry: { host } }, last) =>
     host === last.host ? `${atMs} ms: the store did not answer this host` : undefined,
   'leadership.right-lapsed': ({ atMs, entry: { host, fields } }, last) => host === last.host
@@ -98,7 +99,7 @@
 function findCauses (lines: StoryLine[], last: LogEntry): string[] {
   const found = lines.flatMap((line) => FINDERS[line.entry.event]?.(line, last) ?? [])
   const old = lines.filter(({ entry }) => Number(entry.fields['confirmedAgeMs']) > OLD_INPUT_MS && entry.host === last.host)
-    .filter(({ entry }) => Number.isFinite(Number(entry.fields['confirmedAgeMs'])))
+    .filter(({ atMs, entry }) => atMs > -OLD_INPUT_MS && Number.isFinite(Number(entry.fields['confirmedAgeMs'])))
     .map(({ atMs, entry }) => `${atMs} ms: an old input: confirmed ${entry.fields['confirmedAgeMs']} ms before`)
   return [...new Set([...found, ...old])]
 }
--- a/src/registry/follow-table.ts
+++ b/src/registry/follow-table.ts
@@ -5,7 +5,7 @@
 import type { StorePort, StoreRow } from '../ports/index.ts'
 
 /** Time after which an empty answer to a question for changes comes, in milliseconds. Calls to the store are priced. */
-const FOLLOW_WAIT_MS = 12_000
+export const FOLLOW_WAIT_MS = 12_000
 /** Pause after a failure, in milliseconds. */
 const RETRY_MS = 150
 
--- a/src/registry/index.ts
+++ b/src/registry/index.ts
@@ -57,7 +57,7 @@
 }
 
 /** Time between two reads of the table, in milliseconds: half of the time a host may go on unconfirmed. */
-const POLL_MS = 1500
+export const POLL_MS = 1500
 /** Time between two tries while the store does not answer or a row is not written, in milliseconds. */
 const RETRY_MS = 500
 /** Age of the newest confirmation beyond which peers are asked, in milliseconds: one read has failed. */
--- a/src/registry/neighbour-watch.ts
+++ b/src/registry/neighbour-watch.ts
@@ -12,7 +12,7 @@
 import { hostRowSchema, registryKeys, RETIRED_PROCESS, type HostRow } from './types.ts'
 
 /** Time between two questions to the neighbour, in milliseconds. */
-const ASK_MS = 1000
+export const ASK_MS = 1000
 /** Time the neighbour has to answer, in milliseconds. */
 const ANSWER_MS = 600
 /** Silence after which a host is retired, in milliseconds: three questions, and longer than a restart takes. */
