--- a/src/entry/session.ts
+++ b/src/entry/session.ts
@@ -1,19 +1,17 @@
 /** One caller's session: its values, its prepared statements, its floor, and its transaction. */
 import { RequestError } from '../core/errors/index.ts'
 import { Deadline } from '../core/time/deadline.ts'
-import { pause } from '../core/time/deadline.ts'
 import type {
   CallerHandler, CallerLink, CallerRequest, CallerStatement, DesiredState, PreparedShape, Route, StatementAnswer,
   TransactionState
 } from '../ports/index.ts'
 import { formatPosition, laterPosition, type LogPosition } from '../upstreams/position.ts'
 import { doneAnswer, failureAnswer, failureOf } from './answers.ts'
-import { NOT_RUN_PAUSE_MS } from './consts.ts'
-import { holds, leasePrimary } from './primary-access.ts'
-import { placeRead, recordProof, runOptions, serveRead } from './reads.ts'
-import { runWork } from './run-statement.ts'
+import { placeRead, serveRead } from './reads.ts'
+import { reportRequest, type RequestTrace } from './request-log.ts'
 import { createTransaction, type CallerTransaction } from './transaction.ts'
 import type { DataWork, EntryContext, RequestScope } from './types.ts'
+import { serveWrite } from './writes.ts'
 
 /** Options of {@link createSession}. */
 export interface SessionOptions {
@@ -40,14 +38,6 @@
 /** Values and prepared statements that a session may have; more is refused, so that memory stays bounded. */
 const MAXIMUM_NAMES = 256
 
-/** What is told of a request in the log. */
-interface RequestTrace {
-  group?: string
-  upstream?: string
-  floor?: string
-  attempts: number
-}
-
 /**
  * Creates a session.
  *
@@ -64,7 +54,7 @@
   let closed = false
   let idleSince = performance.now()
   let failureTold = false
-  let trace: RequestTrace = { attempts: 0 }
+  let trace: RequestTrace = {}
 
   const stateNow = (): TransactionState => transaction === undefined ? 'idle' : transaction.failed ? 'failed' : 'open'
   const findRoute = (): Route => {
@@ -75,8 +65,7 @@
     return route
   }
   const scopeOf = (id: string, route: Route, timeoutMs = route.timeoutMs): RequestScope => {
-    trace = { attempts: 0, group: route.group }
-    return {
+    const scope: RequestScope = {
       requestId: id,
       group: route.group,
       priority: route.priority,
@@ -84,6 +73,8 @@
       deadline: new Deadline(timeoutMs),
       attempts: 0
     }
+    trace = { scope }
+    return scope
   }
   const raiseFloor = ({ position }: StatementAnswer): void => {
     if (position !== undefined) {
@@ -109,33 +100,13 @@
     }
   }
 
-  const write = async (scope: RequestScope, work: DataWork): Promise<StatementAnswer> => {
-    for (;;) {
-      const chosen = await leasePrimary(context, scope)
-      trace.upstream = chosen.known.upstream
-      const timed = await runWork(work, values, undefined, runOptions(context, chosen, scope, false),
-        () => holds(context, scope.group, chosen.right))
-      chosen.lease.release()
-      recordProof(context, scope.group, chosen.right, timed)
-      const { answer } = timed
-      const again = ['busy', 'read-only', 'unknown-statement', 'misrouted'].includes(answer.failure?.kind ?? '')
-      if (!again || scope.deadline.leftMs < NOT_RUN_PAUSE_MS * 2) {
-        return answer
-      }
-      context.measures.retry(answer.failure?.kind ?? 'unknown')
-      context.logger.log('info', 'write.repeated', {
-        id: scope.requestId, group: scope.group, upstream: trace.upstream, reason: answer.failure?.kind
-      })
-      await pause(NOT_RUN_PAUSE_MS)
-    }
-  }
   const runSingle = async (id: string, work: DataWork): Promise<StatementAnswer> => {
     const arrivedAt = performance.now()
     const route = findRoute()
     const scope = scopeOf(id, route)
     try {
       if (work.access === 'write') {
-        const answer = await write(scope, work)
+        const answer = await serveWrite(context, scope, work)
         if (answer.failure === undefined) {
           raiseFloor(answer)
         }
@@ -148,8 +119,6 @@
       return answer
     } catch (thrown) {
       return { ...failureAnswer('busy', '', 'idle'), failure: failureOf(thrown, work.access === 'read') }
-    } finally {
-      trace.attempts = scope.attempts
     }
   }
   const runInTransaction = async (id: string, open: CallerTransaction, work: DataWork): Promise<StatementAnswer> => {
@@ -160,7 +129,6 @@
       return { ...failureAnswer('aborted', '', 'failed'), failure: failureOf(thrown, true) }
     } finally {
       trace.upstream = open.upstream
-      trace.attempts = scope.attempts
     }
   }
   const execute = async (id: string, statement: CallerStatement): Promise<StatementAnswer> => {
@@ -209,8 +177,6 @@
       return { ...answer, state: 'idle' }
     } catch (thrown) {
       return { ...failureAnswer('aborted', '', 'idle'), failure: failureOf(thrown, !ending.wrote) }
-    } finally {
-      trace.attempts = scope.attempts
     }
   }
   const rollBack = (): StatementAnswer => {
@@ -260,27 +226,6 @@
       return { rows: [], failure, state: stateNow() }
     }
   }
-  const report = ({ id, statement }: CallerRequest, answer: StatementAnswer, durationMs: number): void => {
-    const outcome = answer.failure?.kind ?? 'done'
-    options.onDone(outcome, durationMs)
-    context.measures.request(`${statement.type} ${outcome}`, durationMs)
-    if (answer.signature === undefined && answer.failure === undefined) {
-      return
-    }
-    context.logger.log(answer.failure === undefined ? 'info' : 'warn',
-      answer.failure === undefined ? 'request.done' : 'request.failed', {
-        id,
-        type: statement.type,
-        database: link.database,
-        ...trace,
-        outcome,
-        reason: answer.failure?.message,
-        state: answer.state,
-        position: formatPosition(answer.position),
-        ms: Math.round(durationMs)
-      })
-  }
-
   return {
     get busy () { return busy },
     get idleMs () { return busy || transaction !== undefined ? 0 : performance.now() - idleSince },
@@ -288,12 +233,14 @@
     serve: async (request) => {
       const startedAt = performance.now()
       busy = true
-      trace = { attempts: 0 }
+      trace = {}
       const answer = await answerOf(request)
       busy = false
       idleSince = performance.now()
       failureTold ||= answer.state === 'failed'
-      report(request, answer, performance.now() - startedAt)
+      const durationMs = performance.now() - startedAt
+      options.onDone(answer.failure?.kind ?? 'done', durationMs)
+      reportRequest(context, link.database, request, answer, trace, durationMs)
       if (closed) {
         transaction?.rollBack()
       }
--- a/src/entry/types.ts
+++ b/src/entry/types.ts
@@ -61,4 +61,6 @@
   deadline: Deadline
   /** Tries made, for the log. */
   attempts: number
+  /** Upstream that was tried last, for the log. */
+  upstream?: string
 }
--- a/test/entry/calm.test.ts
+++ b/test/entry/calm.test.ts
@@ -1,70 +1,51 @@
-import { afterEach, beforeEach, describe, it } from 'node:test'
+import { describe, it } from 'node:test'
 import { expect } from 'earl'
-import fakeTimers, { type Clock } from '@sinonjs/fake-timers'
-import { useFakeFleet, World } from '../fixtures/fleet/world.ts'
+import { setUpWorld } from '../fixtures/fleet/set-up.ts'
+import type { FakeRoute } from '../fixtures/fleet/world.ts'
 
-describe('entry processes on a calm day', () => {
-  let clock: Clock
-  let world: World
+const ROUTES: FakeRoute[] = [
+  { database: 'money', group: 'g', freshness: { type: 'primary' }, timeoutMs: 800 },
+  { database: 'view', group: 'g', freshness: { type: 'bounded', maximumAgeMs: 1500 }, timeoutMs: 800 },
+  { database: 'own', group: 'g', freshness: { type: 'session', maximumAgeMs: 2500 }, timeoutMs: 800 }
+]
 
-  beforeEach(async () => {
-    useFakeFleet()
-    clock = fakeTimers.install()
-    world = new World()
-    world.addGroup('g')
-    world.configure([
-      { database: 'money', group: 'g', freshness: { type: 'primary' }, timeoutMs: 800 },
-      { database: 'view', group: 'g', freshness: { type: 'bounded', maximumAgeMs: 1500 }, timeoutMs: 800 },
-      { database: 'own', group: 'g', freshness: { type: 'session', maximumAgeMs: 2500 }, timeoutMs: 800 }
-    ])
-    await world.startHost('h1')
-    await world.startHost('h2')
-    await clock.tickAsync(3000)
-  })
-  afterEach(async () => {
-    const closing = world.close()
-    await clock.tickAsync(1000)
-    await closing
-    clock.uninstall()
-  })
-  const settle = async <Value>(pending: Promise<Value>, ms = 2000): Promise<Value> => {
-    await clock.tickAsync(ms)
-    return await pending
-  }
+describe('entry processes on a calm day', () => {
+  const suite = setUpWorld(['h1', 'h2'], ROUTES)
+  const { settle } = suite
 
   it('writes at the primary and reads them back at once on every kind of route', async () => {
-    const written = await settle(world.connect('h1', 'money').write())
+    const written = await settle(suite.world.connect('h1', 'money').write())
     expect(written.failure).toEqual(undefined)
-    const own = world.connect('h2', 'own')
+    const own = suite.world.connect('h2', 'own')
     const ownWrite = await settle(own.write(), 20)
     const ownRead = await settle(own.read(), 40)
     expect(ownRead.rows[0]?.split(',').includes(ownWrite.id)).toEqual(true)
-    const read = await settle(world.connect('h2', 'money').read(), 40)
+    const read = await settle(suite.world.connect('h2', 'money').read(), 40)
     expect(read.rows[0]?.split(',').includes(ownWrite.id)).toEqual(true)
   })
 
   it('serves bounded reads at replicas once an answer of the primary has proved an age', async () => {
-    await settle(world.connect('h1', 'money').write(), 300)
-    world.upstreams.runs.length = 0
+    await settle(suite.world.connect('h1', 'money').write(), 300)
+    suite.world.upstreams.runs.length = 0
     for (let turn = 0; turn < 6; turn++) {
-      await settle(world.connect('h1', 'view').read(), 50)
+      await settle(suite.world.connect('h1', 'view').read(), 50)
     }
-    expect(world.upstreams.runs.length).toEqual(6)
-    expect(world.upstreams.runs.every(({ upstream }) => upstream !== 'g-a')).toEqual(true)
+    expect(suite.world.upstreams.runs.length).toEqual(6)
+    expect(suite.world.upstreams.runs.every(({ upstream }) => upstream !== 'g-a')).toEqual(true)
   })
 
   it('keeps the session values and prepared names of callers apart on shared connections', async () => {
     for (let turn = 0; turn < 8; turn++) {
-      const one = world.connect('h1', 'own')
-      const two = world.connect('h1', 'own')
+      const one = suite.world.connect('h1', 'own')
+      const two = suite.world.connect('h1', 'own')
       await settle(one.send({ type: 'set', name: 'zone', value: 'one' }), 20)
       await settle(two.send({ type: 'set', name: 'user', value: 'two' }), 20)
       await settle(one.send({ type: 'prepare', name: 's', prepared: { access: 'read', shape: 'q1' } }), 20)
       await settle(two.send({ type: 'prepare', name: 's', prepared: { access: 'read', shape: 'q2' } }), 20)
-      world.upstreams.runs.length = 0
+      suite.world.upstreams.runs.length = 0
       const answers = [one, two].map(async (caller) => await caller.send({ type: 'execute', name: 's', parameters: 'k' }))
       const [first, second] = await settle(Promise.all(answers), 100)
-      const runOf = (id: string) => world.upstreams.runs.find(({ requestId }) => requestId === id)
+      const runOf = (id: string) => suite.world.upstreams.runs.find(({ requestId }) => requestId === id)
       expect(runOf(first!.id)?.values).toEqual({ zone: 'one' })
       expect(runOf(first!.id)?.text).toEqual('read q1 k')
       expect(runOf(second!.id)?.values).toEqual({ user: 'two' })
@@ -75,32 +56,32 @@
   })
 
   it('runs a transaction on one connection and nothing of others in it', async () => {
-    const caller = world.connect('h1', 'money')
+    const caller = suite.world.connect('h1', 'money')
     await settle(caller.send({ type: 'begin', readOnly: false }), 10)
     const first = await settle(caller.write(), 100)
-    const other = await settle(world.connect('h1', 'money').write(), 100)
+    const other = await settle(suite.world.connect('h1', 'money').write(), 100)
     const second = await settle(caller.write(), 100)
     const commit = await settle(caller.send({ type: 'commit', text: 'COMMIT' }), 100)
     expect([first, other, second, commit].filter(({ failure }) => failure !== undefined)).toEqual([])
-    const runOf = (id: string) => world.upstreams.runs.find(({ requestId }) => requestId === id)!
+    const runOf = (id: string) => suite.world.upstreams.runs.find(({ requestId }) => requestId === id)!
     expect(runOf(first.id).connection).toEqual(runOf(second.id).connection)
     expect(runOf(other.id).connection === runOf(first.id).connection).toEqual(false)
-    expect(world.upstreams.all.get('g-a')!.log.map(({ token }) => token)).toEqual([other.id, first.id, second.id])
+    expect(suite.world.upstreams.all.get('g-a')!.log.map(({ token }) => token)).toEqual([other.id, first.id, second.id])
   })
 
   it('rolls back what a caller leaves behind', async () => {
-    const caller = world.connect('h1', 'money')
+    const caller = suite.world.connect('h1', 'money')
     await settle(caller.send({ type: 'begin', readOnly: false }), 10)
     await settle(caller.write(), 100)
     caller.close()
-    await settle(world.connect('h1', 'money').write(), 200)
-    expect(world.upstreams.all.get('g-a')!.log.length).toEqual(1)
+    await settle(suite.world.connect('h1', 'money').write(), 200)
+    expect(suite.world.upstreams.all.get('g-a')!.log.length).toEqual(1)
   })
 
   it('answers a lost answer of a write as in doubt, at once', async () => {
-    const caller = world.connect('h1', 'money')
+    const caller = suite.world.connect('h1', 'money')
     await settle(caller.write(), 100)
-    world.upstreams.all.get('g-a')!.loseAnswers = 1
+    suite.world.upstreams.all.get('g-a')!.loseAnswers = 1
     const startedAt = performance.now()
     let endedAt = 0
     const pending = caller.write().finally(() => { endedAt = performance.now() })
@@ -110,20 +91,20 @@
   })
 
   it('refuses a database without a route', async () => {
-    const answer = await settle(world.connect('h1', 'nowhere').read(), 10)
+    const answer = await settle(suite.world.connect('h1', 'nowhere').read(), 10)
     expect(answer.failure?.kind).toEqual('unknown-database')
   })
 
   it('ends a transaction that rests for too long, and says that nothing is kept', async () => {
-    const caller = world.connect('h1', 'money')
+    const caller = suite.world.connect('h1', 'money')
     await settle(caller.send({ type: 'begin', readOnly: false }), 10)
     await settle(caller.write(), 100)
-    await clock.tickAsync(4000)
+    await suite.clock.tickAsync(4000)
     const answer = await settle(caller.write(), 100)
     expect(answer.failure?.kind).toEqual('aborted')
     expect(answer.state).toEqual('failed')
     const end = await settle(caller.send({ type: 'rollback' }), 10)
     expect(end.state).toEqual('idle')
-    expect(world.upstreams.all.get('g-a')!.log.length).toEqual(0)
+    expect(suite.world.upstreams.all.get('g-a')!.log.length).toEqual(0)
   })
 })
--- a/test/entry/succession.test.ts
+++ b/test/entry/succession.test.ts
@@ -1,8 +1,7 @@
-import { afterEach, beforeEach, describe, it } from 'node:test'
+import { describe, it } from 'node:test'
 import { expect } from 'earl'
-import fakeTimers, { type Clock } from '@sinonjs/fake-timers'
 import { findLeader, type Candidate } from '../../src/leadership/succession.ts'
-import { useFakeFleet, World } from '../fixtures/fleet/world.ts'
+import { setUpWorld } from '../fixtures/fleet/set-up.ts'
 
 function candidate (upstream: string, role: 'primary' | 'replica', term: number): Candidate {
   const endpoint = { address: '127.0.0.1', port: 1 }
@@ -23,34 +22,17 @@
 })
 
 describe('a primary that was deposed', () => {
-  let clock: Clock
-  let world: World
-  beforeEach(async () => {
-    useFakeFleet()
-    clock = fakeTimers.install()
-    world = new World()
-    world.addGroup('g')
-    world.configure([{ database: 'money', group: 'g', freshness: { type: 'primary' }, timeoutMs: 800 }])
-    await world.startHost('h1')
-    await world.startHost('h2')
-    await clock.tickAsync(3000)
-  })
-  afterEach(async () => {
-    const closing = world.close()
-    await clock.tickAsync(1000)
-    await closing
-    clock.uninstall()
-  })
+  const suite = setUpWorld(['h1', 'h2'])
 
   it('is left for the one that leads, also when none of the hosts ordered it', async () => {
-    const old = world.upstreams.all.get('g-a')!
-    void world.upstreams.promote('g-b', 'elsewhere', 9)
-    await clock.tickAsync(400)
+    const old = suite.world.upstreams.all.get('g-a')!
+    void suite.world.upstreams.promote('g-b', 'elsewhere', 9)
+    await suite.clock.tickAsync(400)
     old.role = 'replica'
-    world.announce(old)
-    await clock.tickAsync(5000)
-    const writing = world.connect('h1', 'money').write()
-    await clock.tickAsync(300)
+    suite.world.announce(old)
+    await suite.clock.tickAsync(5000)
+    const writing = suite.world.connect('h1', 'money').write()
+    await suite.clock.tickAsync(300)
     expect((await writing).signature?.startsWith('g-b')).toEqual(true)
   })
 })
