Split leadership by job; hold a need and its succession to their epoch

Found by reading: a need kept the time at which an earlier epoch had been seen as closed when the next one was closed within one look, which made the wait for silent hosts too short; and a succession could begin in a later epoch than the one it was decided for. Both now carry the epoch.

--- a/src/leadership/duty.ts
+++ b/src/leadership/duty.ts
@@ -1,8 +1,9 @@
 /** The duty of promoting: one host at a time, by a lease in the store with a fencing token that only rises. */
 import { describeThrown } from '../core/errors/index.ts'
 import type { Logger } from '../core/logger/index.ts'
-import { registryKeys, type DutyRow, type Registry } from '../registry/index.ts'
-import { DUTY_LEASE_MS, DUTY_REST_MS } from './consts.ts'
+import type { Peers } from '../peers/index.ts'
+import { isRefusal, registryKeys, type DutyRow, type Registry } from '../registry/index.ts'
+import { CLOSE_TRY_MS, DUTY_LEASE_MS, DUTY_REST_MS } from './consts.ts'
 
 /** The duty as this host holds it. */
 export interface HeldDuty {
@@ -11,27 +12,50 @@
   mayOrder: () => boolean
 }
 
-/** Options of {@link takeDuty}. */
+/** Options of {@link createDuty}. */
 export interface DutyOptions {
   registry: Registry
+  peers: Pick<Peers, 'ask'>
   logger: Logger
-  /** Whether a process is known to have ended. */
-  hasEnded: (row: DutyRow) => Promise<boolean>
 }
 
 /**
- * Takes the duty, or keeps it.
+ * Creates the way to the duty. Groups that need it at the same moment share one try, or they would contradict each
+ * other.
  *
- * @param options - the registry and what is known of other processes
- * @returns the duty; undefined when another process has it
+ * @param options - the registry and the links to peers
+ * @returns takes the duty, or keeps it; undefined when another process has it
  */
-export async function takeDuty ({ registry, logger, hasEnded }: DutyOptions): Promise<HeldDuty | undefined> {
+export function createDuty (options: DutyOptions): () => Promise<HeldDuty | undefined> {
+  let taking: Promise<HeldDuty | undefined> | undefined
+  return async () => {
+    taking ??= takeDuty(options).finally(() => { taking = undefined })
+    return await taking
+  }
+}
+
+/** Whether the process that holds the duty is known to have ended. */
+async function hasEnded ({ holder, process }: DutyRow, { registry, peers }: DutyOptions): Promise<boolean> {
+  const row = registry.current.hosts.find(({ name }) => name === holder)
+  if (row === undefined || row.process !== process) {
+    return true
+  }
+  try {
+    await peers.ask(row, 'registry-snapshot', {}, CLOSE_TRY_MS)
+    return false
+  } catch (thrown) {
+    return isRefusal(thrown)
+  }
+}
+
+async function takeDuty (options: DutyOptions): Promise<HeldDuty | undefined> {
+  const { registry, logger } = options
   if (!await registry.refresh()) {
     return undefined
   }
   const { row, version } = registry.current.duty
   const own = row !== undefined && row.process === registry.self.process
-  if (row !== undefined && !own && registry.storeNowAtLeastMs() < row.expiresMs && !await hasEnded(row)) {
+  if (row !== undefined && !own && registry.storeNowAtLeastMs() < row.expiresMs && !await hasEnded(row, options)) {
     return undefined
   }
   const next: DutyRow = {
--- a/src/leadership/succession.ts
+++ b/src/leadership/succession.ts
@@ -23,6 +23,8 @@
 export interface SuccessionOptions {
   group: string
   reason: SuccessionReason
+  /** Epoch whose primary is to be replaced; nothing is done in another one. */
+  epoch: number
   /** Newest term of the group that this host knows. */
   knownTerm: number
   /** Since when this host has known that the epoch is closed, on the steady clock; undefined when it is not. */
@@ -52,7 +54,7 @@
 export async function runSuccession (options: SuccessionOptions): Promise<string | undefined> {
   const { group, logger, registry, reason } = options
   const before = registry.current.group(group)
-  if (before.row === undefined || await options.duty() === undefined) {
+  if (before.row?.epoch !== options.epoch || await options.duty() === undefined) {
     return undefined
   }
   logger.log('warn', 'succession.started', {
--- a/src/leadership/watch.ts
+++ b/src/leadership/watch.ts
@@ -1,9 +1,12 @@
 /** Watches every group and decides when this host acts on what a group needs. */
 import { createHash } from 'node:crypto'
+import { describeThrown } from '../core/errors/index.ts'
+import type { Logger } from '../core/logger/index.ts'
+import { pause } from '../core/time/deadline.ts'
 import type { Directory } from '../directory/index.ts'
 import type { Pools } from '../pools/index.ts'
 import type { Registry } from '../registry/index.ts'
-import { STAGGER_MS, UNREACHABLE_MS } from './consts.ts'
+import { RETRY_MS, STAGGER_MS, UNREACHABLE_MS } from './consts.ts'
 import type { SuccessionReason } from './types.ts'
 
 /** What a group needs. */
@@ -72,3 +75,70 @@
   const own = order(self.name)
   return (STANDING_MS[need] ?? 0) + STAGGER_MS * current.liveHosts.filter(({ name }) => order(name) < own).length
 }
+
+/** A need of a group, and since when this host has seen it. */
+export interface StandingNeed {
+  need: GroupNeed
+  /** Epoch in which it arose; 0 before the first one. */
+  epoch: number
+  since: number
+}
+
+/** Options of {@link createGroupWatch}. */
+export interface GroupWatchOptions extends AssessOptions {
+  registry: Pick<Registry, 'current' | 'self'>
+  logger: Logger
+  /** Does what a group needs. */
+  act: (group: string, standing: StandingNeed) => Promise<void>
+}
+
+/** Watches groups. */
+export interface GroupWatch {
+  /** Looks at a group, and acts when its need has stood long enough for this host. */
+  consider: (group: string) => void
+  needs: () => Record<string, StandingNeed>
+}
+
+/**
+ * Creates the watch.
+ *
+ * @param options - what is known, and what to do
+ * @returns the watch
+ */
+export function createGroupWatch (options: GroupWatchOptions): GroupWatch {
+  const { registry, logger, act } = options
+  const needs = new Map<string, StandingNeed>()
+  const acting = new Set<string>()
+
+  /** The need as it stands; a need of another epoch is a new one. */
+  const standingNeed = (group: string): StandingNeed | undefined => {
+    const need = assessGroup(group, options)
+    if (need === undefined) {
+      needs.delete(group)
+      return undefined
+    }
+    const epoch = registry.current.group(group).row?.epoch ?? 0
+    const known = needs.get(group)
+    const standing = known?.need === need && known.epoch === epoch ? known : { need, epoch, since: performance.now() }
+    needs.set(group, standing)
+    return standing
+  }
+  return {
+    needs: () => Object.fromEntries(needs),
+    consider: (group) => {
+      const standing = standingNeed(group)
+      if (standing === undefined || acting.has(group)) {
+        return
+      }
+      const stoodMs = performance.now() - standing.since
+      if (stoodMs === 0 || stoodMs < staggerOf(group, standing.need, registry)) {
+        return
+      }
+      acting.add(group)
+      act(group, standing)
+        .catch((thrown: unknown) => logger.log('warn', 'succession.failed', { group, reason: describeThrown(thrown) }))
+        .then(async () => await pause(RETRY_MS))
+        .finally(() => acting.delete(group))
+    }
+  }
+}
