--- a/bench/slopes/control.ts
+++ b/bench/slopes/control.ts
@@ -14,7 +14,7 @@
 import { createStatusChannel } from '../../src/upstreams/status-channel.ts'
 import { startProcesses } from '../../test/fixtures/process-deployment.ts'
 import { openDatabase } from '../../src/standin/database.ts'
-import { LEDGER_SCHEMA } from '../../src/standin/request-ledger.ts'
+import { LEDGER_SCHEMA } from '../../src/standin/ledger-schema.ts'
 import type { Figures, Point } from './types.ts'
 
 const PROBES = [200, 400, 800, 1600]
--- /dev/null
+++ b/src/standin/ledger-schema.ts
@@ -0,0 +1,9 @@
+/** Tables that every stand-in upstream has. */
+
+/** The ledger table. The primary key is what decides between two attempts. */
+export const LEDGER_SCHEMA = [
+  `CREATE TABLE IF NOT EXISTS worksward_ledger (
+    scope TEXT NOT NULL, request_key TEXT NOT NULL, fingerprint TEXT NOT NULL, state TEXT NOT NULL,
+    attempt INTEGER NOT NULL, affected_rows INTEGER NOT NULL DEFAULT 0, insert_id INTEGER NOT NULL DEFAULT 0,
+    created_at INTEGER NOT NULL, PRIMARY KEY (scope, request_key))`
+]
--- a/src/standin/request-ledger.ts
+++ b/src/standin/request-ledger.ts
@@ -1,18 +1,11 @@
-/** The procedures by which a request runs at most once, and the table they keep. */
+/** The procedures by which a request runs at most once. */
 import { Buffer } from 'node:buffer'
 import type { UpstreamStatus } from '../upstreams/status.ts'
 import type { RowsAnswer, Statement } from '../mysql/types.ts'
-import type { Upstream, UpstreamTransaction } from './upstream.ts'
+import type { UpstreamTransaction } from './upstream-transaction.ts'
+import type { Upstream } from './upstream.ts'
 import { textColumn } from '../mysql/answer-writer.ts'
 
-/** The ledger table. The primary key is what decides between two attempts. */
-export const LEDGER_SCHEMA = [
-  `CREATE TABLE IF NOT EXISTS worksward_ledger (
-    scope TEXT NOT NULL, request_key TEXT NOT NULL, fingerprint TEXT NOT NULL, state TEXT NOT NULL,
-    attempt INTEGER NOT NULL, affected_rows INTEGER NOT NULL DEFAULT 0, insert_id INTEGER NOT NULL DEFAULT 0,
-    created_at INTEGER NOT NULL, PRIMARY KEY (scope, request_key))`
-]
-
 /** A key and the attempt made under it. */
 export interface LedgerAttempt {
   scope: string
--- a/src/standin/upstream-session.ts
+++ b/src/standin/upstream-session.ts
@@ -9,7 +9,8 @@
 import {
   contestAttempt, enterAttempt, findRow, ledgerAnswer, rowAnswer, sweepStatement, type LedgerAttempt
 } from './request-ledger.ts'
-import type { Upstream, UpstreamTransaction } from './upstream.ts'
+import type { UpstreamTransaction } from './upstream-transaction.ts'
+import type { Upstream } from './upstream.ts'
 
 /** Faults that a session can meet. */
 export interface SessionFaults {
--- a/src/standin/upstream.ts
+++ b/src/standin/upstream.ts
@@ -2,11 +2,11 @@
 import { randomUUID } from 'node:crypto'
 import { silentLogger, type Logger } from '../core/logger/index.ts'
 import type { Answer, Statement } from '../mysql/types.ts'
-import type { LogPosition } from '../upstreams/position.ts'
 import type { UpstreamStatus } from '../upstreams/status.ts'
 import { isReadStatement, openDatabase, type Database } from './database.ts'
+import type { UpstreamTransaction } from './upstream-transaction.ts'
 import { ReplicationLog } from './replication-log.ts'
-import { LEDGER_SCHEMA } from './request-ledger.ts'
+import { LEDGER_SCHEMA } from './ledger-schema.ts'
 
 /** Answers whether two upstreams can reach each other. */
 export type Reachable = (from: string, to: string) => boolean
@@ -389,15 +389,6 @@
   }
 }
 
-/** An open transaction. */
-export interface UpstreamTransaction {
-  run: (statement: Statement) => Answer
-  /** Commits and returns where the log then ends. */
-  commit: () => LogPosition
-  /** Rolls back, unless it has ended already. */
-  rollback: () => void
-}
-
 /**
  * Creates an upstream.
  *
--- a/src/upstreams/group-view.ts
+++ b/src/upstreams/group-view.ts
@@ -5,43 +5,13 @@
 import type { Group, UpstreamDeclaration } from '../core/config/index.ts'
 import { RequestError } from '../core/errors/index.ts'
 import { pause, type Deadline } from '../core/time/deadline.ts'
-import type { Dialer } from '../core/wire/dialer.ts'
 import { createDataAge, type DataAge } from './data-age.ts'
 import { laterPosition, LOG_START, majorityOf, meetsFloor, type LogPosition } from './position.ts'
-import { createStatusChannel, type ObservedStatus, type StatusChannel } from './status-channel.ts'
+import type { GroupViewOptions, Leadership, UpstreamView } from './group-view-types.ts'
+import { createStatusChannel, type ObservedStatus } from './status-channel.ts'
 import { logEnd, type UpstreamStatus } from './status.ts'
 
-/** Who leads a group. */
-export interface Leadership {
-  term: number
-  /** Name of the primary. */
-  primary: string
-}
-
-/** What the view knows of one upstream. */
-export interface UpstreamView {
-  declaration: UpstreamDeclaration
-  channel: StatusChannel
-  /** Whether it answered last time. */
-  reachable: boolean
-  /** Whether it has been fenced while it led: its successor is not known yet. */
-  deposed: boolean
-}
-
-/** Options of {@link GroupView}. */
-export interface GroupViewOptions {
-  name: string
-  group: Group
-  dialer: Dialer
-  /** Time a status question may take, in milliseconds. */
-  statusTimeoutMs: number
-  /** Told of every status question that an upstream did not answer. */
-  onFailure?: (upstream: string, error: RequestError) => void
-  /** Told when an upstream stops answering. */
-  onUnreachable?: (upstream: string, reason: string) => void
-  /** Told when a new term is seen. */
-  onLeadership?: (leadership: Leadership) => void
-}
+export type { GroupViewOptions, Leadership, UpstreamView } from './group-view-types.ts'
 
 /** Pause between two looks for a new primary, in milliseconds. */
 const RECOVERY_PAUSE_MS = 15
