Let a statement end before its transaction is rolled back from this side

Found by reading the diff: when a caller left, or this host stopped, while a statement of its transaction was in progress, the rollback was sent on the same connection; the statement's answer was taken for the rollback's. The test fails before (a second command on a busy connection).

--- a/src/entry/transaction.ts
+++ b/src/entry/transaction.ts
@@ -63,6 +63,7 @@
   let at: ReadLease | undefined
   let failedBecause: string | undefined
   let wrote = false
+  let running = false
   let restTimer: NodeJS.Timeout | undefined
 
   const leave = (): ReadLease | undefined => {
@@ -71,13 +72,19 @@
     at = undefined
     return left
   }
-  const fail = (reason: string): void => {
-    failedBecause ??= reason
+  const rollBackNow = (): void => {
     const left = leave()
     if (left !== undefined) {
       void rollBackAt(left)
     }
   }
+  /** A statement in progress ends first: its connection takes one command at a time. */
+  const fail = (reason: string): void => {
+    failedBecause ??= reason
+    if (!running) {
+      rollBackNow()
+    }
+  }
   const rest = (): void => {
     clearTimeout(restTimer)
     restTimer = setTimeout(() => fail(`it rested for more than ${options.idleMs} ms`), options.idleMs)
@@ -153,7 +160,8 @@
     at = chosen
     clearTimeout(restTimer)
     for (let tries = 1; ; tries++) {
-      const timed = await run(chosen)
+      running = true
+      const timed = await run(chosen).finally(() => { running = false })
       recordProof(context, scope.group, chosen.right, timed)
       const { failure, state } = timed.answer
       const again = failure !== undefined && verdictOf(failure.kind) === 'not-run' && state === 'open'
@@ -177,7 +185,9 @@
           wrote ||= work.access === 'write'
           return await runWork(work, scope.values, undefined, runOptions(context, chosen, scope, false))
         })
-        if (answer.state === 'open') {
+        if (failedBecause !== undefined) {
+          rollBackNow()
+        } else if (answer.state === 'open') {
           rest()
         } else {
           fail(`the upstream ended it: ${answer.failure?.kind ?? 'unknown'}`)
--- a/test/entry/calm.test.ts
+++ b/test/entry/calm.test.ts
@@ -78,6 +78,20 @@
     expect(suite.world.upstreams.all.get('g-a')!.log.length).toEqual(1)
   })
 
+  it('sends nothing on a connection whose statement is in progress when its caller leaves', async () => {
+    const caller = suite.world.connect('h1', 'money')
+    await settle(caller.send({ type: 'begin', readOnly: false }), 10)
+    await settle(caller.write(), 100)
+    suite.world.upstreams.all.get('g-a')!.workMs = 50
+    const writing = caller.write()
+    await suite.clock.tickAsync(10)
+    caller.close()
+    await settle(writing, 500)
+    await settle(suite.world.connect('h1', 'money').write(), 300)
+    expect(suite.world.upstreams.overlaps).toEqual(0)
+    expect(suite.world.upstreams.all.get('g-a')!.log.length).toEqual(1)
+  })
+
   it('answers a lost answer of a write as in doubt, at once', async () => {
     const caller = suite.world.connect('h1', 'money')
     await settle(caller.write(), 100)
