--- a/test/core/config.test.ts
+++ b/test/core/config.test.ts
@@ -2,7 +2,8 @@
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
 import {
-  declarationsSchema, entrySettingsSchema, keeperSettingsSchema, loadFile, parseContent, proxySettingsSchema, standinSettingsSchema
+  declarationsSchema, entrySettingsSchema, keeperSettingsSchema, loadFile, parseContent, proxySettingsSchema,
+  standinSettingsSchema
 } from '../../src/core/config/index.ts'
 import { formatPairs } from '../../src/core/logger/index.ts'
 
