Write a group's row in one place; drop what was said twice

Closing and opening an epoch wrote the row and settled a lost answer with the same lines; one function serves both. The order to stop at a primary and a closed epoch had the same schema under two names. serveWrite returned the upstream that the scope names already, and a session's scope had a parameter that nobody gave.

--- a/src/entry/session.ts
+++ b/src/entry/session.ts
@@ -64,13 +64,13 @@
     }
     return route
   }
-  const scopeOf = (id: string, route: Route, timeoutMs = route.timeoutMs): RequestScope => {
+  const scopeOf = (id: string, route: Route): RequestScope => {
     const scope: RequestScope = {
       requestId: id,
       group: route.group,
       priority: route.priority,
       values,
-      deadline: new Deadline(timeoutMs),
+      deadline: new Deadline(route.timeoutMs),
       attempts: 0
     }
     trace = { scope }
--- a/src/entry/writes.ts
+++ b/src/entry/writes.ts
@@ -16,12 +16,12 @@
  * @param context - the rest of the process
  * @param scope - the request
  * @param work - the write
- * @returns the answer, and the upstream that gave it
+ * @returns the answer; the scope names the upstream that gave it
  * @throws RequestError with the verdict on whether it may have run
  */
 export async function serveWrite (
   context: EntryContext, scope: RequestScope, work: DataWork
-): Promise<StatementAnswer & { upstream: string }> {
+): Promise<StatementAnswer> {
   for (;;) {
     const chosen = await leasePrimary(context, scope)
     const upstream = chosen.known.upstream
@@ -33,7 +33,7 @@
     const { answer } = timed
     const again = answer.failure !== undefined && SENT_AGAIN.has(answer.failure.kind)
     if (!again || scope.deadline.leftMs < NOT_RUN_PAUSE_MS * 2) {
-      return { ...answer, upstream }
+      return answer
     }
     context.measures.retry(answer.failure!.kind)
     context.logger.log('info', 'write.repeated', {
--- a/src/leadership/index.ts
+++ b/src/leadership/index.ts
@@ -15,7 +15,7 @@
 import { createReachQuestions } from './reach-questions.ts'
 import { createRights, type Rights } from './rights.ts'
 import { runSuccession } from './succession.ts'
-import { closeGroupSchema } from './types.ts'
+import { closedEpochSchema } from './types.ts'
 import { createGroupWatch, type StandingNeed } from './watch.ts'
 
 export type { PrimaryRight } from './types.ts'
@@ -50,7 +50,7 @@
       ({ age: Number.isFinite(registry.confirmedAgeMs()) ? registry.confirmedAgeMs() : -1 }))
 
     peers.handle('close-group', async (body) => {
-      const { group, epoch } = closeGroupSchema.parse(body)
+      const { group, epoch } = closedEpochSchema.parse(body)
       logger.log('info', 'leadership.closing', { group, epoch, confirmedAgeMs: Math.round(registry.confirmedAgeMs()) })
       await closing.close(group, epoch)
       return {}
--- a/src/leadership/succession.ts
+++ b/src/leadership/succession.ts
@@ -84,24 +84,30 @@
  * that whatever another succession has sent to the store and not heard of cannot be carried out any more.
  */
 async function closeEpoch (
-  { group, registry, logger, knownTerm, closedSince }: SuccessionOptions, row: GroupRow, version: number,
-  succession: string
+  options: SuccessionOptions, row: GroupRow, version: number, succession: string
 ): Promise<number | undefined> {
-  const key = registryKeys.group(group)
-  const closed: GroupRow = {
+  const { registry, knownTerm, closedSince } = options
+  const now = await writeRow(options, version, 'close', {
     ...row, state: 'closed', term: Math.max(row.term, knownTerm), writtenBy: registry.self.name, succession
+  })
+  if (now?.state !== 'closed' || now.succession !== succession) {
+    return undefined
   }
+  return row.state === 'closed' ? closedSince ?? performance.now() : performance.now()
+}
+
+/** Writes the row of the group; returns the row as it then stands, whether or not the answer to the write came. */
+async function writeRow (
+  { group, registry, logger }: SuccessionOptions, version: number, step: 'close' | 'open', row: GroupRow
+): Promise<GroupRow | undefined> {
+  const key = registryKeys.group(group)
   try {
-    await registry.write({ expected: [{ key, version }], put: [{ key, value: JSON.stringify(closed) }] })
+    await registry.write({ expected: [{ key, version }], put: [{ key, value: JSON.stringify(row) }] })
   } catch (thrown) {
-    logger.log('warn', 'succession.answer-lost', { group, step: 'close', reason: describeThrown(thrown) })
+    logger.log('warn', 'succession.answer-lost', { group, step, reason: describeThrown(thrown) })
     await registry.refresh()
   }
-  const now = registry.current.group(group).row
-  if (now?.state !== 'closed' || now.succession !== succession) {
-    return undefined
-  }
-  return row.state === 'closed' ? closedSince ?? performance.now() : performance.now()
+  return registry.current.group(group).row
 }
 
 async function stopOld (
@@ -243,23 +249,15 @@
   if (row?.succession !== succession) {
     return undefined
   }
-  const key = registryKeys.group(group)
-  const opened: GroupRow = {
+  const now = await writeRow(options, version, 'open', {
     epoch: row.epoch + 1,
     primary: upstream.upstream,
     state: 'open',
     term: report.term,
     writtenBy: registry.self.name,
     succession: ''
-  }
-  try {
-    await registry.write({ expected: [{ key, version }], put: [{ key, value: JSON.stringify(opened) }] })
-  } catch (thrown) {
-    logger.log('warn', 'succession.answer-lost', { group, step: 'open', reason: describeThrown(thrown) })
-    await registry.refresh()
-  }
+  })
   registry.nudgePeers()
-  const now = registry.current.group(group).row
   logger.log('info', 'succession.done', { group, upstream: now?.primary, epoch: now?.epoch, term: now?.term })
   return now?.state === 'open' ? now.primary : undefined
 }
--- a/src/leadership/types.ts
+++ b/src/leadership/types.ts
@@ -10,9 +10,6 @@
 /** Why a group needs another primary. */
 export type SuccessionReason = 'draining' | 'gone' | 'unreachable' | 'deposed' | 'unfinished'
 
-/** Body of the order to stop working at a primary. */
-export const closeGroupSchema = z.object({ group: z.string(), epoch: z.number().int() })
-
 /** Body of the question whether a host reaches an upstream. */
 export const reachQuestionSchema = z.object({ upstream: z.string() })
 
@@ -22,7 +19,7 @@
 /** Body of the question for an extension. */
 export const extendQuestionSchema = z.object({ host: z.string(), process: z.string() })
 
-/** An epoch in which nobody may work at the primary. */
+/** An epoch in which nobody may work at the primary; also the body of the order to stop working there. */
 export const closedEpochSchema = z.object({ group: z.string(), epoch: z.number().int() })
 
 /** Answer to the question for an extension. */
--- a/src/registry/index.ts
+++ b/src/registry/index.ts
@@ -1,6 +1,6 @@
 /**
- * Plug-in `registry`: the rows that entry processes share. It registers this process, reads the table every second, and
- * asks peers for their copy while the store does not answer this host.
+ * Plug-in `registry`: the rows that entry processes share. It registers this process, reads the table again and
+ * again, and asks peers for their copy while the store does not answer this host.
  */
 import { randomUUID } from 'node:crypto'
 import type { EntrySettings } from '../core/config/entry-settings.ts'
