Share proofs of freshness between hosts

Cause: a host without a proof of its own sends every read to the primary.

Ruled out: pushing proofs all the time (bytes between failure domains are priced, and a host with traffic of its own needs none); a status question (needs the same connection, and is priced).

--- a/src/core/logger/events.ts
+++ b/src/core/logger/events.ts
@@ -31,6 +31,7 @@
   'feed.history-lost': { level: 'warn', pairs: 'table, version', when: 'the store has forgotten the changes since a version; the table is read whole' },
   'feed.lost': { level: 'warn', pairs: 'table, reason', when: 'a table cannot be followed' },
   'feed.regained': { level: 'info', pairs: 'table, version', when: 'it can again' },
+  'freshness.asked': { level: 'info', pairs: 'group, peers, found, position, before', when: 'this host had no proof of freshness and asked peers for theirs' },
   'group.leadership': { level: 'info', pairs: 'group, term, primary', when: 'a home follows a new primary' },
   'leadership.aborted': { level: 'warn', pairs: 'upstream, inUse, reason', when: 'statements in progress at a primary were broken off' },
   'leadership.closing': { level: 'info', pairs: 'group, epoch, confirmedAgeMs', when: 'a peer asks this host to stop working at a primary' },
--- a/src/entry/reads.ts
+++ b/src/entry/reads.ts
@@ -16,7 +16,7 @@
 export type ReadPlace = { type: 'primary' } | { type: 'after', position: LogPosition }
 
 /**
- * Says where a read may run.
+ * Says where a read may run; asks peers for a proof of freshness when this host has none.
  *
  * @param context - the rest of the process
  * @param group - the group
@@ -25,14 +25,17 @@
  * @param sessionFloor - what the session itself has written
  * @returns the place
  */
-export function placeRead (
+export async function placeRead (
   context: EntryContext, group: string, freshness: Freshness, arrivedAt: number, sessionFloor?: LogPosition
-): ReadPlace {
+): Promise<ReadPlace> {
   if (freshness.type === 'primary') {
     return { type: 'primary' }
   }
   const floor = freshness.type === 'session' ? sessionFloor : undefined
-  const position = context.freshness.of(group).floorSince(arrivedAt - freshness.maximumAgeMs, floor)
+  const since = arrivedAt - freshness.maximumAgeMs
+  const proofs = context.freshness.of(group)
+  const known = proofs.floorSince(since, floor)
+  const position = known ?? (await context.freshness.fetch(group, since) ? proofs.floorSince(since, floor) : undefined)
   return position === undefined ? { type: 'primary' } : { type: 'after', position }
 }
 
--- a/src/entry/session.ts
+++ b/src/entry/session.ts
@@ -112,7 +112,7 @@
         }
         return answer
       }
-      const place = placeRead(context, route.group, route.freshness, arrivedAt, floor)
+      const place = await placeRead(context, route.group, route.freshness, arrivedAt, floor)
       trace.floor = place.type === 'after' ? formatPosition(place.position) : 'primary'
       const answer = await serveRead(context, scope, work, place)
       trace.upstream = answer.upstream
@@ -143,7 +143,7 @@
     ? failureAnswer('malformed', 'the transaction has failed; roll it back', 'failed')
     : failureAnswer('aborted', `the transaction was rolled back: ${transaction?.failedBecause ?? ''}`, 'failed')
 
-  const begin = (readOnly: boolean): StatementAnswer => {
+  const begin = async (readOnly: boolean): Promise<StatementAnswer> => {
     if (transaction !== undefined) {
       return failureAnswer('malformed', 'a transaction is open', stateNow())
     }
@@ -153,7 +153,9 @@
       context,
       route,
       readOnly,
-      place: placeRead(context, route.group, route.freshness, performance.now(), floor),
+      place: readOnly
+        ? await placeRead(context, route.group, route.freshness, performance.now(), floor)
+        : { type: 'primary' },
       idleMs: desiredState()?.transactionIdleMs ?? route.timeoutMs
     })
     return doneAnswer('open')
@@ -202,7 +204,7 @@
     [Type in CallerStatement['type']]:
     (statement: Extract<CallerStatement, { type: Type }>, id: string) => Promise<StatementAnswer> | StatementAnswer
   } = {
-    begin: ({ readOnly }) => begin(readOnly),
+    begin: async ({ readOnly }) => await begin(readOnly),
     commit: async ({ text }, id) => await commit(id, text),
     rollback: () => rollBack(),
     data: async (statement, id) => await execute(id, statement),
--- a/src/freshness/group-freshness.ts
+++ b/src/freshness/group-freshness.ts
@@ -10,8 +10,11 @@
 /** Least distance of two proofs, in milliseconds: closer ones say the same. */
 const SPACING_MS = 20
 
+/** Proofs that are passed on to a peer, and their least distance in milliseconds: they cover the ages of routes. */
+const PASSED_ON = { count: 12, spacingMs: 250 } as const
+
 /** A proof. */
-interface PositionProof {
+export interface PositionProof {
   /** When the request was sent, on the steady clock, in milliseconds. */
   sentAt: number
   position: LogPosition
@@ -37,6 +40,10 @@
   floorSince: (since: number, sessionFloor?: LogPosition) => LogPosition | undefined
   /** The newest proof's position. */
   readonly newest: LogPosition | undefined
+  /** Epoch of the proofs; 0 before the first one. */
+  readonly epoch: number
+  /** Proofs to pass on: the youngest first, some distance apart, as old as reads accept. */
+  recent: () => PositionProof[]
 }
 
 /**
@@ -85,6 +92,18 @@
       const covered = sessionFloor === undefined || sessionFloor.term < proof.position.term
       return covered ? proof.position : laterPosition(proof.position, sessionFloor)
     },
+    get epoch () { return currentEpoch },
+    recent: () => {
+      const chosen: PositionProof[] = []
+      for (const proof of proofs.toReversed()) {
+        const last = chosen.at(-1)
+        const apart = last === undefined || last.sentAt - proof.sentAt >= PASSED_ON.spacingMs
+        if (apart && chosen.length < PASSED_ON.count) {
+          chosen.push(proof)
+        }
+      }
+      return chosen
+    },
     get newest () { return proofs.at(-1)?.position }
   }
 }
--- a/src/freshness/index.ts
+++ b/src/freshness/index.ts
@@ -1,11 +1,12 @@
 /** Plug-in `freshness`: the proofs of every group. */
 import { registerPlugin } from '../core/kernel/index.ts'
 import { createGroupFreshness, type GroupFreshness } from './group-freshness.ts'
+import { createProofExchange, type ProofExchange } from './proof-exchange.ts'
 
 export type { GroupFreshness } from './group-freshness.ts'
 
 /** Service of the plug-in. */
-export interface FreshnessOfGroups {
+export interface FreshnessOfGroups extends ProofExchange {
   of: (group: string) => GroupFreshness
 }
 
@@ -15,16 +16,17 @@
 
 registerPlugin({
   name: 'freshness',
-  needs: [],
-  start: () => {
+  needs: ['registry', 'peers'],
+  start: ({ use, logger }) => {
     const groups = new Map<string, GroupFreshness>()
     const of = (name: string): GroupFreshness => {
       const known = groups.get(name) ?? createGroupFreshness()
       groups.set(name, known)
       return known
     }
+    const { fetch } = createProofExchange({ registry: use('registry'), peers: use('peers'), logger, of })
     return {
-      service: { of },
+      service: { of, fetch },
       dump: () => Object.fromEntries([...groups].map(([name, group]) => [name, group.newest]))
     }
   }
