--- a/src/pools/types.ts
+++ b/src/pools/types.ts
@@ -8,6 +8,7 @@
   values: Map<string, string>
   /** Names of statements that were prepared on it, by access and shape. */
   prepared: Map<string, string>
+  idleSince: number
 }
 
 /** A connection that is in use by one statement or transaction. */
--- a/src/pools/upstream-pool.ts
+++ b/src/pools/upstream-pool.ts
@@ -13,10 +13,10 @@
  * of hosts that lost power count there, 3 s, so that those that come back do not take each other's share.
  */
 const KEEP_TO_SHARE_MS = 5000
+/** Time after which an idle connection beyond those that are kept is closed, in milliseconds. */
+const SURPLUS_IDLE_MS = 1500
 /** Time between two looks for surplus connections, in milliseconds. */
 const TRIM_MS = 1000
-/** Looks back to which the use of connections counts: more than were in use at once since then are surplus. */
-const TRIM_LOOKS = 3
 
 /** Options of {@link createUpstreamPool}. */
 export interface UpstreamPoolOptions {
@@ -74,8 +74,6 @@
   const idle: PooledConnection[] = []
   const used = new Set<PooledConnection>()
   const waiters: Waiter[] = []
-  /** Most connections in use at once since each of the last looks; the newest last. */
-  const peaks: number[] = [0]
   let opening = 0
   let fullUntil = -Infinity
   let closed = false
@@ -87,7 +85,6 @@
 
   const lease = (pooled: PooledConnection): ConnectionLease => {
     used.add(pooled)
-    peaks[peaks.length - 1] = Math.max(peaks.at(-1)!, used.size)
     let done = false
     const finish = (): boolean => {
       const first = !done
@@ -113,6 +110,7 @@
     if (closed || pooled.connection.closed) {
       pooled.connection.close()
     } else {
+      pooled.idleSince = performance.now()
       idle.push(pooled)
     }
     serveWaiters()
@@ -151,7 +149,7 @@
       const connection = await port.open(target, CONNECT_TIMEOUT_MS)
       opening--
       events.onAnswer()
-      const pooled: PooledConnection = { connection, values: new Map(), prepared: new Map() }
+      const pooled: PooledConnection = { connection, values: new Map(), prepared: new Map(), idleSince: 0 }
       connection.onClose(() => {
         const index = idle.indexOf(pooled)
         if (index >= 0) {
@@ -175,12 +173,11 @@
     failWaiters(error)
   }
   const trim = setInterval(() => {
-    const needed = Math.max(options.kept(), ...peaks)
-    while (size() > needed && idle.length > 0) {
-      idle.shift()!.connection.close()
+    const now = performance.now()
+    while (size() > options.kept() && idle.length > 0 && now - idle[0]!.idleSince > SURPLUS_IDLE_MS) {
+      const [surplus] = idle.splice(0, 1)
+      surplus!.connection.close()
     }
-    peaks.push(used.size)
-    peaks.splice(0, peaks.length - TRIM_LOOKS)
     serveWaiters()
   }, TRIM_MS)
   trim.unref()
