Open half of the share of connections for four seconds after a start

Cause: after a power loss the connections of the former lives count at the upstreams for 3 s.

Change: limits of connections are computed in one place, and in the first 4 s a host opens no more than it keeps when idle.

--- a/src/pools/index.ts
+++ b/src/pools/index.ts
@@ -3,6 +3,7 @@
 import type { KnownUpstream } from '../directory/index.ts'
 import type { UpstreamReport } from '../ports/index.ts'
 import { TIMED_OUT, within } from '../core/time/deadline.ts'
+import { connectionLimits, type ConnectionLimits } from './connection-limits.ts'
 import { createUpstreamHealth, type UpstreamHealth } from './upstream-health.ts'
 import { createUpstreamPool, type UpstreamPool } from './upstream-pool.ts'
 
@@ -37,18 +38,6 @@
   interface Services { pools: Pools }
 }
 
-/** Connections to an upstream that are assumed while its cap is unknown. */
-const UNKNOWN_CAP = 10
-/** Hosts that are assumed before the registry has been read; more than any installation has per connection. */
-const UNKNOWN_HOSTS = 12
-/**
- * Part of its share that a host keeps open when idle. Connections of hosts that lose power count at the upstream for
- * some seconds; with half of them free, all hosts can be back at once.
- */
-const KEPT_PART = 0.5
-/** Connections that a host may open beyond its share while they are needed; the upstream refuses what is too much. */
-const BURST_CONNECTIONS = 2
-
 registerPlugin({
   name: 'pools',
   needs: ['ports', 'directory', 'desiredState', 'registry'],
@@ -61,19 +50,15 @@
     /** Questions to upstreams in progress: those who ask at the same time share the answer. */
     const probing = new Map<string, Promise<UpstreamReport | undefined>>()
 
-    const shareOf = (group: string, part = 1): number => {
-      const cap = (desiredState.current?.connectionCaps.get(group) ?? UNKNOWN_CAP) * part
-      const hosts = registry.current.liveHosts.length
-      return Math.max(1, Math.floor(cap / (hosts === 0 ? UNKNOWN_HOSTS : hosts)))
-    }
+    const startedAt = performance.now()
+    const limitsOf = (group: string): ConnectionLimits => connectionLimits(
+      desiredState.current?.connectionCaps.get(group), registry.current.liveHosts.length, performance.now() - startedAt)
     const create = ({ upstream, group, endpoint }: KnownUpstream): UsedUpstream => {
       const health = createUpstreamHealth()
       const pool = createUpstreamPool({
         target: { group, upstream, endpoint },
         port,
-        kept: () => shareOf(group, KEPT_PART),
-        share: () => shareOf(group),
-        burst: BURST_CONNECTIONS,
+        limits: () => limitsOf(group),
         events: {
           onAnswer: () => {
             if (health.unreachableSince !== undefined) {
--- a/src/pools/upstream-pool.ts
+++ b/src/pools/upstream-pool.ts
@@ -2,6 +2,7 @@
 import { RequestError } from '../core/errors/index.ts'
 import type { UpstreamPort, UpstreamTarget } from '../ports/index.ts'
 import { mismatchOf } from './align-connection.ts'
+import type { ConnectionLimits } from './connection-limits.ts'
 import type { ConnectionLease, LeaseRequest, PooledConnection, PoolEvents, UpstreamFault } from './types.ts'
 
 /** Time to connect, in milliseconds: a new connection takes 12 ms, more while the upstream's slots are taken. */
@@ -22,12 +23,8 @@
 export interface UpstreamPoolOptions {
   target: UpstreamTarget
   port: UpstreamPort
-  /** Connections that this host keeps open when idle. */
-  kept: () => number
-  /** Connections that are this host's part of all that the upstream takes. */
-  share: () => number
-  /** Connections that it may open beyond the share, while the upstream has room. */
-  burst: number
+  /** Connections that this host may have; asked whenever one is opened or closed. */
+  limits: () => ConnectionLimits
   events: PoolEvents
 }
 
@@ -79,8 +76,10 @@
   let closed = false
 
   const size = (): number => idle.length + used.size + opening
-  const maximum = (): number =>
-    options.share() + (performance.now() < fullUntil + KEEP_TO_SHARE_MS ? 0 : options.burst)
+  const maximum = (): number => {
+    const { share, burst } = options.limits()
+    return share + (performance.now() < fullUntil + KEEP_TO_SHARE_MS ? 0 : burst)
+  }
   const mayOpen = (): boolean => !closed && size() < maximum() && performance.now() >= fullUntil
 
   const lease = (pooled: PooledConnection): ConnectionLease => {
@@ -174,7 +173,7 @@
   }
   const trim = setInterval(() => {
     const now = performance.now()
-    while (size() > options.kept() && idle.length > 0 && now - idle[0]!.idleSince > SURPLUS_IDLE_MS) {
+    while (size() > options.limits().kept && idle.length > 0 && now - idle[0]!.idleSince > SURPLUS_IDLE_MS) {
       const [surplus] = idle.splice(0, 1)
       surplus!.connection.close()
     }
--- a/test/pools/upstream-pool.test.ts
+++ b/test/pools/upstream-pool.test.ts
@@ -53,9 +53,7 @@
     const pool = createUpstreamPool({
       target: { group: 'g', upstream: 'u', endpoint: { address: '127.0.0.1', port: 1 } },
       port,
-      kept: () => kept,
-      share: () => share,
-      burst: 2,
+      limits: () => ({ kept, share, burst: 2 }),
       events: { onAnswer: () => {}, onFault: () => {} }
     })
     pools.push(pool)
