Wait for a connection only while an answer can still be in time

Cause: with both replicas of a group behind, or cut off, its reads all go to the primary, which has work for 1.3 of its slots.

Ruled out: reads elsewhere (the replicas are behind by more than the routes accept); less work at the primary (refused tries there are cheap).

Change: a request waits for a connection for half of the time that is left for an answer in time, then is refused at once with the time to come back; callers then try other hosts.

--- a/src/entry/consts.ts
+++ b/src/entry/consts.ts
@@ -4,6 +4,13 @@
 export const SILENCE_MS = 400
 /** Part of a route's timeout for which a request waits for a primary, or for a connection, before it is refused. */
 export const WAIT_SHARE = 0.45
+/**
+ * Part of the time that is left for an answer in time for which a request waits for a connection. Measured on days with
+ * an overloaded primary: who waits longer is late, and makes those behind late too.
+ */
+export const QUEUE_SHARE = 0.5
+/** Least time for which a request waits for a connection, in milliseconds: opening one takes 12 ms and a round trip. */
+export const QUEUE_LEAST_MS = 40
 /** Upstreams or tries that a read may use. */
 export const READ_ATTEMPTS = 6
 /** Pause before a statement is repeated that an upstream did not run. */
--- a/src/entry/primary-access.ts
+++ b/src/entry/primary-access.ts
@@ -4,23 +4,28 @@
 import type { PrimaryRight } from '../leadership/index.ts'
 import type { ConnectionLease, UsedUpstream } from '../pools/index.ts'
 import type { KnownUpstream } from '../directory/index.ts'
-import { DRAIN_RESERVE_MS, NOT_RUN_PAUSE_MS, RETRY_AFTER_MS, WAIT_SHARE } from './consts.ts'
+import {
+  DRAIN_RESERVE_MS, NOT_RUN_PAUSE_MS, QUEUE_LEAST_MS, QUEUE_SHARE, RETRY_AFTER_MS, WAIT_SHARE
+} from './consts.ts'
 import type { ChosenUpstream, EntryContext, RequestScope } from './types.ts'
 
 /**
- * Takes a connection from a pool and measures the wait.
+ * Takes a connection from a pool and measures the wait, which ends early enough for an answer in time.
  *
  * @param context - the rest of the process
  * @param scope - the request
  * @param used - the upstream
- * @param waitMs - greatest wait, in milliseconds
+ * @param greatestWaitMs - greatest wait, in milliseconds
  * @returns the connection
  * @throws RequestError with verdict `not-run`
  */
 export async function acquire (
-  { measures }: EntryContext, { values, priority }: RequestScope, { pool }: UsedUpstream, waitMs: number
+  { measures }: EntryContext, { values, priority, inTimeUntil }: RequestScope, { pool }: UsedUpstream,
+  greatestWaitMs: number
 ): Promise<ConnectionLease> {
   const startedAt = performance.now()
+  const inTimeMs = Math.max(QUEUE_LEAST_MS, (inTimeUntil - startedAt) * QUEUE_SHARE)
+  const waitMs = Math.min(greatestWaitMs, inTimeMs)
   try {
     const lease = await pool.acquire({ values, priority, waitMs })
     measures.queue('done', performance.now() - startedAt)
@@ -71,6 +76,10 @@
     scope.attempts++
     const lease = await acquire(context, scope, used, Math.max(1, until - performance.now()))
       .catch((thrown: RequestError) => {
+        // There is a primary, and it has more work than it can do: waiting on makes everyone late.
+        if (thrown.entry === 'Overloaded') {
+          throw thrown
+        }
         reason = thrown.message
         return undefined
       })
--- a/src/entry/session.ts
+++ b/src/entry/session.ts
@@ -71,6 +71,7 @@
       priority: route.priority,
       values,
       deadline: new Deadline(route.timeoutMs),
+      inTimeUntil: performance.now() + route.targetMs,
       attempts: 0
     }
     trace = { scope }
--- a/src/entry/types.ts
+++ b/src/entry/types.ts
@@ -59,6 +59,8 @@
   priority: number
   values: ReadonlyMap<string, string>
   deadline: Deadline
+  /** When an answer stops being in time for the caller's route, on the steady clock, in milliseconds. */
+  inTimeUntil: number
   /** Tries made, for the log. */
   attempts: number
   /** Upstream that was tried last, for the log. */
