Let few hosts read the registry for all

At the size to design for it would be 1,500 reads a second.

Ruled out: pushing confirmations (a push that a cut holds back would be taken for fresh); longer rights (failovers wait for them); following the table (as many calls, since an answer confirms only from when its question was sent).

Change: one host in 25, by a hash of names, reads the table each 750 ms; the others ask it as often, get rows only when they differ, and count the age from sending their question. Who learns nothing younger than 1.9 s reads the store, as does everyone each 10 s. A read after a write no longer joins one that was in progress before it. Questions for changes wait 25 s: a hung one is told by peers.

--- a/src/registry/follow-table.ts
+++ b/src/registry/follow-table.ts
@@ -6,8 +6,11 @@
 import type { StorePort, StoreRow } from '../ports/index.ts'
 import type { TableNews } from './table-news.ts'
 
-/** Time after which an empty answer to a question for changes comes, in milliseconds. Calls to the store are priced. */
-export const FOLLOW_WAIT_MS = 12_000
+/**
+ * Time after which an empty answer to a question for changes comes, in milliseconds. Calls to the store are priced, and
+ * it takes 30 s at most. A question that hangs is noticed earlier: peers tell of what it does not bring.
+ */
+export const FOLLOW_WAIT_MS = 25_000
 /** Pause after a failure, in milliseconds. */
 const RETRY_MS = 150
 /** Time that a change which a peer has told of has to come by the own question, in milliseconds. */
--- a/src/registry/index.ts
+++ b/src/registry/index.ts
@@ -11,8 +11,10 @@
 import type { StoreTransaction } from '../ports/index.ts'
 import { watchNeighbour } from './neighbour-watch.ts'
 import { EXTENDED_RIGHT_MS, RIGHT_MARGIN_MS } from './consts.ts'
+import { readerFor } from './readers.ts'
+import { createRelay } from './relay.ts'
 import { createSnapshot, UNKNOWN_REGISTRY, type KnownHost, type RegistrySnapshot } from './snapshot.ts'
-import { REGISTRY_TABLE, registryKeys, relayedSnapshotSchema, type HostRow } from './types.ts'
+import { REGISTRY_TABLE, registryKeys, type HostRow } from './types.ts'
 
 export type { KnownHost, RegistrySnapshot } from './snapshot.ts'
 export { isRefusal } from './neighbour-watch.ts'
@@ -56,8 +58,15 @@
   interface Services { registry: Registry }
 }
 
-/** Time between two reads of the table, in milliseconds: half of the time a host may go on unconfirmed. */
-export const POLL_MS = 1500
+/**
+ * Time between two reads of the table, or questions to the host that reads it, in milliseconds. What a reader has read
+ * just before its next turn, learnt by a host just before its own, is less than two thirds of a right old.
+ */
+export const POLL_MS = 750
+/** Greatest age of what a reader passes on, in milliseconds; a host that learns nothing younger reads the store. */
+const RELAYED_AGE_MS = 1900
+/** Time after which a host reads the store itself, in milliseconds, so that it notices when it is cut off from it. */
+const OWN_READ_MS = 10_000
 /** Time between two tries while the store does not answer or a row is not written, in milliseconds. */
 const RETRY_MS = 500
 /** Age of the newest confirmation beyond which peers are asked, in milliseconds: one read has failed. */
@@ -71,10 +80,8 @@
 const WRITE_WAIT_MS = { least: 300, perRead: 5, greatest: 1500 } as const
 /** Time that a stop waits for this host's row to be removed, in milliseconds; peers forget the row otherwise. */
 const UNREGISTER_MS = 400
-/** Time a peer has to answer, in milliseconds. */
-const PEER_TIMEOUT_MS = 600
-/** Peers asked in one round. */
-const PEERS_ASKED = 3
+/** Time a peer has to take a nudge, in milliseconds. */
+const NUDGE_MS = 600
 
 registerPlugin({
   name: 'registry',
@@ -98,7 +105,8 @@
     /** Time that the last read took, in milliseconds. */
     let readMs = 0
     let reading: Promise<boolean> | undefined
-    let round = 0
+    /** When the store last answered a read of this host, on the steady clock. */
+    let readAt = -Infinity
 
     const takeOver = (snapshot: RegistrySnapshot): void => {
       if (snapshot.version < current.version) {
@@ -125,7 +133,8 @@
       const askedAt = performance.now()
       try {
         const { rows, version, nowMs } = await store.list(REGISTRY_TABLE)
-        readMs = performance.now() - askedAt
+        readAt = performance.now()
+        readMs = readAt - askedAt
         clockOffsets = { least: nowMs - performance.now(), most: nowMs - askedAt }
         noteStore(true)
         takeOver(createSnapshot(rows, version, askedAt))
@@ -155,41 +164,36 @@
       return await refresh() && written
     }
     const others = (): KnownHost[] => current.liveHosts.filter(({ name }) => name !== self.name)
-    const askPeers = async (): Promise<void> => {
-      const all = others()
-      const asked = all.length <= PEERS_ASKED
-        ? all
-        : Array.from({ length: PEERS_ASKED }, (_, index) => all[(round * PEERS_ASKED + index) % all.length]!)
-      round++
-      await Promise.all(asked.map(async (peer) => {
-        const askedAt = performance.now()
-        try {
-          const reply = await peers.ask(peer, 'registry-snapshot', {}, PEER_TIMEOUT_MS)
-          const { rows, version, ageMs } = relayedSnapshotSchema.parse(reply)
-          takeOver(createSnapshot(rows, version, askedAt - ageMs))
-        } catch (thrown) {
-          logger.log('debug', 'registry.peer-silent', { peer: peer.name, reason: describeThrown(thrown) })
-        }
-      }))
-    }
+    const relay = createRelay({ peers, logger, current: () => current, takeOver })
 
-    peers.handle('registry-snapshot', async () => ({
-      version: current.version,
-      rows: current.rows,
-      ageMs: current.version < 0 ? Number.MAX_SAFE_INTEGER : performance.now() - current.askedAt
-    }))
     peers.handle('registry-nudge', async () => {
       void refresh()
       return {}
     })
+    /** Learns the registry from the host that reads for this one; returns whether that brought something young. */
+    const learnFromReader = async (): Promise<boolean> => {
+      const reader = readerFor(self.name, current.liveHosts)
+      const isRegistered = performance.now() - confirmedAt < EXTENDED_RIGHT_MS
+      if (reader === undefined || reader.name === self.name || !isRegistered) {
+        return false
+      }
+      if (performance.now() - readAt > OWN_READ_MS) {
+        return false
+      }
+      await relay.askReader(reader)
+      return performance.now() - current.askedAt < RELAYED_AGE_MS && performance.now() - confirmedAt < RELAYED_AGE_MS
+    }
     const stopPolling = repeat(POLL_MS, async () => {
+      if (await learnFromReader()) {
+        return
+      }
       if (!await refresh() || !await register()) {
         throw new WorkswardError('PlatformUnavailable', { operation: 'register', reason: 'no confirmation' })
       }
     }, (thrown) => logger.log('debug', 'registry.register-failed', { reason: describeThrown(thrown) }), RETRY_MS)
     const stopRelay = repeat(RELAY_LOOK_MS, async () => {
       if (performance.now() - current.askedAt > RELAY_AFTER_MS) {
-        await askPeers()
+        await relay.askSome(others())
       }
     })
 
@@ -200,6 +204,8 @@
         const reason = `no answer in ${Math.round(waitMs)} ms`
         throw new WorkswardError('PlatformUnavailable', { operation: 'write', reason })
       }
+      // A read that was in progress may not show the write yet.
+      await reading
       await refresh()
       return applied
     }
@@ -214,7 +220,7 @@
       onChange: (listener) => { listeners.push(listener) },
       onStoreLost: (listener) => { lostListeners.push(listener) },
       nudgePeers: () => others().forEach((peer) => {
-        peers.ask(peer, 'registry-nudge', {}, PEER_TIMEOUT_MS).catch((thrown: unknown) =>
+        peers.ask(peer, 'registry-nudge', {}, NUDGE_MS).catch((thrown: unknown) =>
           logger.log('debug', 'registry.peer-silent', { peer: peer.name, reason: describeThrown(thrown) }))
       }),
       storeNowAtLeastMs: () => performance.now() + clockOffsets.least,
--- a/src/registry/snapshot.ts
+++ b/src/registry/snapshot.ts
@@ -1,4 +1,5 @@
 /** What is known of the registry table, and how old that knowledge is. */
+import { createHash } from 'node:crypto'
 import type { z } from 'zod'
 import type { StoreRow } from '../ports/index.ts'
 import {
@@ -18,6 +19,8 @@
   /** When the question that brought it was sent, on the steady clock, in milliseconds. */
   readonly askedAt: number
   readonly rows: StoreRow[]
+  /** Names the rows and their versions: equal digests mean equal rows. */
+  readonly digest: string
   readonly hosts: KnownHost[]
   /** Hosts that have not been given up. */
   readonly liveHosts: KnownHost[]
@@ -54,6 +57,7 @@
     version,
     askedAt,
     rows,
+    digest: createHash('sha256').update(rows.map((row) => `${row.key} ${row.version}`).join('\n')).digest('base64'),
     hosts,
     liveHosts: hosts.filter(({ retiredUntilMs }) => retiredUntilMs === undefined),
     group: (name) => {
--- a/src/registry/types.ts
+++ b/src/registry/types.ts
@@ -65,10 +65,18 @@
   duty: 'duty/promotion'
 } as const
 
+/** Body of the question for a peer's snapshot; `digest` names the rows that who asks has. */
+export const snapshotQuestionSchema = z.object({ digest: z.string().optional() })
+
 /** A snapshot of the table as peers pass it on. */
 export const relayedSnapshotSchema = z.object({
   version: z.number(),
-  rows: z.array(z.object({ key: z.string(), value: z.string(), version: z.number() })),
+  digest: z.string(),
+  /** The rows; left out when who asks has them. */
+  rows: z.array(z.object({ key: z.string(), value: z.string(), version: z.number() })).optional(),
   /** Time since the question to the store was sent, in milliseconds. */
   ageMs: z.number()
 })
+
+/** A snapshot of the table as peers pass it on. */
+export type RelayedSnapshot = z.infer<typeof relayedSnapshotSchema>
--- /dev/null
+++ b/test/registry/readers.test.ts
@@ -0,0 +1,90 @@
+import { describe, it } from 'node:test'
+import { expect } from 'earl'
+import { HOSTS_PER_READER, readerFor, readersOf } from '../../src/registry/readers.ts'
+import { createSnapshot, type KnownHost } from '../../src/registry/snapshot.ts'
+import { setUpWorld } from '../fixtures/fleet/set-up.ts'
+
+const NAMES = ['h1', 'h2', 'h3', 'h4', 'h5', 'h6']
+const hostsNamed = (names: string[]): KnownHost[] => names.map((name) => ({
+  name, version: 1, address: '127.0.0.1', port: 1, failureDomain: 'x', process: 'p'
+}))
+
+describe('hosts that read the registry for others', () => {
+  const suite = setUpWorld(NAMES)
+  const reader = (): string => readersOf(hostsNamed(NAMES))[0]!.name
+  const others = (): string[] => NAMES.filter((name) => name !== reader())
+  const writeOn = async (host: string) => await suite.settle(suite.world.connect(host, 'money').write(), 900)
+
+  it('keep the calls to the store few', async () => {
+    const before = suite.world.store.lists('worksward')
+    await suite.clock.tickAsync(20_000)
+    // One reader each 750 ms, and the others each 10 s.
+    expect(suite.world.store.lists('worksward') - before < 50).toEqual(true)
+    expect((await writeOn(others()[0]!)).failure).toEqual(undefined)
+  })
+
+  it('are not missed when they stand still', async () => {
+    suite.world.silent.add(reader())
+    suite.world.store.cutOff.add(reader())
+    for (let turn = 0; turn < 8; turn++) {
+      expect((await writeOn(others()[turn % others().length]!)).failure).toEqual(undefined)
+    }
+  })
+
+  it('are not relied on when the store does not answer them', async () => {
+    suite.world.store.cutOff.add(reader())
+    for (let turn = 0; turn < 8; turn++) {
+      expect((await writeOn(others()[turn % others().length]!)).failure).toEqual(undefined)
+    }
+  })
+
+  it('tell of a closed group soon, also without being asked to look', async () => {
+    const primary = suite.world.upstreams.all.get('g-a')!
+    primary.crash()
+    await writeOn(others()[0]!)
+    await suite.clock.tickAsync(4000)
+    for (const host of NAMES) {
+      expect((await writeOn(host)).failure).toEqual(undefined)
+    }
+  })
+})
+
+describe('the choice of readers', () => {
+  const many = Array.from({ length: 2300 }, (_, index) => `host-${index}`)
+
+  it('names one for few hosts, and one for every part of many', () => {
+    expect(readersOf(hostsNamed(NAMES)).length).toEqual(1)
+    expect(readersOf(hostsNamed(many)).length).toEqual(Math.ceil(many.length / HOSTS_PER_READER))
+    expect(readersOf([])).toEqual([])
+  })
+
+  it('is the same for all hosts, in whatever order they know them', () => {
+    const namesOf = (hosts: KnownHost[]): string[] => readersOf(hosts).map(({ name }) => name)
+    expect(namesOf(hostsNamed(many))).toEqual(namesOf(hostsNamed(many.toReversed())))
+  })
+
+  it('lets a reader ask nobody else', () => {
+    const [first] = readersOf(hostsNamed(NAMES))
+    expect(readerFor(first!.name, hostsNamed(NAMES))?.name).toEqual(first!.name)
+  })
+
+  it('spreads those who ask over the readers', () => {
+    const hosts = hostsNamed(many)
+    const asked = new Map<string, number>()
+    for (const name of many.slice(0, 600)) {
+      const reader = readerFor(name, hosts)!.name
+      asked.set(reader, (asked.get(reader) ?? 0) + 1)
+    }
+    expect(Math.max(...asked.values()) < 25).toEqual(true)
+  })
+})
+
+describe('the digest of a snapshot', () => {
+  const row = { key: 'host/a', value: JSON.stringify(hostsNamed(['a'])[0]), version: 3 }
+  it('tells rows of other versions apart, and not the store\'s version', () => {
+    const snapshot = createSnapshot([row], 10, 0)
+    expect(createSnapshot([row], 11, 5).digest).toEqual(snapshot.digest)
+    expect(createSnapshot([{ ...row, version: 4 }], 10, 0).digest === snapshot.digest).toEqual(false)
+    expect(createSnapshot([], 10, 0).digest === snapshot.digest).toEqual(false)
+  })
+})
