--- a/src/leadership/succession.ts
+++ b/src/leadership/succession.ts
@@ -5,44 +5,30 @@
  */
 import { randomUUID } from 'node:crypto'
 import { describeThrown } from '../core/errors/index.ts'
-import type { Logger } from '../core/logger/index.ts'
 import { pause } from '../core/time/deadline.ts'
 import { repeat } from '../core/time/repeat.ts'
 import type { Directory, KnownUpstream } from '../directory/index.ts'
 import type { Peers } from '../peers/index.ts'
 import type { Pools } from '../pools/index.ts'
-import type { PromotionPort, UpstreamReport } from '../ports/index.ts'
-import { registryKeys, type GroupRow, type Registry } from '../registry/index.ts'
+import type { UpstreamReport } from '../ports/index.ts'
+import { registryKeys, type GroupRow } from '../registry/index.ts'
 import { comparePositions, formatPosition, type LogPosition } from '../upstreams/position.ts'
 import { awaitClosed } from './closing.ts'
-import { CATCH_UP_MS, DUTY_RENEW_MS, ORDER_TRIES, OUTDATED_WAIT_MS, PROBE_MS, SUCCESSOR_POLL_MS, TAKE_EFFECT_MS } from './consts.ts'
-import type { HeldDuty } from './duty.ts'
+import { CATCH_UP_MS, DUTY_RENEW_MS, PROBE_MS, SUCCESSOR_POLL_MS } from './consts.ts'
+import { promoteOne, type Candidate, type PromoteOptions } from './promote.ts'
 import type { SuccessionReason } from './types.ts'
 
 /** Options of {@link runSuccession}. */
-export interface SuccessionOptions {
-  group: string
+export interface SuccessionOptions extends PromoteOptions {
   reason: SuccessionReason
   /** Epoch whose primary is to be replaced; nothing is done in another one. */
   epoch: number
-  /** Newest term of the group that this host knows. */
-  knownTerm: number
   /** Since when this host has known that the epoch is closed, on the steady clock; undefined when it is not. */
   closedSince?: number
-  duty: () => Promise<HeldDuty | undefined>
   closeHere: (epoch: number) => Promise<void>
-  registry: Registry
   directory: Pick<Directory, 'get' | 'ofGroup'>
   pools: Pick<Pools, 'probe' | 'demote'>
   peers: Peers
-  promotion: PromotionPort
-  logger: Logger
-}
-
-/** An upstream and what it said of itself. */
-export interface Candidate {
-  upstream: KnownUpstream
-  report: UpstreamReport
 }
 
 /**
@@ -154,111 +140,6 @@
   }
 }
 
-/** Orders candidates: those that stay before those that leave, the furthest first. */
-function rank (candidates: Candidate[], oldPrimary: string): Candidate[] {
-  const weight = ({ upstream }: Candidate): number =>
-    (upstream.draining ? 2 : 0) + (upstream.upstream === oldPrimary ? 1 : 0)
-  return [...candidates].sort((left, right) => weight(left) - weight(right) ||
-    comparePositions(right.report.received, left.report.received) ||
-    (left.upstream.upstream < right.upstream.upstream ? -1 : 1))
-}
-
-/**
- * Finds the upstream that leads already, because a promotion took effect that nobody saw. Several may say that they
- * lead, when more than one promotion was ordered: only the one of the newest term does.
- *
- * @param candidates - upstreams and what they said of themselves
- * @param closedTerm - newest term of the epoch that was closed
- * @returns the leader; undefined when there is none
- */
-export function findLeader (candidates: Candidate[], closedTerm: number): Candidate | undefined {
-  return candidates
-    .filter(({ report }) => report.role === 'primary' && report.term > closedTerm)
-    .sort((left, right) => right.report.term - left.report.term)[0]
-}
-
-async function promoteOne (
-  options: SuccessionOptions, candidates: Candidate[], closed: GroupRow, closedAt: number
-): Promise<Candidate | undefined> {
-  const { group, logger, registry, knownTerm } = options
-  const oldPrimary = closed.primary
-  const closedTerm = Math.max(knownTerm, registry.current.group(group).row?.term ?? 0)
-  const led = findLeader(candidates.filter(({ upstream }) => upstream.upstream !== oldPrimary), closedTerm)
-  if (led !== undefined) {
-    logger.log('info', 'succession.already-promoted', { group, upstream: led.upstream.upstream, term: led.report.term })
-    return led
-  }
-  // Who has not heard of the closed term lacks all that was written in it; others may come back meanwhile.
-  const mayBeOutdated = performance.now() - closedAt >= OUTDATED_WAIT_MS
-  const fit = candidates.filter(({ report }) => mayBeOutdated || report.term >= closedTerm)
-  for (const candidate of rank(fit, oldPrimary)) {
-    const promoted = await promote(options, candidate, closed.succession)
-    if (promoted !== undefined) {
-      return promoted
-    }
-  }
-  logger.log('warn', 'succession.no-successor', { group, candidates: candidates.length, fit: fit.length })
-  return undefined
-}
-
-/** What became of an order to promote. */
-type OrderOutcome = 'accepted' | 'not-running' | 'not-ordered' | 'answer-lost'
-
-/** Orders a promotion, once more when the answer is lost: the order is idempotent. */
-async function promote (
-  options: SuccessionOptions, candidate: Candidate, succession: string
-): Promise<Candidate | undefined> {
-  for (let tries = 1; tries <= ORDER_TRIES; tries++) {
-    const outcome = await orderPromotion(options, candidate, succession)
-    if (outcome === 'not-running' || (outcome === 'not-ordered' && tries === 1)) {
-      return undefined
-    }
-    if (outcome !== 'answer-lost') {
-      break
-    }
-  }
-  return await awaitEffect(options, candidate.upstream)
-}
-
-async function orderPromotion (
-  options: SuccessionOptions, { upstream, report }: Candidate, succession: string
-): Promise<OrderOutcome> {
-  const { group, logger, promotion, registry } = options
-  const duty = await options.duty()
-  const { row } = registry.current.group(group)
-  if (duty === undefined || !duty.mayOrder() || row?.succession !== succession) {
-    return 'not-ordered'
-  }
-  const name = upstream.upstream
-  logger.log('info', 'succession.promoting', {
-    group, upstream: name, fence: duty.fence, position: formatPosition(report.received)
-  })
-  try {
-    const outcome = await promotion.promote({ group, upstream: name, holder: registry.self.name, fence: duty.fence })
-    if (outcome === 'not-running') {
-      logger.log('warn', 'succession.not-running', { group, upstream: name })
-    }
-    return outcome
-  } catch (thrown) {
-    // It may have been taken; the upstream itself will tell.
-    logger.log('warn', 'succession.answer-lost', { group, step: 'promote', reason: describeThrown(thrown) })
-    return 'answer-lost'
-  }
-}
-
-async function awaitEffect (options: SuccessionOptions, upstream: KnownUpstream): Promise<Candidate | undefined> {
-  const until = performance.now() + TAKE_EFFECT_MS
-  while (performance.now() < until) {
-    const report = await options.pools.probe(upstream, PROBE_MS)
-    if (report?.role === 'primary') {
-      return { upstream, report }
-    }
-    await pause(SUCCESSOR_POLL_MS)
-  }
-  options.logger.log('warn', 'succession.no-effect', { group: options.group, upstream: upstream.upstream })
-  return undefined
-}
-
 async function openEpoch (
   options: SuccessionOptions, { upstream, report }: Candidate, succession: string
 ): Promise<string | undefined> {
--- a/test/entry/succession.test.ts
+++ b/test/entry/succession.test.ts
@@ -1,6 +1,6 @@
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
-import { findLeader, type Candidate } from '../../src/leadership/succession.ts'
+import { findLeader, type Candidate } from '../../src/leadership/promote.ts'
 import { setUpWorld } from '../fixtures/fleet/set-up.ts'
 
 function candidate (upstream: string, role: 'primary' | 'replica', term: number): Candidate {
