--- a/bench/capacity/platform-lines.ts
+++ b/bench/capacity/platform-lines.ts
@@ -1,8 +1,10 @@
 /** Lines of the capacity page for the entry process on the platform, from the sizes of its own rows and messages. */
 import { EXTEND_LOOK_MS } from '../../src/leadership/consts.ts'
 import { FOLLOW_WAIT_MS } from '../../src/registry/follow-table.ts'
-import { POLL_MS } from '../../src/registry/index.ts'
+import { OWN_READ_MS, POLL_MS } from '../../src/registry/index.ts'
 import { ASK_MS } from '../../src/registry/neighbour-watch.ts'
+import { HOSTS_PER_READER } from '../../src/registry/readers.ts'
+import { FANOUT } from '../../src/registry/table-news.ts'
 import { registryKeys, type GroupRow, type HostRow } from '../../src/registry/types.ts'
 import { DESIGN } from './design-size.ts'
 import type { CapacityLine } from './lines.ts'
@@ -14,6 +16,9 @@
 const ROW_FRAME_BYTES = 70
 /** Feeds that a process follows: upstreams and the desired state. */
 const FEEDS = 2
+/** Bytes of a message between processes that names a version or a digest, its answer included. */
+const SHORT_MESSAGE_BYTES = 200
+const DAY_SECONDS = 86_400
 
 const HOST_ROW: HostRow = {
   address: '10.123.123.123', port: 7440, failureDomain: 'failure-domain-1', process: '00000000-0000-0000-0000-000000000000'
@@ -30,11 +35,17 @@
  * @returns the lines; those over budget name what would bring them under it
  */
 export function platformEntryLines (): CapacityLine[] {
-  const readsPerNode = MS_PER_SECOND / POLL_MS
-  const reads = DESIGN.nodes * (readsPerNode + FEEDS * MS_PER_SECOND / FOLLOW_WAIT_MS)
+  const readers = Math.ceil(DESIGN.nodes / HOSTS_PER_READER)
+  const turns = MS_PER_SECOND / POLL_MS
+  const ownReads = MS_PER_SECOND / OWN_READ_MS
+  const feeds = FEEDS * MS_PER_SECOND / FOLLOW_WAIT_MS
+  const reads = readers * turns + DESIGN.nodes * (ownReads + feeds)
   const tableBytes = DESIGN.nodes * rowBytes(registryKeys.host('front-host-1234'), HOST_ROW) +
     DESIGN.groups * rowBytes(registryKeys.group('group-12345'), GROUP_ROW)
-  const kilobytes = readsPerNode * tableBytes / BYTES_PER_KB
+  const registryChanges = (DESIGN.restartsPerDay * 2 + DESIGN.primaryChangesPerDay * 2) / DAY_SECONDS
+  const readerKilobytes = turns * tableBytes / BYTES_PER_KB
+  const kilobytes = (ownReads + registryChanges) * tableBytes / BYTES_PER_KB
+  const newsPerNode = DESIGN.configurationChangesPerDay / DAY_SECONDS * FANOUT
   const extensions = DESIGN.nodes * MS_PER_SECOND / EXTEND_LOOK_MS
   return [
     {
@@ -43,16 +54,40 @@
       figure: `${Math.round(reads)} /s`,
       bound: `${DESIGN.platformReadsPerSecond} /s`,
       overBudget: reads > DESIGN.platformReadsPerSecond,
-      mechanism: 'one read of the registry every 1.5 s and two feeds that wait 12 s; a part of the registry for each set of ' +
-        'groups lets a node read only what it serves'
+      mechanism: `one node in ${HOSTS_PER_READER} reads the registry each ${POLL_MS} ms and passes it on, every node each ` +
+        `${OWN_READ_MS / MS_PER_SECOND} s; two feeds that wait ${FOLLOW_WAIT_MS / MS_PER_SECOND} s`
     },
     {
       role: 'platform',
-      what: 'entry process: registry read by a node',
+      what: 'entry process: questions to a node that reads the registry',
+      figure: `${Math.round(HOSTS_PER_READER * turns)} /s`,
+      bound: 'none stated; each about 200 bytes while nothing changes',
+      overBudget: HOSTS_PER_READER * turns * SHORT_MESSAGE_BYTES / BYTES_PER_KB > DESIGN.controlKilobytesPerSecond,
+      mechanism: 'rows are passed on only when their digest differs'
+    },
+    {
+      role: 'platform',
+      what: 'entry process: news of changed tables, by a node',
+      figure: `${newsPerNode.toPrecision(2)} /s`,
+      bound: `${DESIGN.controlKilobytesPerSecond} KB/s for all control`,
+      overBudget: newsPerNode * SHORT_MESSAGE_BYTES / BYTES_PER_KB > DESIGN.controlKilobytesPerSecond,
+      mechanism: `each change is told to ${FANOUT} peers; changes in quick succession are told as one`
+    },
+    {
+      role: 'platform',
+      what: 'entry process: registry read by a node that reads for others',
+      figure: `${Math.round(readerKilobytes)} KB/s`,
+      bound: `${DESIGN.controlKilobytesPerSecond} KB/s`,
+      overBudget: readerKilobytes > DESIGN.controlKilobytesPerSecond,
+      mechanism: 'read whole today; not built: parts by group, homes for groups'
+    },
+    {
+      role: 'platform',
+      what: 'entry process: registry read by any other node',
       figure: `${Math.round(kilobytes)} KB/s`,
       bound: `${DESIGN.controlKilobytesPerSecond} KB/s`,
       overBudget: kilobytes > DESIGN.controlKilobytesPerSecond,
-      mechanism: 'read whole today; not built: parts by group, homes for groups, and a feed in place of the read'
+      mechanism: 'read whole, or passed on whole, when anything in it changes; not built: parts by group, homes for groups'
     },
     {
       role: 'platform',
--- a/src/registry/index.ts
+++ b/src/registry/index.ts
@@ -66,7 +66,7 @@
 /** Greatest age of what a reader passes on, in milliseconds; a host that learns nothing younger reads the store. */
 const RELAYED_AGE_MS = 1900
 /** Time after which a host reads the store itself, in milliseconds, so that it notices when it is cut off from it. */
-const OWN_READ_MS = 10_000
+export const OWN_READ_MS = 10_000
 /** Time between two tries while the store does not answer or a row is not written, in milliseconds. */
 const RETRY_MS = 500
 /** Age of the newest confirmation beyond which peers are asked, in milliseconds: one read has failed. */
