--- a/src/cli/entry/index.ts
+++ b/src/cli/entry/index.ts
@@ -1,6 +1,7 @@
 /** `worksward-entry`: takes callers on an entry host of the users' platform. */
 import { entrySettingsSchema } from '../../core/config/entry-settings.ts'
 import { loadFile } from '../../core/config/load-file.ts'
+import { reloadSettings } from '../../core/config/reload-settings.ts'
 import { createBudgetedLogger } from '../../core/logger/budget.ts'
 import { createBoundedStream } from '../../core/logger/bounded-stream.ts'
 import { createLogger } from '../../core/logger/index.ts'
@@ -15,18 +16,20 @@
 await runProgram('worksward-entry', (program) => {
   program.command('[settings]', `Run an entry process; the YAML settings file may stand in ${SETTINGS_VARIABLE}`)
     .action(async (file: string | undefined) => {
-      const settings = loadFile(file ?? process.env[SETTINGS_VARIABLE] ?? '', entrySettingsSchema)
-      const logger = createBudgetedLogger(createLogger({
+      const settingsFile = file ?? process.env[SETTINGS_VARIABLE] ?? ''
+      const settings = loadFile(settingsFile, entrySettingsSchema)
+      const writer = createLogger({
         level: settings.log.level, fields: { host: settings.host.name }, stream: createBoundedStream(STANDARD_OUTPUT)
-      }))
+      })
+      const logger = createBudgetedLogger(writer)
       const kernel = await startEntry(settings, { logger, dialer: createDialer(settings.host.address) })
       logger.log('info', 'process.started', {
         role: 'entry', callers: settings.listen.callers, peers: settings.listen.peers, http: settings.listen.metrics
       })
       process.on('uncaughtException', (error) => endAfter(error, logger))
-      process.on('SIGHUP', () => {
-        logger.log('info', 'process.reload', { changed: 'nothing that applies without a restart' })
-      })
+      process.on('SIGHUP', () => reloadSettings({
+        file: settingsFile, settings, logger, setLogLevel: writer.setLevel
+      }))
       serveUntilStopped(kernel, logger)
     })
 })
--- a/src/core/logger/index.ts
+++ b/src/core/logger/index.ts
@@ -18,6 +18,11 @@
   log: (level: LogLevel, event: EventName, fields?: LogFields) => void
 }
 
+/** A logger whose level may change while it runs. */
+export interface LeveledLogger extends Logger {
+  setLevel: (level: LogLevel | 'silent') => void
+}
+
 /** Options of {@link createLogger}. */
 export interface LoggerOptions {
   level: LogLevel | 'silent'
@@ -33,15 +38,19 @@
  * @param options - level, common fields and target
  * @returns the logger
  */
-export function createLogger (options: LoggerOptions): Logger {
+export function createLogger (options: LoggerOptions): LeveledLogger {
   const stream = options.stream ?? process.stderr
   const backend = winston.createLogger({
-    level: options.level === 'silent' ? 'error' : options.level,
-    silent: options.level === 'silent',
     format: winston.format.printf((info) => String(info.message)),
     transports: [new winston.transports.Stream({ stream })]
   })
+  const setLevel = (level: LogLevel | 'silent'): void => {
+    backend.level = level === 'silent' ? 'error' : level
+    backend.silent = level === 'silent'
+  }
+  setLevel(options.level)
   return {
+    setLevel,
     log: (level, event, fields = {}) => {
       if (!backend.isLevelEnabled(level)) {
         return
--- a/src/entry/index.ts
+++ b/src/entry/index.ts
@@ -8,14 +8,8 @@
 import { createSession, type Session } from './session.ts'
 import type { EntryContext } from './types.ts'
 
-/** Service of the plug-in. */
-export interface Entry {
-  /** Sessions that are open. */
-  readonly sessions: number
-}
-
 declare module '../core/kernel/index.ts' {
-  interface Services { entry: Entry }
+  interface Services { entry: Record<string, never> }
 }
 
 registerPlugin({
@@ -27,7 +21,6 @@
     const desiredState = context.use('desiredState')
     const metrics = context.use('metrics')
     const { logger } = context
-    const graceMs = settings.graceSeconds * 1000
     const sessions = new Set<Session>()
     const entryContext: EntryContext = {
       pools: context.use('pools'),
@@ -43,7 +36,7 @@
         retry: metrics.count('worksward_entry_retries', 'Statements that were sent again, by reason')
       },
       failureDomain: settings.host.failureDomain,
-      drainMs: settings.drainMs
+      get drainMs () { return settings.drainMs }
     }
     metrics.expose('worksward_sessions', 'Sessions that are open', () => ({ open: sessions.size }))
     const listener = await callers.listen(parseEndpoint(settings.listen.callers), (link) => {
@@ -59,7 +52,7 @@
     })
 
     /** Ends what can be ended without harm: idle sessions, and from half of the time on resting transactions too. */
-    const endSome = (elapsedMs: number): void => {
+    const endSome = (elapsedMs: number, graceMs: number): void => {
       for (const session of sessions) {
         if (session.inTransaction && elapsedMs > graceMs / 2) {
           session.abortTransaction('this host is stopping')
@@ -70,14 +63,15 @@
       }
     }
     return {
-      service: { get sessions () { return sessions.size } },
+      service: {},
       dump: () => ({ sessions: sessions.size, busy: [...sessions].filter(({ busy }) => busy).length }),
       drain: async () => {
+        const graceMs = settings.graceSeconds * 1000
         const startedAt = performance.now()
         const elapsed = (): number => performance.now() - startedAt
         const emptyUntil = async (leastMs: number): Promise<void> => {
           while (elapsed() < graceMs - STOP_RESERVE_MS && (sessions.size > 0 || elapsed() < leastMs)) {
-            endSome(elapsed())
+            endSome(elapsed(), graceMs)
             await pause(STOP_POLL_MS)
           }
         }
