Tell through the store that a host has stopped at a closed primary

Change: a host that sees a closed epoch and is not asked within 300 ms, or whose answer may have been lost, stops and says so in its own row; a promoter that waits for a silent host reads the registry.

--- a/src/leadership/closing.ts
+++ b/src/leadership/closing.ts
@@ -8,7 +8,7 @@
 import { EXTENDED_RIGHT_MS, RIGHT_MARGIN_MS, RIGHT_MS } from '../registry/consts.ts'
 
 /** How it is known that a host does not work at the primary any more. */
-type ClosedBecause = 'acknowledged' | 'not-running' | 'restarted' | 'unregistered' | 'right-lapsed' | 'retired'
+type ClosedBecause = 'acknowledged' | 'told-by-row' | 'not-running' | 'restarted' | 'unregistered' | 'right-lapsed' | 'retired'
 
 /** Options of {@link awaitClosed}. */
 export interface ClosingOptions {
@@ -37,7 +37,8 @@
 /**
  * Waits until no host works at the primary of an epoch. A host that answers stops at once; one that refuses
  * connections does not run; one that runs as another process has no right of its former life;
- * and the right of one that stays silent has lapsed after a while.
+ * one that hears the store but no peer says in its row that it has stopped; and the right of one that stays silent has
+ * lapsed after a while.
  *
  * @param options - the group and the epoch
  */
@@ -72,6 +73,9 @@
     if (now === undefined) {
       return 'unregistered'
     }
+    if ((now.stopped?.[group] ?? 0) >= epoch) {
+      return 'told-by-row'
+    }
     if (now.retiredUntilMs !== undefined && registry.storeNowAtLeastMs() >= now.retiredUntilMs) {
       return 'retired'
     }
@@ -90,6 +94,7 @@
         return 'not-running'
       }
       logger.log('debug', 'leadership.host-silent', { group, epoch, peer: host.name, reason: describeThrown(thrown) })
+      await registry.refresh()
       await pause(RETRY_MS)
     }
   }
--- a/src/leadership/consts.ts
+++ b/src/leadership/consts.ts
@@ -26,6 +26,13 @@
 export const REACH_MS = 1300
 /** Time of one try to reach a peer that must stop working at a primary. */
 export const CLOSE_TRY_MS = 700
+/**
+ * Time that a peer has to ask this host to stop working at a primary whose epoch is closed, in milliseconds; then its
+ * row in the store tells that it has stopped.
+ */
+export const ASKED_TO_STOP_MS = 300
+/** Time after which an epoch that is still closed is told by the row although a peer has asked: twice a promotion. */
+export const ANSWER_LOST_MS = 2000
 /** Time that a successor has to catch up with a primary that was stopped in an orderly way. */
 export const CATCH_UP_MS = 1000
 /** Time between two looks at a successor. */
--- a/src/leadership/index.ts
+++ b/src/leadership/index.ts
@@ -11,9 +11,10 @@
 import { createDuty } from './duty.ts'
 import { createExtensions } from './extensions.ts'
 import { nameFirstPrimary } from './first-primary.ts'
-import { createLocalClosing, type LocalClosing } from './local-closing.ts'
+import { createLocalClosing } from './local-closing.ts'
 import { createReachQuestions } from './reach-questions.ts'
 import { createRights, type Rights } from './rights.ts'
+import { createStopNotice } from './stop-notice.ts'
 import { runSuccession } from './succession.ts'
 import { closedEpochSchema } from './types.ts'
 import { createGroupWatch, type StandingNeed } from './watch.ts'
@@ -44,7 +45,12 @@
     const desiredState = context.use('desiredState')
     const rights = createRights(registry)
     const closing = createLocalClosing({ registry, directory, pools, rights, logger })
-    const watch = createGroupWatch({ registry, directory, pools, logger, act: createAction(context, closing) })
+    const stopNotice = createStopNotice({ registry, closing, logger })
+    const closeHere = async (group: string, epoch: number): Promise<void> => {
+      stopNotice.known(group, epoch)
+      await closing.close(group, epoch)
+    }
+    const watch = createGroupWatch({ registry, directory, pools, logger, act: createAction(context, closeHere) })
     const groups = (): string[] => [...desiredState.current?.connectionCaps.keys() ?? []]
     context.use('metrics').expose('worksward_confirmed_age_milliseconds', 'Age of the confirmation by the store', () =>
       ({ age: Number.isFinite(registry.confirmedAgeMs()) ? registry.confirmedAgeMs() : -1 }))
@@ -52,7 +58,7 @@
     peers.handle('close-group', async (body) => {
       const { group, epoch } = closedEpochSchema.parse(body)
       logger.log('info', 'leadership.closing', { group, epoch, confirmedAgeMs: Math.round(registry.confirmedAgeMs()) })
-      await closing.close(group, epoch)
+      await closeHere(group, epoch)
       return {}
     })
     const stopWatching = repeat(WATCH_MS, async () => {
@@ -99,7 +105,7 @@
 
 /** Does what a group needs: names its first primary, or replaces the one that it has. */
 function createAction (
-  context: PluginContext, closing: LocalClosing
+  context: PluginContext, closeHere: (group: string, epoch: number) => Promise<void>
 ): (group: string, standing: StandingNeed) => Promise<void> {
   const { logger } = context
   const { promotion } = context.use('ports')
@@ -141,7 +147,7 @@
       closedSince: need === 'unfinished' ? since : undefined,
       knownTerm: Math.max(row.term, freshness.of(group).newest?.term ?? 0),
       duty,
-      closeHere: async (epoch) => await closing.close(group, epoch),
+      closeHere: async (epoch) => await closeHere(group, epoch),
       registry,
       directory,
       pools,
--- a/src/registry/index.ts
+++ b/src/registry/index.ts
@@ -42,6 +42,13 @@
    * @throws WorkswardError `PlatformUnavailable`; the rows may have been written
    */
   write: (transaction: Omit<StoreTransaction, 'table'>) => Promise<boolean>
+  /**
+   * Writes into this host's row that it has stopped working at a group's primary, for peers that cannot ask it.
+   *
+   * @param group - the group
+   * @param epoch - the epoch that is closed here, with all before it
+   */
+  tellStopped: (group: string, epoch: number) => Promise<void>
   /** Calls back after each new snapshot. */
   onChange: (listener: () => void) => void
   /** Calls back when the store has stopped answering this host. */
@@ -210,6 +217,20 @@
       return applied
     }
 
+    const tellStopped = async (group: string, epoch: number): Promise<void> => {
+      ownRow.stopped = { ...ownRow.stopped, [group]: epoch }
+      const own = current.hosts.find(({ name }) => name === self.name)
+      if (own?.process !== self.process) {
+        // The row is written anew when this process registers.
+        return
+      }
+      const key = registryKeys.host(self.name)
+      const written = await write({
+        expected: [{ key, version: own.version }], put: [{ key, value: JSON.stringify(ownRow) }]
+      })
+      logger.log('info', 'registry.stop-told', { group, epoch, written })
+    }
+
     const service: Registry = {
       self,
       get current () { return current },
@@ -217,6 +238,7 @@
       peers: others,
       refresh,
       write,
+      tellStopped,
       onChange: (listener) => { listeners.push(listener) },
       onStoreLost: (listener) => { lostListeners.push(listener) },
       nudgePeers: () => others().forEach((peer) => {
--- a/src/registry/types.ts
+++ b/src/registry/types.ts
@@ -12,6 +12,8 @@
   failureDomain: z.string(),
   /** Identity of the running process; a restart makes another one. {@link RETIRED_PROCESS} when it was given up. */
   process: z.string(),
+  /** Groups at whose primaries the process has stopped working, and the newest epoch for which that is certain. */
+  stopped: z.record(z.string(), z.number().int()).optional(),
   /** Time of the store's clock at which the last right of a retired process has lapsed, in milliseconds. */
   retiredUntilMs: z.number().optional()
 })
--- a/test/entry/failover-time.test.ts
+++ b/test/entry/failover-time.test.ts
@@ -51,6 +51,11 @@
     expect(await gapAfter(crashPrimary, ['h1', 'h2']) < 1500).toEqual(true)
   })
 
+  it('is short when a host hears the store but none of its peers', async () => {
+    suite.world.silent.add('h3')
+    expect(await gapAfter(crashPrimary, ['h1', 'h2']) < 6000).toEqual(true)
+  })
+
   it('waits for the right of a host that has just fallen silent, among few', async () => {
     powerOff('h3')
     const gap = await gapAfter(crashPrimary, ['h1', 'h2'])
