--- /dev/null
+++ b/test/platform/upstream-port.test.ts
@@ -0,0 +1,159 @@
+import { once } from 'node:events'
+import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net'
+import { afterEach, beforeEach, describe, it } from 'node:test'
+import { expect } from 'earl'
+import { MAXIMUM_MESSAGE_BYTES } from '../../platform/line-wire.ts'
+import { createUpstreamPort } from '../../platform/upstream-port.ts'
+import { RequestError } from '../../src/core/errors/index.ts'
+import type { UpstreamConnection, UpstreamPort } from '../../src/ports/index.ts'
+
+/** Time that an upstream of these tests has to take a connection, in milliseconds; it is on this machine. */
+const OPEN_MS = 400
+const LINE_END = '\r\n'
+
+describe('the port for upstreams', () => {
+  let server: Server
+  let port: UpstreamPort
+  let received: string[]
+  /** What the upstream answers to a line; nothing when undefined. */
+  let answer: (line: string, socket: Socket) => string[] | undefined
+  beforeEach(async () => {
+    received = []
+    answer = (line) => line.startsWith('START') ? ['READY I 3.1207'] : ['DONE -', 'READY I 3.1207']
+    server = createServer((socket) => {
+      let partial = ''
+      socket.on('error', () => {})
+      socket.setEncoding('latin1').on('data', (data) => {
+        const lines = (partial + String(data)).split(LINE_END)
+        partial = lines.pop()!
+        for (const line of lines) {
+          received.push(line)
+          const reply = answer(line, socket)
+          if (reply !== undefined) {
+            socket.write(reply.join(LINE_END) + LINE_END, 'latin1')
+          }
+        }
+      })
+    }).listen(0, '127.0.0.1')
+    await once(server, 'listening')
+    port = createUpstreamPort((endpoint) => connect({ host: endpoint.address, port: endpoint.port }))
+  })
+  const connections: UpstreamConnection[] = []
+  afterEach(async () => {
+    connections.splice(0).forEach((connection) => connection.close())
+    await new Promise((resolve) => server.close(resolve))
+  })
+  const open = async (): Promise<UpstreamConnection> => {
+    const endpoint = { address: '127.0.0.1', port: (server.address() as AddressInfo).port }
+    const connection = await port.open({ group: 'lepu270', upstream: 'i-7f3a91c2', endpoint }, OPEN_MS)
+    connections.push(connection)
+    return connection
+  }
+  const errorOf = async (pending: Promise<unknown>): Promise<RequestError> => {
+    const thrown = await pending.then(() => undefined, (error: unknown) => error)
+    expect(thrown).toBeA(RequestError)
+    return thrown as RequestError
+  }
+
+  it('names the group and the identity that it expects', async () => {
+    await open()
+    expect(received).toEqual(['START lepu270 worksward i-7f3a91c2'])
+  })
+
+  it('passes on ids, texts and positions, and decodes rows, signature, state and position', async () => {
+    const connection = await open()
+    answer = () => ['ROW qhzk wmt', 'ROW ', 'DONE 7.1f3.c', 'READY T 3.1209']
+    const read = await connection.run({
+      type: 'data', requestId: '5c0e', text: 'READ 1a4  b', after: { term: 3, position: 1207 }
+    })
+    expect(received.at(-1)).toEqual('QUERY 5c0e AFTER 3.1207 READ 1a4  b')
+    expect(read).toEqual({
+      rows: ['qhzk wmt', ''], signature: '7.1f3.c', state: 'open', position: { term: 3, position: 1209 }
+    })
+  })
+
+  it('gives statements of its own no id', async () => {
+    const connection = await open()
+    const prepared = { access: 'write', shape: 'q2 c' } as const
+    await connection.run({ type: 'prepare', name: 'w1', prepared })
+    await connection.run({ type: 'execute', requestId: 'ab', name: 'w1', parameters: '1a4 x y' })
+    await connection.run({ type: 'begin', readOnly: true, after: { term: 1, position: 2 } })
+    expect(received.slice(1)).toEqual([
+      'QUERY - PREPARE w1 WRITE q2 c', 'QUERY ab EXEC w1 1a4 x y', 'QUERY - AFTER 1.2 BEGIN READ'
+    ])
+  })
+
+  const REFUSALS = [['READONLY', 'read-only'], ['LAGGING', 'lagging'], ['NOSTMT', 'unknown-statement'], ['WHAT', 'failed']]
+  for (const [code, kind] of REFUSALS) {
+    it(`decodes the refusal ${code}`, async () => {
+      const connection = await open()
+      answer = () => [`ERR ${code} i-7f3a91c2 says so`, 'READY E -']
+      const { failure, state, position } = await connection.run({ type: 'rollback' })
+      expect({ failure, state, position }).toEqual({
+        failure: { kind: kind as 'failed', message: 'i-7f3a91c2 says so' }, state: 'failed', position: undefined
+      })
+    })
+  }
+
+  for (const [code, reason] of [['MISROUTED', 'misrouted'], ['TOOMANY', 'too-many-connections'], ['BUSY', 'busy']]) {
+    it(`knows that nothing ran when a connection is refused with ${code}`, async () => {
+      answer = (_line, socket) => {
+        socket.end(`ERR ${code} i-1${LINE_END}`)
+        return undefined
+      }
+      const error = await errorOf(open())
+      expect([error.verdict, error.entry, (error.details as { reason: string }).reason])
+        .toEqual(['not-run', 'UpstreamRefused', reason!])
+    })
+  }
+
+  it('gives a connection up that is not answered', async () => {
+    answer = () => undefined
+    expect((await errorOf(open())).verdict).toEqual('not-run')
+  })
+
+  it('leaves open whether a statement ran whose connection breaks', async () => {
+    const connection = await open()
+    answer = (_line, socket) => {
+      socket.end(`ROW half${LINE_END}`)
+      return undefined
+    }
+    const write = connection.run({ type: 'data', requestId: 'a', text: 'WRITE 1 x' })
+    expect((await errorOf(write)).verdict).toEqual('may-have-run')
+    expect(connection.closed).toEqual(true)
+    expect((await errorOf(connection.run({ type: 'rollback' }))).verdict).toEqual('not-run')
+  })
+
+  it('closes a connection that says what nobody asked', async () => {
+    const connection = await open()
+    answer = () => ['DONE -', 'READY I -', 'ROW late']
+    await connection.run({ type: 'reset' }).catch(() => {})
+    expect((await errorOf(connection.run({ type: 'reset' }))).entry).toEqual('ConnectionLost')
+    expect(connection.closed).toEqual(true)
+  })
+
+  const BAD_LINES = [['too much', `ROW ${'x'.repeat(MAXIMUM_MESSAGE_BYTES)}`], ['what cannot be read', 'READY ? 1.1']]
+  for (const [what, line] of BAD_LINES) {
+    it(`closes a connection that says ${what}`, async () => {
+      const connection = await open()
+      answer = () => [line!]
+      expect((await errorOf(connection.run({ type: 'reset' }))).verdict).toEqual('may-have-run')
+      expect(connection.closed).toEqual(true)
+    })
+  }
+
+  it('decodes a status', async () => {
+    const connection = await open()
+    answer = () => ['ROW replica 3 3.1209 0 12 2 17', 'DONE -', 'READY I 3.1204']
+    expect(await connection.status()).toEqual({ role: 'replica', term: 3, received: { term: 3, position: 1209 } })
+    expect(received.at(-1)).toEqual('QUERY - STATUS')
+    await connection.demote(4)
+    expect(received.at(-1)).toEqual('QUERY - DEMOTE 4')
+  })
+
+  it('takes a status that cannot be read for none', async () => {
+    const connection = await open()
+    answer = () => ['ERR BUSY i-7f3a91c2', 'READY I -']
+    expect((await errorOf(connection.status())).verdict).toEqual('not-run')
+  })
+})
