--- /dev/null
+++ b/src/upstreams/client-set.ts
@@ -0,0 +1,130 @@
+/** The connections of one home to one upstream, within a share that shrinks when the upstream has no room. */
+import { RequestError } from '../core/errors/index.ts'
+import type { Dialer } from '../core/wire/dialer.ts'
+import { openClient, type Client, type UpstreamAccess } from '../mysql/client.ts'
+
+/** Time to open a connection, in milliseconds. */
+const CONNECT_TIMEOUT_MS = 1000
+/** Time after which a share that was refused grows again by one, in milliseconds. */
+const REGROW_MS = 2000
+
+/** Options of {@link createClientSet}. */
+export interface ClientSetOptions {
+  access: UpstreamAccess
+  dialer: Dialer
+  /** Connections this home may hold. */
+  share: number
+  onShareChange: () => void
+}
+
+/** Connections to one upstream. */
+export interface ClientSet {
+  /** Connections that may be held now. */
+  readonly share: number
+  readonly open: number
+  readonly idle: number
+  /** Connections that the upstream had no room for. */
+  readonly refused: number
+  /**
+   * Takes an idle connection or opens one.
+   *
+   * @returns the connection; undefined when the share is used up
+   */
+  take: () => Promise<Client> | undefined
+  /**
+   * Gives a connection back.
+   *
+   * @param client - the connection
+   * @param reuse - false when its state is in doubt, so that it is closed
+   */
+  giveBack: (client: Client, reuse: boolean) => void
+  setShare: (share: number) => void
+  /** Breaks all connections, so that work in progress ends now. */
+  abort: () => void
+  close: () => void
+}
+
+/**
+ * Creates an empty set.
+ *
+ * @param options - upstream and share
+ * @returns the set; connections are opened when needed
+ */
+export function createClientSet ({ access, dialer, share: firstShare, onShareChange }: ClientSetOptions): ClientSet {
+  const clients = new Set<Client>()
+  const idle: Client[] = []
+  let declaredShare = firstShare
+  let share = firstShare
+  let opening = 0
+  let refused = 0
+  let closed = false
+
+  const changeShare = (next: number): void => {
+    share = next
+    onShareChange()
+  }
+  const regrow = setInterval(() => changeShare(Math.min(declaredShare, share + 1)), REGROW_MS)
+  regrow.unref()
+
+  const forget = (client: Client): void => {
+    clients.delete(client)
+    const index = idle.indexOf(client)
+    if (index >= 0) {
+      idle.splice(index, 1)
+    }
+  }
+  const open = async (): Promise<Client> => {
+    opening++
+    try {
+      const client = await openClient({ access, dialer, connectTimeoutMs: CONNECT_TIMEOUT_MS })
+      clients.add(client)
+      client.onClose(() => forget(client))
+      return client
+    } catch (thrown) {
+      if (isTooManyConnections(thrown)) {
+        refused++
+        changeShare(Math.max(1, clients.size))
+      }
+      throw thrown
+    } finally {
+      opening--
+    }
+  }
+  const abort = (): void => [...clients].forEach((client) => client.close())
+  return {
+    get share () { return share },
+    get open () { return clients.size },
+    get idle () { return idle.length },
+    get refused () { return refused },
+    take: () => {
+      const client = idle.pop()
+      if (client !== undefined) {
+        return Promise.resolve(client)
+      }
+      return clients.size + opening >= Math.max(1, share) ? undefined : open()
+    },
+    giveBack: (client, reuse) => {
+      if (!reuse || closed || clients.size > share) {
+        client.close()
+        return
+      }
+      if (client.usable) {
+        idle.push(client)
+      }
+    },
+    setShare: (wanted) => {
+      declaredShare = wanted
+      changeShare(wanted)
+    },
+    abort,
+    close: () => {
+      closed = true
+      clearInterval(regrow)
+      abort()
+    }
+  }
+}
+
+function isTooManyConnections (thrown: unknown): boolean {
+  return thrown instanceof RequestError && /too many connections/i.test(thrown.message)
+}
--- a/src/upstreams/connection-pool.ts
+++ b/src/upstreams/connection-pool.ts
@@ -3,11 +3,13 @@
  * deadlines, and a reserve that keeps reads from crowding out writes.
  */
 import PQueue from 'p-queue'
-import { RequestError, toRequestError } from '../core/errors/index.ts'
+import { RequestError } from '../core/errors/index.ts'
 import type { Deadline } from '../core/time/deadline.ts'
 import type { Dialer } from '../core/wire/dialer.ts'
-import { openClient, type Client, type UpstreamAccess } from '../mysql/client.ts'
+import type { Client, UpstreamAccess } from '../mysql/client.ts'
+import { createClientSet } from './client-set.ts'
 import { createConcurrencyLimit } from './concurrency-limit.ts'
+import { enqueue } from './deadline-queue.ts'
 
 /** Options of {@link createConnectionPool}. */
 export interface ConnectionPoolOptions {
@@ -75,10 +77,6 @@
   close: () => void
 }
 
-/** Time to open a connection, in milliseconds. */
-const CONNECT_TIMEOUT_MS = 1000
-/** Time after which a share that was refused grows again by one, in milliseconds. */
-const REGROW_MS = 2000
 /** Longest time a caller is told to stay away, in milliseconds. */
 const MAXIMUM_RETRY_AFTER_MS = 1000
 const FIRST_GUESS_MS = 1
@@ -98,88 +96,26 @@
   const queue = new PQueue({ concurrency: 1 })
   const reads = new PQueue({ concurrency: 1 })
   const transactions = new PQueue({ concurrency: 1 })
-  const clients = new Set<Client>()
-  const idle: Client[] = []
-  let declaredShare = options.share
-  let share = options.share
   let pinned = 0
-  let opening = 0
-  let refusedConnections = 0
   let closed = false
-  const limit = createConcurrencyLimit({ initial: options.slots, maximum: () => Math.max(1, share - pinned) })
 
+  const clients = createClientSet({ access, dialer, share: options.share, onShareChange: () => adjust() })
+  const limit = createConcurrencyLimit({ initial: options.slots, maximum: () => Math.max(1, clients.share - pinned) })
+  /** Brings the queues in line with the limit, the share and what transactions hold. */
   const adjust = (): void => {
     queue.concurrency = limit.current
     reads.concurrency = Math.max(1, limit.current - 1)
-    transactions.concurrency = Math.max(1, share - 1)
+    transactions.concurrency = Math.max(1, clients.share - 1)
   }
   adjust()
 
-  const regrow = setInterval(() => {
-    share = Math.min(declaredShare, share + 1)
-    adjust()
-  }, REGROW_MS)
-  regrow.unref()
-
-  const shrink = (): void => {
-    refusedConnections++
-    share = Math.max(1, clients.size)
-    adjust()
-  }
-
-  const open = async (): Promise<Client> => {
-    opening++
-    try {
-      const client = await openClient({ access, dialer, connectTimeoutMs: CONNECT_TIMEOUT_MS })
-      clients.add(client)
-      client.onClose(() => {
-        clients.delete(client)
-        const index = idle.indexOf(client)
-        if (index >= 0) {
-          idle.splice(index, 1)
-        }
-      })
-      return client
-    } catch (thrown) {
-      if (isTooManyConnections(thrown)) {
-        shrink()
-      }
-      throw thrown
-    } finally {
-      opening--
-    }
-  }
-
-  const acquire = async (): Promise<Client> => {
-    const client = idle.pop()
-    if (client !== undefined) {
-      return client
-    }
-    if (clients.size + opening >= Math.max(1, share)) {
-      throw refuse('all connections of this home are in use')
-    }
-    return await open()
-  }
-
-  const giveBack = (client: Client, reuse: boolean): void => {
-    if (!reuse || closed || clients.size > share) {
-      client.close()
-      return
-    }
-    if (client.usable) {
-      idle.push(client)
-    }
-  }
-
   const expectedWaitMs = (waiting: number): number =>
     (waiting * (limit.meanMs || FIRST_GUESS_MS)) / Math.max(1, queue.concurrency)
-
   const refuse = (reason: string): RequestError => {
     const expected = Math.ceil(expectedWaitMs(queue.size + 1))
     const retryAfterMs = Math.max(1, Math.min(MAXIMUM_RETRY_AFTER_MS, expected))
     return new RequestError('not-run', 'Overloaded', { group, reason, retryAfterMs })
   }
-
   const admit = ({ deadline }: PoolRequest, waiting: number): void => {
     if (closed) {
       throw refuse('the pool is closed')
@@ -191,7 +127,13 @@
       throw refuse(`the queue for ${access.name} is too long for the deadline`)
     }
   }
-
+  const acquire = async (): Promise<Client> => {
+    const taken = clients.take()
+    if (taken === undefined) {
+      throw refuse('all connections of this home are in use')
+    }
+    return await taken
+  }
   const runNow = async <Result>(deadline: Deadline, work: (client: Client) => Promise<Result>): Promise<Result> => {
     if (deadline.leftMs < limit.meanMs * TIME_TO_RUN) {
       throw refuse(`too little time is left to run it on ${access.name}`)
@@ -209,94 +151,58 @@
     } finally {
       limit.record(performance.now() - startedAt)
       adjust()
-      giveBack(client, reuse)
+      clients.giveBack(client, reuse)
     }
   }
+  /** Takes a connection, tells who asked for it, and ends when it has been given back. */
+  const hold = async (deadline: Deadline, onHeld: (held: PinnedConnection) => void): Promise<void> => {
+    deadline.check('not-run', `queueing for upstream ${access.name}`)
+    const client = await acquire()
+    pinned++
+    adjust()
+    await new Promise<void>((resolve) => onHeld({
+      client,
+      release: (reuse) => {
+        pinned--
+        clients.giveBack(client, reuse)
+        adjust()
+        resolve()
+      }
+    }))
+  }
 
   return {
     run: async (request, work) => {
       admit(request, queue.size + (request.access === 'read' ? reads.size : 0))
       const { priority, deadline } = request
-      const inQueue = async () => await enqueue(queue, priority, deadline, async () => await runNow(deadline, work))
-      return request.access === 'read' ? await enqueue(reads, priority, deadline, inQueue) : await inQueue()
+      const run = async () => await runNow(deadline, work)
+      const inQueue = async () => await enqueue(queue, { priority, deadline, run })
+      return request.access === 'read' ? await enqueue(reads, { priority, deadline, run: inQueue }) : await inQueue()
     },
     pin: async (request) => {
       admit(request, transactions.size)
+      const { priority, deadline } = request
       return await new Promise<PinnedConnection>((resolve, reject) => {
-        const hold = async (): Promise<void> => {
-          request.deadline.check('not-run', `queueing for upstream ${access.name}`)
-          const client = await acquire()
-          pinned++
-          adjust()
-          await new Promise<void>((_resolve) => resolve({
-            client,
-            release: (reuse) => {
-              pinned--
-              giveBack(client, reuse)
-              adjust()
-              _resolve()
-            }
-          }))
-        }
-        enqueue(transactions, request.priority, request.deadline, hold, true).catch(reject)
+        const run = async () => await hold(deadline, resolve)
+        enqueue(transactions, { priority, deadline, run, onlyTakesConnection: true }).catch(reject)
       })
     },
-    setShare: (wanted) => {
-      declaredShare = wanted
-      share = wanted
-      adjust()
-    },
-    abort: () => [...clients].forEach((client) => client.close()),
+    setShare: clients.setShare,
+    abort: clients.abort,
     state: () => ({
-      share,
-      open: clients.size,
-      idle: idle.length,
+      share: clients.share,
+      open: clients.open,
+      idle: clients.idle,
       pinned,
       running: queue.pending,
       queued: queue.size + reads.size + transactions.size,
       concurrency: limit.current,
       meanMs: Math.round(limit.meanMs * 100) / 100,
-      refusedConnections
+      refusedConnections: clients.refused
     }),
     close: () => {
       closed = true
-      clearInterval(regrow)
-      const open = [...clients]
-      open.forEach((client) => client.close())
+      clients.close()
     }
   }
 }
-
-/**
- * Queues a task; it leaves the queue when its deadline passes before it starts.
- */
-async function enqueue<Result> (
-  queue: PQueue, priority: number, deadline: Deadline, task: () => Promise<Result>, startedIsEnough = false
-): Promise<Result> {
-  return await new Promise<Result>((resolve, reject) => {
-    let started = false
-    const timer = setTimeout(() => {
-      if (!started) {
-        started = true
-        reject(deadline.exceeded('not-run', 'queueing for an upstream'))
-      }
-    }, deadline.leftMs)
-    const start = async (): Promise<void> => {
-      if (started) {
-        return
-      }
-      started = true
-      clearTimeout(timer)
-      try {
-        resolve(await task())
-      } catch (thrown) {
-        reject(toRequestError(thrown, startedIsEnough ? 'not-run' : 'may-have-run'))
-      }
-    }
-    void queue.add(start, { priority })
-  })
-}
-
-function isTooManyConnections (thrown: unknown): boolean {
-  return thrown instanceof RequestError && /too many connections/i.test(thrown.message)
-}
