--- a/src/routing/group-home.ts
+++ b/src/routing/group-home.ts
@@ -1,23 +1,18 @@
 /** Serves the requests of one database group at one of its homes. */
-import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
-import { uniformInt } from 'pure-rand/distribution/uniformInt'
 import type { Group, Kind } from '../core/config/index.ts'
-import { kindSchema } from '../core/config/index.ts'
 import { RequestError } from '../core/errors/index.ts'
 import type { Logger } from '../core/logger/index.ts'
-import { Deadline, pause } from '../core/time/deadline.ts'
+import { Deadline } from '../core/time/deadline.ts'
 import type { Dialer } from '../core/wire/dialer.ts'
 import { startLedgerSweeper } from '../ledger/ledger-sweeper.ts'
-import { keyCreatedAt, MAXIMUM_KEY_LENGTH } from '../ledger/request-key.ts'
 import { createGroupPools } from '../upstreams/group-pools.ts'
 import { GroupView, type Leadership } from '../upstreams/group-view.ts'
+import { createHomeReads } from './home-reads.ts'
+import { checkKey, findKind } from './request-checks.ts'
 import { createRetryBudget } from './retry-budget.ts'
-import { chooseUpstream, serveRead, type ReadOptions } from './read-route.ts'
-import { resolveFloor } from './session-floor.ts'
 import { createTransactions } from './transactions.ts'
 import { serveWrite } from './write-route.ts'
-import { textColumn } from '../mysql/answer-writer.ts'
-import type { CommitRequest, ExecuteRequest, ExplainRequest, HomeReply, HomeRequest } from './types.ts'
+import type { CommitRequest, ExecuteRequest, HomeReply, HomeRequest } from './types.ts'
 
 /** Options of {@link createGroupHome}. */
 export interface GroupHomeOptions {
@@ -69,9 +64,6 @@
 const STATUS_TIMEOUT_MS = 250
 /** Time between two looks at the upstreams while requests are in progress, in milliseconds. */
 const WATCH_MS = 100
-const RETRY_PAUSE_MS = 5
-/** The kind of a statement that declares none: a write that is not repeatable. */
-const DEFAULT_KIND: Kind = kindSchema.parse({ access: 'write' })
 
 /**
  * Creates the home of a group.
@@ -81,8 +73,6 @@
  */
 export function createGroupHome (options: GroupHomeOptions): GroupHome {
   const { name, dialer, logger } = options
-  const generator = xoroshiro128plus(options.seed)
-  const random = (): number => uniformInt(generator, 0, 0xffff) / 0x10000
   const groupPools = createGroupPools(options)
   const pools = groupPools.byName
   const budget = createRetryBudget()
@@ -114,58 +104,23 @@
   }, WATCH_MS)
   watch.unref()
 
-  const findKind = (request: { service: string, kind?: string }): Kind => {
-    if (request.kind === undefined) {
-      return DEFAULT_KIND
-    }
-    const kinds = group.services[request.service]?.kinds ?? {}
-    const kind = kinds[request.kind]
-    if (kind === undefined) {
-      throw new RequestError('not-run', 'UnknownKind', {
-        kind: request.kind, service: request.service, known: Object.keys(kinds)
-      })
-    }
-    return kind
-  }
-
   const spendRetry = (): boolean => {
     const granted = budget.spend()
     counts.retries += granted ? 1 : 0
     return granted
   }
 
-  const readOptions = (
-    request: Omit<ExplainRequest, 'type'> & Partial<Pick<ExecuteRequest, 'statement' | 'readIndex'>>
-  ): ReadOptions => ({
+  const reads = createHomeReads({
+    name,
     view,
     pools,
-    group,
-    kind: findKind(request),
-    statement: request.statement ?? { sql: '' },
-    floor: request.floor,
-    readIndex: request.readIndex === true,
-    deadline: new Deadline(request.deadlineMs),
     failureDomain: options.failureDomain,
-    random
+    seed: options.seed,
+    group: () => group,
+    spendRetry,
+    onServed: (fromReplica) => { counts[fromReplica ? 'readsOnReplicas' : 'readsOnPrimary']++ }
   })
 
-  const executeRead = async (request: ExecuteRequest): Promise<HomeReply> => {
-    const read = readOptions(request)
-    for (;;) {
-      try {
-        const reply = await serveRead(read)
-        counts[reply.fromReplica === true ? 'readsOnReplicas' : 'readsOnPrimary']++
-        return reply
-      } catch (thrown) {
-        const transient = thrown instanceof RequestError && thrown.entry === 'ConnectionLost'
-        if (!transient || read.deadline.passed || !spendRetry()) {
-          throw thrown
-        }
-        await pause(RETRY_PAUSE_MS)
-      }
-    }
-  }
-
   const executeWrite = async (request: ExecuteRequest, kind: Kind): Promise<HomeReply> => {
     checkKey(request.key, group)
     counts.writes++
@@ -183,24 +138,6 @@
     return reply
   }
 
-  const placeRead = async (read: ReadOptions) =>
-    ({ ...read, floor: await resolveFloor(view, read.floor, read.deadline) })
-
-  const explain = async (request: ExplainRequest): Promise<HomeReply> => {
-    const kind = findKind(request)
-    const choice = kind.access === 'read'
-      ? await chooseUpstream(await placeRead(readOptions(request)))
-      : { upstream: view.leadership.primary, fromReplica: false, reason: 'a write goes to the primary' }
-    const row = [name, choice.upstream, choice.fromReplica ? 'replica' : 'primary', choice.reason]
-    return {
-      answer: {
-        type: 'rows',
-        columns: ['group', 'upstream', 'role', 'reason'].map(textColumn),
-        rows: [row.map((cell) => Buffer.from(cell))]
-      }
-    }
-  }
-
   const commit = async (request: CommitRequest): Promise<HomeReply> => {
     checkKey(request.key, group)
     return await transactions.commit(request, new Deadline(request.deadlineMs))
@@ -208,8 +145,8 @@
 
   const handlers: { [Type in HomeRequest['type']]: (request: Extract<HomeRequest, { type: Type }>) => Promise<HomeReply> } = {
     execute: async (request) => {
-      const kind = findKind(request)
-      return kind.access === 'read' ? await executeRead(request) : await executeWrite(request, kind)
+      const kind = findKind(group, request)
+      return kind.access === 'read' ? await reads.execute(request) : await executeWrite(request, kind)
     },
     begin: async (request) => {
       counts.transactions++
@@ -220,7 +157,7 @@
     commit,
     rollback: async (request) => await transactions.rollback(request.transactionId),
     settle: async (request) => await transactions.settle(request, new Deadline(request.deadlineMs)),
-    explain
+    explain: reads.explain
   }
 
   return {
@@ -262,16 +199,3 @@
     }
   }
 }
-
-function checkKey (key: string | undefined, group: Group): void {
-  if (key === undefined) {
-    return
-  }
-  if (key.length === 0 || key.length > MAXIMUM_KEY_LENGTH) {
-    throw new RequestError('not-run', 'MalformedHint', { reason: `a key has 1 to ${MAXIMUM_KEY_LENGTH} characters` })
-  }
-  const createdAt = keyCreatedAt(key)
-  if (createdAt !== undefined && Date.now() - createdAt > group.keyRetentionMs) {
-    throw new RequestError('not-run', 'KeyExpired', { key, retentionMs: group.keyRetentionMs })
-  }
-}
