--- a/src/callers/caller-session.ts
+++ b/src/callers/caller-session.ts
@@ -1,13 +1,13 @@
 /** One caller's connection: its session, its transaction, and the way of each statement to a home. */
-import { randomUUID } from 'node:crypto'
 import type { Group, Kind } from '../core/config/index.ts'
 import { RequestError } from '../core/errors/index.ts'
-import { createRequestKey, fingerprintOf } from '../ledger/request-key.ts'
+import { createRequestKey } from '../ledger/request-key.ts'
 import { textColumn } from '../mysql/answer-writer.ts'
 import type { ClientHandler, ClientHello } from '../mysql/server.ts'
 import { EMPTY_ANSWER, type Answer, type Statement } from '../mysql/types.ts'
 import type { HomeRequests } from '../routing/home-requests.ts'
 import type { SessionTokens } from '../sessions/session-token.ts'
+import { createCallerTransactions } from './caller-transaction.ts'
 import { hintSchema, readHint, readHintValues, type Hint } from './hint.ts'
 import { createSessionFloors } from './session-floors.ts'
 import { classifyStatement, readSetting, type StatementClass } from './statement-class.ts'
@@ -38,14 +38,6 @@
   state: () => CallerState
 }
 
-/** A transaction of the caller. */
-interface CallerTransaction {
-  id: string
-  home: string
-  statements: Statement[]
-  writes: boolean
-}
-
 /** Time a statement without a declared kind may take, in milliseconds. */
 const DEFAULT_DEADLINE_MS = 5000
 
@@ -61,8 +53,6 @@
   let groupName = client.database
   let defaults: Hint = readHintValues(client.attributes)
   let session = createSessionFloors(tokens, service)
-  let transaction: CallerTransaction | undefined
-  let nextTransaction = 1
   let statements = 0
   let busy = false
 
@@ -90,20 +80,20 @@
     group: groupName, service, deadlineMs: kind?.deadlineMs ?? DEFAULT_DEADLINE_MS
   })
 
-  const rollBack = async (): Promise<void> => {
-    const ended = transaction
-    transaction = undefined
-    if (ended !== undefined) {
-      await requests.sendTo(ended.home, { ...base(undefined), type: 'rollback', transactionId: ended.id }).catch(() => {})
-    }
-  }
+  const transactions = createCallerTransactions({
+    host,
+    connectionId: client.connectionId,
+    requests,
+    base: () => base(undefined),
+    onCommitted: (floor) => session.join(groupName, floor)
+  })
 
   const executePlain = async (statement: Statement, hint: Hint): Promise<Answer> => {
     const group = findGroup()
     checkSize(statement, group)
     const kind = findKind(hint)
-    if (transaction !== undefined) {
-      return await executeInTransaction(transaction, statement, kind)
+    if (transactions.open) {
+      return checkRows(await transactions.execute(statement, base(kind), kind?.access !== 'read'), findGroup())
     }
     const isWrite = kind?.access !== 'read'
     const needsKey = isWrite && kind?.repeatable !== true
@@ -120,56 +110,6 @@
     return checkRows(reply.answer, group)
   }
 
-  const executeInTransaction = async (
-    open: CallerTransaction, statement: Statement, kind: Kind | undefined
-  ): Promise<Answer> => {
-    try {
-      const request = { ...base(kind), type: 'transaction-execute', transactionId: open.id, statement } as const
-      const reply = await requests.sendTo(open.home, request)
-      open.statements.push(statement)
-      open.writes ||= kind?.access !== 'read'
-      return checkRows(reply.answer, findGroup())
-    } catch (thrown) {
-      if (isTransactionOver(thrown)) {
-        transaction = undefined
-        throw asTransactionLost(thrown)
-      }
-      throw thrown
-    }
-  }
-
-  const begin = async (): Promise<Answer> => {
-    await rollBack()
-    const id = `${host}:${client.connectionId}:${nextTransaction++}:${randomUUID()}`
-    const { home } = await requests.send({ ...base(undefined), type: 'begin', transactionId: id })
-    transaction = { id, home, statements: [], writes: false }
-    return EMPTY_ANSWER
-  }
-
-  const commit = async (hint: Hint): Promise<Answer> => {
-    const ending = transaction
-    transaction = undefined
-    if (ending === undefined) {
-      return EMPTY_ANSWER
-    }
-    const key = hint.key ?? createRequestKey()
-    const fingerprint = fingerprintOf(ending.statements)
-    const keyed = { ...base(undefined), key, fingerprint }
-    try {
-      const reply = await requests.sendTo(ending.home, {
-        ...keyed, type: 'commit', transactionId: ending.id, writes: ending.writes || hint.key !== undefined
-      })
-      session.join(groupName, reply.floor)
-    } catch (thrown) {
-      if (!(thrown instanceof RequestError) || thrown.verdict !== 'may-have-run' || !ending.writes) {
-        throw isTransactionOver(thrown) ? asTransactionLost(thrown) : thrown
-      }
-      const { reply } = await requests.send({ ...keyed, type: 'settle' })
-      session.join(groupName, reply.floor)
-    }
-    return EMPTY_ANSWER
-  }
-
   const set = async (sql: string): Promise<Answer> => {
     const setting = readSetting(sql)
     if (setting.type === 'refused') {
@@ -191,7 +131,7 @@
   }
 
   const selectDatabase = async (database: string): Promise<void> => {
-    if (transaction !== undefined) {
+    if (transactions.open) {
       throw new RequestError('not-run', 'UnsupportedStatement', { reason: 'a transaction is open' })
     }
     const group = options.findGroup(database)
@@ -202,10 +142,16 @@
   }
 
   const handlers: Record<StatementClass, (statement: Statement, hint: Hint) => Promise<Answer>> = {
-    begin: async () => await begin(),
-    commit: async (_statement, hint) => await commit(hint),
+    begin: async () => {
+      await transactions.begin()
+      return EMPTY_ANSWER
+    },
+    commit: async (_statement, hint) => {
+      await transactions.commit(hint.key)
+      return EMPTY_ANSWER
+    },
     rollback: async () => {
-      await rollBack()
+      await transactions.rollBack()
       return EMPTY_ANSWER
     },
     set: async ({ sql }) => await set(sql),
@@ -218,7 +164,7 @@
       throw new RequestError('not-run', 'UnsupportedStatement', { reason: 'connections are shared between callers' })
     },
     'implicit-commit': async (statement, hint) => {
-      if (transaction !== undefined) {
+      if (transactions.open) {
         throw new RequestError('not-run', 'UnsupportedStatement', { reason: 'it would commit the open transaction' })
       }
       return await executePlain(statement, hint)
@@ -242,17 +188,17 @@
     },
     selectDatabase,
     reset: async () => {
-      await rollBack()
+      await transactions.rollBack()
       defaults = readHintValues(client.attributes)
       session = createSessionFloors(tokens, service)
     },
-    close: () => { void rollBack() },
+    close: () => { void transactions.rollBack() },
     state: () => ({
       connection: client.connectionId,
       service,
       group: groupName,
       session: session.id,
-      inTransaction: transaction !== undefined,
+      inTransaction: transactions.open,
       busy,
       statements
     })
@@ -272,16 +218,3 @@
     throw new RequestError('not-run', 'StatementTooLarge', { bytes, limit: group.limits.statementBytes })
   }
 }
-
-/** Whether a failure means that the transaction is gone: its home or its connection is. */
-function isTransactionOver (thrown: unknown): thrown is RequestError {
-  return thrown instanceof RequestError &&
-    ['TransactionLost', 'PeerUnavailable', 'ConnectionLost', 'UnknownGroup'].includes(thrown.entry)
-}
-
-/** An uncommitted transaction whose home is gone is rolled back, whatever the link's own verdict. */
-function asTransactionLost (thrown: RequestError): RequestError {
-  return thrown.entry === 'TransactionLost'
-    ? thrown
-    : new RequestError('not-run', 'TransactionLost', { reason: thrown.message })
-}
