--- a/src/failover/group-watch.ts
+++ b/src/failover/group-watch.ts
@@ -4,7 +4,8 @@
 import { pause } from '../core/time/deadline.ts'
 import type { Dialer } from '../core/wire/dialer.ts'
 import { GroupView, type Leadership } from '../upstreams/group-view.ts'
-import { electPrimary, follow } from './election.ts'
+import { createElections } from './elections.ts'
+import { followStragglers } from './stragglers.ts'
 import { createSuspicion, REQUIRED_DOMAINS, type Observation } from './suspicion.ts'
 
 /** Options of {@link createGroupWatch}. */
@@ -58,11 +59,9 @@
   let round = 0
   let stuckRounds = 0
   let leadershipChanged = false
-  let electing = false
   let acting = false
   const state = { closed: false }
   let reportedTerm = -1
-  let promotions = 0
 
   const view = new GroupView({
     name,
@@ -118,28 +117,7 @@
     return undefined
   }
 
-  const elect = async (reason: string, preferred: string | undefined, planned: boolean): Promise<string> => {
-    if (electing) {
-      return 'another change of primary is in progress'
-    }
-    electing = true
-    try {
-      logger.log('warn', 'failover.started', { group: name, reason, term: view.leadership.term })
-      const result = await electPrimary({ view, preferred, planned })
-      if (result.type === 'failed') {
-        logger.log('warn', 'failover.failed', { group: name, term: result.term, reason: result.reason })
-        await pause(Math.random() * staggerMs)
-        return result.reason
-      }
-      promotions++
-      view.announce(result)
-      options.announce(result)
-      logger.log('info', 'failover.done', { group: name, term: result.term, primary: result.primary })
-      return `${result.primary} is primary in term ${result.term}`
-    } finally {
-      electing = false
-    }
-  }
+  const elections = createElections({ name, view, logger, staggerMs, announce: options.announce })
 
   /** Called after each probe, and whenever somebody else's observation comes in. */
   const actIfNeeded = async (): Promise<void> => {
@@ -152,7 +130,7 @@
 
   const act = async (): Promise<void> => {
     const reason = findReason()
-    if (reason === undefined || electing) {
+    if (reason === undefined || elections.inProgress) {
       return
     }
     const { term } = view.leadership
@@ -165,7 +143,7 @@
     }
     await pause(options.rank() * staggerMs * (1 + Math.random() * JITTER))
     if (!state.closed && view.leadership.term === term && findReason() !== undefined) {
-      await elect(reason, undefined, false)
+      await elections.run({ reason, planned: false })
     }
   }
 
@@ -173,37 +151,28 @@
   const handOverIfLeaving = async (): Promise<void> => {
     const { primary } = view.leadership
     const duties = group.duties.draining === 'act' && group.duties.promotion === 'act'
-    if (!duties || options.rank() !== 0 || electing || view.usablePrimary === undefined || !view.isLeaving(primary)) {
+    const mayAct = duties && options.rank() === 0 && !elections.inProgress
+    if (!mayAct || view.usablePrimary === undefined || !view.isLeaving(primary)) {
       return
     }
     const successor = view.replicaNames.find((replica) => view.takesWork(replica))
     if (successor !== undefined) {
-      await elect(`primary ${primary} is leaving`, successor, true)
+      await elections.run({ reason: `primary ${primary} is leaving`, preferred: successor, planned: true })
     }
   }
 
   /** Lets upstreams follow that do not: one that came back, or one whose keeper died half-way. */
   const repair = async (): Promise<void> => {
     const { primary, term } = view.leadership
-    if (group.duties.promotion !== 'act' || term === 0 || electing) {
+    if (group.duties.promotion !== 'act' || term === 0 || elections.inProgress) {
       return
     }
-    let stuck = view.upstreams.get(primary)?.deposed === true
-    for (const replica of view.replicaNames) {
-      const upstream = view.upstreams.get(replica)!
-      const status = upstream.channel.latest?.status
-      if (status === undefined || !upstream.reachable) {
-        continue
-      }
-      stuck ||= status.fencedTerm > term
-      if (status.term < term || status.primary !== primary) {
-        await follow(upstream, primary, term)
-      }
-    }
-    stuckRounds = stuck ? stuckRounds + 1 : 0
+    stuckRounds = await followStragglers(view) ? stuckRounds + 1 : 0
     if (stuckRounds > STUCK_ROUNDS && options.rank() === 0 && view.usablePrimary !== undefined) {
       stuckRounds = 0
-      await elect('an upstream was fenced by an election that did not end', primary, false)
+      await elections.run({
+        reason: 'an upstream was fenced by an election that did not end', preferred: primary, planned: false
+      })
     }
   }
 
@@ -232,13 +201,20 @@
     hearLeadership: (leadership) => view.announce(leadership),
     promote: async (upstream) => {
       const target = upstream ?? view.replicaNames.find((replica) => view.takesWork(replica))
-      return await elect('an operator ordered it', target, true)
+      return await elections.run({ reason: 'an operator ordered it', preferred: target, planned: true })
     },
     update: (changed) => {
       group = changed
       view.update(changed)
     },
-    dump: () => ({ view: view.dump(), failures, electing, promotions, reportedTerm, duty: group.duties.promotion }),
+    dump: () => ({
+      view: view.dump(),
+      failures,
+      electing: elections.inProgress,
+      promotions: elections.promotions,
+      reportedTerm,
+      duty: group.duties.promotion
+    }),
     close: () => {
       state.closed = true
       view.close()
