Break connections that are being opened when a primary changes; begin again when nothing has run

Change: a connection whose opening overlaps with such a break is closed; a begin whose connection breaks is tried again, since nothing has run.

--- a/src/routing/transactions.ts
+++ b/src/routing/transactions.ts
@@ -4,7 +4,7 @@
  */
 import type { Kind } from '../core/config/index.ts'
 import { RequestError } from '../core/errors/index.ts'
-import { Deadline } from '../core/time/deadline.ts'
+import { Deadline, pause } from '../core/time/deadline.ts'
 import type { KeyedAttempt } from '../ledger/request-key.ts'
 import { EMPTY_ANSWER, type Statement } from '../mysql/types.ts'
 import type { ConnectionPool, PinnedConnection } from '../upstreams/connection-pool.ts'
@@ -50,6 +50,8 @@
   close: () => void
 }
 
+/** Pause before a begin is tried again, in milliseconds: word of a new primary is on its way. */
+const BEGIN_RETRY_MS = 20
 const TRANSACTION_PRIORITY = 5
 /** How a commit is acknowledged and queued while its outcome is settled. */
 const COMMIT_KIND: Kind = {
@@ -108,7 +110,7 @@
     }
   }
 
-  const begin = async (id: string, service: string, deadline: Deadline): Promise<HomeReply> => {
+  const beginOnce = async (id: string, service: string, deadline: Deadline): Promise<HomeReply> => {
     const target = await view.primary(deadline)
     const pool = pools.get(target.view.declaration.name)
     if (pool === undefined) {
@@ -126,6 +128,21 @@
     return { answer: EMPTY_ANSWER, upstream: target.view.declaration.name }
   }
 
+  /** Nothing has run when a connection breaks in a begin, as it does when the primary changes: it is tried again. */
+  const begin = async (id: string, service: string, deadline: Deadline): Promise<HomeReply> => {
+    for (;;) {
+      try {
+        return await beginOnce(id, service, deadline)
+      } catch (thrown) {
+        const broken = thrown instanceof RequestError && thrown.entry === 'ConnectionLost' && thrown.verdict === 'not-run'
+        if (!broken || deadline.leftMs < BEGIN_RETRY_MS * 2) {
+          throw thrown
+        }
+        await pause(BEGIN_RETRY_MS)
+      }
+    }
+  }
+
   const runStatement = async (id: string, statement: Statement, deadline: Deadline): Promise<HomeReply> =>
     await step(id, async (transaction) => {
       const answer = await transaction.pinned.client.run(statement, deadline.leftMs, 'not-run')
--- a/src/upstreams/client-set.ts
+++ b/src/upstreams/client-set.ts
@@ -58,6 +58,8 @@
   let opening = 0
   let refused = 0
   let closed = false
+  /** Counts the times that all connections were broken: one that was being opened then is broken too. */
+  let aborts = 0
 
   const changeShare = (next: number): void => {
     share = next
@@ -75,8 +77,14 @@
   }
   const open = async (): Promise<Client> => {
     opening++
+    const abortsBefore = aborts
     try {
       const client = await openClient({ access, dialer, connectTimeoutMs: CONNECT_TIMEOUT_MS })
+      if (aborts !== abortsBefore) {
+        client.close()
+        const reason = 'work there was broken off while it was opened'
+        throw new RequestError('not-run', 'ConnectionLost', { upstream: access.name, reason })
+      }
       clients.add(client)
       client.onClose(() => forget(client))
       return client
@@ -90,7 +98,11 @@
       opening--
     }
   }
-  const abort = (): void => [...clients].forEach((client) => client.close())
+  const abort = (): void => {
+    aborts++
+    const open = [...clients]
+    open.forEach((client) => client.close())
+  }
   return {
     get share () { return share },
     get open () { return clients.size },
