Open a group by what its new primary writes into the store; leave a succession that fails to other hosts

Change: a claim to lead that the upstream writes into the store after the order counts as the effect. A host whose succession came to nothing releases the duty, unless it has ordered a promotion within the lease, and leaves the group to others for 2.5 s. Hosts that want the duty ask its holder before they read the store.

Ruled out: too many silent hosts (one right lapsed, after 6.3 s; that wait stays).

--- a/src/core/logger/events.ts
+++ b/src/core/logger/events.ts
@@ -19,6 +19,7 @@
   'desired-state.unreadable': { level: 'error', pairs: 'rowVersion, reason', when: 'a desired state cannot be read; the one before stays in force' },
   'directory.changed': { level: 'info', pairs: 'upstream, group, change, draining, claimsPrimary', when: 'what is known of an upstream has changed' },
   'directory.unreadable': { level: 'warn', pairs: 'upstream', when: 'the row of an upstream cannot be read' },
+  'duty.released': { level: 'info', pairs: 'fence, written', when: 'this host leaves the duty of promoting to others, since it could not finish a succession' },
   'duty.answer-lost': { level: 'warn', pairs: 'fence, reason', when: 'the store\'s answer about the duty is lost; the row is read to settle it' },
   'duty.held': { level: 'info', pairs: 'fence, before, renewed', when: 'this host holds the duty of promoting' },
   'duty.not-taken': { level: 'info', pairs: 'holder, fence', when: 'another host holds it' },
--- a/src/leadership/consts.ts
+++ b/src/leadership/consts.ts
@@ -49,8 +49,13 @@
 export const ORDER_TRIES = 2
 /** Time within which a promotion must have taken effect; the slowest installation takes 600 ms. */
 export const TAKE_EFFECT_MS = 2500
-/** Pause of a host after a succession that did not come to its end. */
+/** Pause of a host after it has looked at a group's need. */
 export const RETRY_MS = 300
+/**
+ * Time for which a host leaves a group to others after a succession of its own that did not come to its end: what
+ * stopped it, as a cut between it and the upstreams, may not stop the next one.
+ */
+export const STEP_BACK_MS = 2500
 /**
  * Time for which upstreams that have missed a whole term are not promoted: those that have it may come back. Longer
  * than the longest crash in the users' descriptions, 7 s.
--- a/src/leadership/duty.ts
+++ b/src/leadership/duty.ts
@@ -20,18 +20,54 @@
   logger: Logger
 }
 
+/** The way to the duty. */
+export interface Duty {
+  /** Takes the duty, or keeps it; undefined when another process has it. */
+  hold: () => Promise<HeldDuty | undefined>
+  /** Takes note that a promotion is ordered: the duty then stays here until its lease ends. */
+  noteOrder: () => void
+  /** Leaves the duty to others before its lease ends, unless a promotion was ordered within it. */
+  release: () => Promise<void>
+}
+
 /**
  * Creates the way to the duty. Groups that need it at the same moment share one try, or they would contradict each
  * other.
  *
  * @param options - the registry and the links to peers
- * @returns takes the duty, or keeps it; undefined when another process has it
+ * @returns the way to it
  */
-export function createDuty (options: DutyOptions): () => Promise<HeldDuty | undefined> {
+export function createDuty (options: DutyOptions): Duty {
   let taking: Promise<HeldDuty | undefined> | undefined
-  return async () => {
-    taking ??= takeDuty(options).finally(() => { taking = undefined })
-    return await taking
+  let orderedAt = -Infinity
+  return {
+    hold: async () => {
+      taking ??= takeDuty(options).finally(() => { taking = undefined })
+      return await taking
+    },
+    noteOrder: () => { orderedAt = performance.now() },
+    release: async () => {
+      if (performance.now() - orderedAt > DUTY_LEASE_MS) {
+        await releaseDuty(options)
+      }
+    }
+  }
+}
+
+/** Ends the lease of this process in the row, so that another host need not wait for its end. */
+async function releaseDuty ({ registry, logger }: DutyOptions): Promise<void> {
+  const { row, version } = registry.current.duty
+  if (row?.process !== registry.self.process) {
+    return
+  }
+  const ended: DutyRow = { ...row, expiresMs: registry.storeNowAtLeastMs() }
+  const key = registryKeys.duty
+  try {
+    const written = await registry.write({ expected: [{ key, version }], put: [{ key, value: JSON.stringify(ended) }] })
+    logger.log('info', 'duty.released', { fence: row.fence, written })
+  } catch (thrown) {
+    // Its lease ends by itself.
+    logger.log('warn', 'duty.answer-lost', { fence: row.fence, reason: describeThrown(thrown) })
   }
 }
 
@@ -42,27 +78,33 @@
     return true
   }
   try {
-    await peers.ask(row, 'registry-snapshot', {}, CLOSE_TRY_MS)
+    await peers.ask(row, 'neighbour', {}, CLOSE_TRY_MS)
     return false
   } catch (thrown) {
     return isRefusal(thrown)
   }
 }
 
+/** Whether another process has the duty, as far as this host knows. */
+async function isHeldElsewhere (options: DutyOptions): Promise<boolean> {
+  const { registry } = options
+  const { row } = registry.current.duty
+  return row !== undefined && row.process !== registry.self.process &&
+    registry.storeNowAtLeastMs() < row.expiresMs && !await hasEnded(row, options)
+}
+
 async function takeDuty (options: DutyOptions): Promise<HeldDuty | undefined> {
   const { registry, logger } = options
-  if (!await registry.refresh()) {
+  // Dozens of hosts may want the duty at the same time; only one that may have it reads the store.
+  if (await isHeldElsewhere(options) || !await registry.refresh() || await isHeldElsewhere(options)) {
     return undefined
   }
   const { row, version } = registry.current.duty
-  const own = row !== undefined && row.process === registry.self.process
-  if (row !== undefined && !own && registry.storeNowAtLeastMs() < row.expiresMs && !await hasEnded(row, options)) {
-    return undefined
-  }
+  const own = row?.process === registry.self.process
   const next: DutyRow = {
     holder: registry.self.name,
     process: registry.self.process,
-    fence: own ? row.fence : (row?.fence ?? 0) + 1,
+    fence: row !== undefined && own ? row.fence : (row?.fence ?? 0) + 1,
     expiresMs: registry.storeNowAtLeastMs() + DUTY_LEASE_MS
   }
   try {
--- a/src/leadership/index.ts
+++ b/src/leadership/index.ts
@@ -7,7 +7,7 @@
 import { pause } from '../core/time/deadline.ts'
 import { repeat } from '../core/time/repeat.ts'
 import type { GroupRow } from '../registry/index.ts'
-import { PROBE_MS, SUSPECT_MS, WATCH_MS } from './consts.ts'
+import { PROBE_MS, STEP_BACK_MS, SUSPECT_MS, WATCH_MS } from './consts.ts'
 import { createDuty } from './duty.ts'
 import { createExtensions } from './extensions.ts'
 import { createOutlook, type Outlook } from './outlook.ts'
@@ -178,5 +178,10 @@
       logger
     })
     count(`${need} ${primary === undefined ? 'unfinished' : 'done'}`)
+    const isMine = registry.current.duty.row?.process === registry.self.process
+    if (primary === undefined && isMine) {
+      await duty.release()
+      await pause(STEP_BACK_MS)
+    }
   }
 }
--- a/src/leadership/promote.ts
+++ b/src/leadership/promote.ts
@@ -2,13 +2,13 @@
 import { describeThrown } from '../core/errors/index.ts'
 import type { Logger } from '../core/logger/index.ts'
 import { pause } from '../core/time/deadline.ts'
-import type { KnownUpstream } from '../directory/index.ts'
+import type { Directory, KnownUpstream } from '../directory/index.ts'
 import type { Pools } from '../pools/index.ts'
 import type { PromotionPort, UpstreamReport } from '../ports/index.ts'
 import type { GroupRow, Registry } from '../registry/index.ts'
 import { comparePositions, formatPosition } from '../upstreams/position.ts'
 import { ORDER_TRIES, OUTDATED_WAIT_MS, PROBE_MS, SUCCESSOR_POLL_MS, TAKE_EFFECT_MS } from './consts.ts'
-import type { HeldDuty } from './duty.ts'
+import type { Duty } from './duty.ts'
 
 /** An upstream and what it said of itself. */
 export interface Candidate {
@@ -21,9 +21,9 @@
   group: string
   /** Newest term of the group that this host knows. */
   knownTerm: number
-  /** Takes the duty of promoting, or keeps it. */
-  duty: () => Promise<HeldDuty | undefined>
+  duty: Pick<Duty, 'hold' | 'noteOrder'>
   registry: Registry
+  directory: Pick<Directory, 'get'>
   pools: Pick<Pools, 'probe'>
   promotion: PromotionPort
   logger: Logger
@@ -76,7 +76,7 @@
   const mayBeOutdated = performance.now() - closedAt >= OUTDATED_WAIT_MS
   const fit = candidates.filter(({ report }) => mayBeOutdated || report.term >= closedTerm)
   for (const candidate of rank(fit, oldPrimary)) {
-    const promoted = await promote(options, candidate, closed.succession)
+    const promoted = await promote(options, candidate, closed.succession, closedTerm)
     if (promoted !== undefined) {
       return promoted
     }
@@ -90,8 +90,9 @@
 
 /** Orders a promotion, once more when the answer is lost: the order is idempotent. */
 async function promote (
-  options: PromoteOptions, candidate: Candidate, succession: string
+  options: PromoteOptions, candidate: Candidate, succession: string, closedTerm: number
 ): Promise<Candidate | undefined> {
+  const told = watchClaim(options, candidate, closedTerm)
   for (let tries = 1; tries <= ORDER_TRIES; tries++) {
     const outcome = await orderPromotion(options, candidate, succession)
     if (outcome === 'not-running' || (outcome === 'not-ordered' && tries === 1)) {
@@ -101,14 +102,14 @@
       break
     }
   }
-  return await awaitEffect(options, candidate.upstream)
+  return await awaitEffect(options, candidate.upstream, told)
 }
 
 async function orderPromotion (
   options: PromoteOptions, { upstream, report }: Candidate, succession: string
 ): Promise<OrderOutcome> {
   const { group, logger, promotion, registry } = options
-  const duty = await options.duty()
+  const duty = await options.duty.hold()
   const { row } = registry.current.group(group)
   if (duty === undefined || !duty.mayOrder() || row?.succession !== succession) {
     return 'not-ordered'
@@ -117,6 +118,7 @@
   logger.log('info', 'succession.promoting', {
     group, upstream: name, fence: duty.fence, position: formatPosition(report.received)
   })
+  options.duty.noteOrder()
   try {
     const outcome = await promotion.promote({ group, upstream: name, holder: registry.self.name, fence: duty.fence })
     if (outcome === 'not-running') {
@@ -130,12 +132,31 @@
   }
 }
 
-async function awaitEffect (options: PromoteOptions, upstream: KnownUpstream): Promise<Candidate | undefined> {
+/**
+ * Tells when an upstream has taken the lead by what it writes into the store, which it does at once. A promoter that
+ * was cut off from the one that it had promoted saw no effect, promoted another one and left a group without a primary
+ * for 18 s. Only a claim that is made after the order counts.
+ */
+function watchClaim (
+  { directory }: PromoteOptions, { upstream, report }: Candidate, closedTerm: number
+): () => Candidate | undefined {
+  const claims = (): boolean => directory.get(upstream.upstream)?.claimsPrimary === true
+  const claimedBefore = claims()
+  // Its term is not told; it is at least the one after the closed one.
+  return () => !claimedBefore && claims()
+    ? { upstream, report: { ...report, role: 'primary', term: closedTerm + 1 } }
+    : undefined
+}
+
+async function awaitEffect (
+  options: PromoteOptions, upstream: KnownUpstream, told: () => Candidate | undefined
+): Promise<Candidate | undefined> {
   const until = performance.now() + TAKE_EFFECT_MS
   while (performance.now() < until) {
     const report = await options.pools.probe(upstream, PROBE_MS)
-    if (report?.role === 'primary') {
-      return { upstream, report }
+    const leader = report?.role === 'primary' ? { upstream, report } : told()
+    if (leader !== undefined) {
+      return leader
     }
     await pause(SUCCESSOR_POLL_MS)
   }
--- a/src/leadership/succession.ts
+++ b/src/leadership/succession.ts
@@ -40,7 +40,7 @@
 export async function runSuccession (options: SuccessionOptions): Promise<string | undefined> {
   const { group, logger, registry, reason } = options
   const before = registry.current.group(group)
-  if (before.row?.epoch !== options.epoch || await options.duty() === undefined) {
+  if (before.row?.epoch !== options.epoch || await options.duty.hold() === undefined) {
     return undefined
   }
   logger.log('warn', 'succession.started', {
@@ -53,7 +53,7 @@
   }
   const { epoch, primary } = before.row
   const old = options.directory.get(primary)
-  const stopRenewing = repeat(DUTY_RENEW_MS, async () => { await options.duty() })
+  const stopRenewing = repeat(DUTY_RENEW_MS, async () => { await options.duty.hold() })
   const closed = Promise.all([options.closeHere(epoch), awaitClosed({ ...options, epoch, closedAt })])
   // A primary that is out of reach is not waited for once no host works there: it answers nothing for a whole probe.
   const isOutOfReach = reason === 'unreachable'
--- a/test/entry/failover-time.test.ts
+++ b/test/entry/failover-time.test.ts
@@ -56,6 +56,36 @@
     expect(await gapAfter(crashPrimary, ['h1', 'h2']) < 6000).toEqual(true)
   })
 
+  /** Cuts the host that says an event off from all upstreams. */
+  const cutOffWhoSays = (event: string): void => {
+    suite.world.logger = {
+      log: (_level, said, fields) => {
+        if (said === event) {
+          suite.world.upstreams.all.forEach(({ cutOff }) => cutOff.add(String(fields?.['host'])))
+        }
+      }
+    }
+  }
+
+  it('is short when the promoter does not reach the upstream that it has promoted', async () => {
+    cutOffWhoSays('succession.promoting')
+    expect(await gapAfter(crashPrimary, ['h1', 'h2', 'h3']) < 2000).toEqual(true)
+    expect(new Set(suite.world.upstreams.promotions.map(({ upstream }) => upstream)).size).toEqual(1)
+  })
+
+  it('is bounded when whoever begins a succession is cut off from all upstreams', async () => {
+    const beginners = new Set<string>()
+    suite.world.logger = {
+      log: (_level, said, fields) => {
+        if (said === 'succession.started' && beginners.size === 0) {
+          beginners.add(String(fields?.['host']))
+          suite.world.upstreams.all.forEach(({ cutOff }) => cutOff.add(String(fields?.['host'])))
+        }
+      }
+    }
+    expect(await gapAfter(crashPrimary, ['h1', 'h2', 'h3']) < 3500).toEqual(true)
+  })
+
   it('waits for the right of a host that has just fallen silent, among few', async () => {
     powerOff('h3')
     const gap = await gapAfter(crashPrimary, ['h1', 'h2'])
