Expect an overdue primary to stay away for as long again, and refuse at once meanwhile

Change: what is overdue by some time is expected to last as long again, 2 s at most. Test first: it waited before.

--- a/src/leadership/outlook.ts
+++ b/src/leadership/outlook.ts
@@ -7,8 +7,10 @@
 const TYPICAL_MS = 1500
 /** Weight of the last time in the running mean. */
 const SAMPLE_WEIGHT = 0.5
-/** Least time that is expected while there is no primary, in milliseconds: a step more of the same length. */
+/** Least time that is expected while there is no primary, in milliseconds: a step of a change. */
 const LEAST_MS = 150
+/** Greatest time that is expected, in milliseconds: callers who are told to come back should soon see its end. */
+const GREATEST_MS = 2000
 /** Longer times say that something else went wrong, and nothing of the next one, in milliseconds. */
 const GREATEST_SAMPLE_MS = 5000
 
@@ -45,7 +47,13 @@
     reached: (group) => { lostAt.delete(group) },
     expectedMs: (group) => {
       const since = lostAt.get(group)
-      return since === undefined ? 0 : Math.max(LEAST_MS, typicalMs - (performance.now() - since))
+      if (since === undefined) {
+        return 0
+      }
+      // What is overdue is expected to last as long again: when hosts that are cut off held a change up for 18 s, each
+      // request waited for nearly half of its time before it was refused.
+      const leftMs = Math.abs(typicalMs - (performance.now() - since))
+      return Math.min(GREATEST_MS, Math.max(LEAST_MS, leftMs))
     }
   }
 }
--- a/test/entry/outlook.test.ts
+++ b/test/entry/outlook.test.ts
@@ -47,6 +47,18 @@
     expect(outcomes.filter(({ sentAt }) => sentAt > 3000).every(({ failure }) => failure === undefined)).toEqual(true)
   })
 
+  it('are refused at once when a change of primary lasts far longer than others did', async () => {
+    await suite.settle(suite.world.connect('h1', 'money').write(), 100)
+    suite.world.upstreams.promoteMs = 60_000
+    suite.world.upstreams.all.get('g-a')!.crash()
+    const late = (await playWrites(6000)).filter(({ sentAt }) => sentAt > 4000)
+    expect(late.length > 100).toEqual(true)
+    for (const { failure, tookMs } of late) {
+      expect(failure?.startsWith('busy')).toEqual(true)
+      expect(tookMs < 50).toEqual(true)
+    }
+  })
+
   it('are served again as soon as a primary that seemed lost answers', async () => {
     const primary = suite.world.upstreams.all.get('g-a')!
     await suite.settle(suite.world.connect('h1', 'money').write(), 100)
