--- a/src/registry/table-relay.ts
+++ b/src/registry/table-relay.ts
@@ -51,8 +51,11 @@
 const ANSWER_MS = 400
 /** Age of what was read from the store that counts as read anew, in milliseconds: many hosts ask for the same. */
 const ANEW_MS = 300
-/** Time that a host which has just started waits for the whole table before it reads the store, in milliseconds. */
-const FIRST_ANSWER_MS = 100
+/**
+ * Time that a host which has just started waits for the whole table before it reads the store, in milliseconds: some
+ * round trips. When all hosts start at once, those that it asks know nothing yet either.
+ */
+const FIRST_ANSWER_MS = 40
 /** Time that a host which has just started waits to learn which other hosts there are, in milliseconds. */
 const HOSTS_KNOWN_MS = 300
 /** Followers that are asked in one turn. */
@@ -104,7 +107,7 @@
       const { liveHosts } = registry.current
       const ordered = orderFor(self.name, liveHosts, followersOf(liveHosts)).filter(({ name }) => name !== self.name)
       const isAvoided = ({ name }: KnownHost): boolean => (avoidedUntil.get(name) ?? 0) > performance.now()
-      return [...ordered.filter((host) => !isAvoided(host)), ...ordered.filter(isAvoided)].slice(0, FOLLOWERS_ASKED)
+      return [...ordered.filter((host) => !isAvoided(host)), ...ordered.filter(isAvoided)]
     }
     const isFollower = (): boolean => followersOf(registry.current.liveHosts).some(({ name }) => name === self.name)
     /** A question that is given up early must not break the link, which others use. */
@@ -123,7 +126,8 @@
       }
     }
     const askSome = async (question: Question, timeoutMs: number): Promise<TableChanges | undefined> => {
-      for (const host of others()) {
+      const isFirst = question.after === undefined && question.anew !== true
+      for (const host of others().slice(0, isFirst ? 1 : FOLLOWERS_ASKED)) {
         const changes = await askOne(host, question, timeoutMs)
         if (changes !== undefined) {
           return changes
