Order nothing on a duty that was released meanwhile; ask peers first for a change that they tell of

Cause, by reading: one group's succession may release the duty between the moment that another group's takes it and its order, which could then carry a fencing token lower than the next holder's. A follower whose question to the store hangs was told of a change and read the same silent store again, 1.5 s, while others relied on its copy. Change: what was taken before a release orders nothing; a follower that is told of more asks the others first.

--- a/src/leadership/duty.ts
+++ b/src/leadership/duty.ts
@@ -40,14 +40,22 @@
 export function createDuty (options: DutyOptions): Duty {
   let taking: Promise<HeldDuty | undefined> | undefined
   let orderedAt = -Infinity
+  let releasedAt = -Infinity
+  const take = async (): Promise<HeldDuty | undefined> => {
+    const takenAt = performance.now()
+    const held = await takeDuty(options)
+    // Another group may release the duty between its taking and the order that follows.
+    return held && { ...held, mayOrder: () => releasedAt < takenAt && held.mayOrder() }
+  }
   return {
     hold: async () => {
-      taking ??= takeDuty(options).finally(() => { taking = undefined })
+      taking ??= take().finally(() => { taking = undefined })
       return await taking
     },
     noteOrder: () => { orderedAt = performance.now() },
     release: async () => {
       if (performance.now() - orderedAt > DUTY_LEASE_MS) {
+        releasedAt = performance.now()
         await releaseDuty(options)
       }
     }
--- a/src/registry/follow-table.ts
+++ b/src/registry/follow-table.ts
@@ -67,6 +67,10 @@
   let version: number | undefined
   let failing = false
   let wantsAnew = false
+  /**
+   * Whether a peer knows of a change that did not come here: its knowledge is nearer than a store that may be silent.
+   */
+  let toldOfMore = false
   let byItselfUntil = -Infinity
   let waiting = new AbortController()
   const isByItself = (): boolean => relay.isFollower() || performance.now() < byItselfUntil
@@ -90,6 +94,7 @@
     void pause(BEHIND_MS).then(() => {
       if (version !== undefined && version < told) {
         logger.log('info', 'feed.behind', { table, version, told, peer })
+        toldOfMore = true
         readAnew()
       }
     })
@@ -167,7 +172,8 @@
   /** Turns to the store first, or to peers; then to the others when these can't tell. */
   const step = async (): Promise<void> => {
     await relay.hostsKnown()
-    if (!isByItself()) {
+    if (!isByItself() || toldOfMore) {
+      toldOfMore = false
       await learnFromPeer() || await learnFromStore()
       return
     }
--- a/test/registry/table-relay.test.ts
+++ b/test/registry/table-relay.test.ts
@@ -47,6 +47,15 @@
     expect(allHave(2)).toEqual(true)
   })
 
+  it('reach a follower that the store has left without an answer, and those who ask it', async () => {
+    const asked = orderFor(OTHERS[0]!, HOSTS, followersOf(HOSTS))[0]!.name
+    suite.world.store.silenceFeeds(asked)
+    suite.world.store.cutOff.add(asked)
+    suite.world.configure(MORE)
+    await suite.clock.tickAsync(1000)
+    expect(allHave(2)).toEqual(true)
+  })
+
   it('reach hosts that the store turns away, which ask it little', async () => {
     const turnedAway = NAMES.filter((_, index) => index % 3 === 0)
     turnedAway.forEach((name) => suite.world.store.cutOff.add(name))
