--- a/src/registry/learning.ts
+++ b/src/registry/learning.ts
@@ -1,6 +1,7 @@
 /** Brings the registry from hosts that read it for others, so that few hosts ask the store. */
 import { pause } from '../core/time/deadline.ts'
 import { repeat } from '../core/time/repeat.ts'
+import { createAvoidance } from './avoidance.ts'
 import { followersOf, orderFor, readersOf } from './readers.ts'
 import type { Relay } from './relay.ts'
 import type { KnownHost, RegistrySnapshot } from './snapshot.ts'
@@ -22,8 +23,6 @@
 const RELAYED_AGE_MS = 1900
 /** Readers that are asked in one turn. Each may be silent for 0.3 s, and a right lasts for three seconds. */
 const READERS_ASKED = 3
-/** Time for which a reader that does not read or brought nothing young is asked after the others, in milliseconds. */
-const AVOID_MS = 2000
 /**
  * Least time between two reads of a host that follows no table, in milliseconds: when the store is away for all, those
  * that do notice its return.
@@ -55,7 +54,7 @@
  */
 export function keepLearning (options: LearningOptions): () => void {
   const { name, current, confirmedAgeMs, registeredMs, relay, readAndRegister } = options
-  const avoidedUntil = new Map<string, number>()
+  const avoidance = createAvoidance()
 
   const isReader = (): boolean => readersOf(current().liveHosts).some((reader) => reader.name === name)
   const placeAmongFollowers = (): number => followersOf(current().liveHosts).findIndex((host) => host.name === name)
@@ -69,13 +68,12 @@
     const followers = followersOf(current().liveHosts)
     return isReader() || place < 0 ? followers : followers.slice(0, place)
   }
-  /** Hosts that may have read the registry, those that brought nothing young last. */
+  /** Hosts that may have read the registry; those that do not read, or brought nothing young, come last. */
   const readers = (): KnownHost[] => {
     const { liveHosts } = current()
     const known = [...orderFor(name, liveHosts, readersOf(liveHosts)), ...standIns()]
     const others = [...new Set(known)].filter((reader) => reader.name !== name)
-    const isAvoided = (reader: KnownHost): boolean => (avoidedUntil.get(reader.name) ?? 0) > performance.now()
-    return [...others.filter((reader) => !isAvoided(reader)), ...others.filter(isAvoided)].slice(0, READERS_ASKED)
+    return avoidance.order(others).slice(0, READERS_ASKED)
   }
   const learnFromReaders = async (): Promise<boolean> => {
     if (confirmedAgeMs() >= registeredMs) {
@@ -85,7 +83,7 @@
       if (await relay.askReader(reader, ageMs() < HELD_AGE_MS) && isYoung()) {
         return true
       }
-      avoidedUntil.set(reader.name, performance.now() + AVOID_MS)
+      avoidance.note(reader)
     }
     return false
   }
--- a/src/registry/table-relay.ts
+++ b/src/registry/table-relay.ts
@@ -7,6 +7,7 @@
 import { describeThrown } from '../core/errors/index.ts'
 import { registerPlugin } from '../core/kernel/index.ts'
 import { createWaiters } from '../core/time/waiters.ts'
+import { createAvoidance } from './avoidance.ts'
 import { followersOf, orderFor } from './readers.ts'
 import type { KnownHost } from './snapshot.ts'
 import type { TableChanges, TableCopy } from './table-copy.ts'
@@ -60,8 +61,6 @@
 const HOSTS_KNOWN_MS = 300
 /** Followers that are asked in one turn. */
 const FOLLOWERS_ASKED = 2
-/** Time for which a follower that brought nothing is asked after the others, in milliseconds. */
-const AVOID_MS = 2000
 /** Greatest age of a follower's own knowledge of the registry, in milliseconds: an older one may be cut off. */
 const IN_TOUCH_MS = 2500
 
@@ -90,7 +89,7 @@
     const { logger } = context
     const { self } = registry
     const copies = new Map<string, { copy: TableCopy, readAnew: () => void }>()
-    const avoidedUntil = new Map<string, number>()
+    const avoidance = createAvoidance()
     const hostsKnown = createWaiters()
     const relievedListeners: Array<() => void> = []
     let wasFollower = false
@@ -105,9 +104,8 @@
 
     const others = (): KnownHost[] => {
       const { liveHosts } = registry.current
-      const ordered = orderFor(self.name, liveHosts, followersOf(liveHosts)).filter(({ name }) => name !== self.name)
-      const isAvoided = ({ name }: KnownHost): boolean => (avoidedUntil.get(name) ?? 0) > performance.now()
-      return [...ordered.filter((host) => !isAvoided(host)), ...ordered.filter(isAvoided)]
+      const ordered = orderFor(self.name, liveHosts, followersOf(liveHosts))
+      return avoidance.order(ordered.filter(({ name }) => name !== self.name))
     }
     const isFollower = (): boolean => followersOf(registry.current.liveHosts).some(({ name }) => name === self.name)
     /** A question that is given up early must not break the link, which others use. */
@@ -132,7 +130,7 @@
         if (changes !== undefined) {
           return changes
         }
-        avoidedUntil.set(host.name, performance.now() + AVOID_MS)
+        avoidance.note(host)
       }
       return undefined
     }
