--- a/src/entry/consts.ts
+++ b/src/entry/consts.ts
@@ -8,8 +8,8 @@
 /** Part of a route's timeout for which a request waits for a primary, or for a connection, before it is refused. */
 export const WAIT_SHARE = 0.45
 /**
- * Part of the time that is left for an answer in time for which a request waits for a connection. Measured on days with
- * an overloaded primary: who waits longer is late, and makes those behind late too.
+ * Part of the time that is left for an answer in time for which a request waits for a connection. Measured at an
+ * overloaded primary: who waits longer is late, and makes those behind late too.
  */
 export const QUEUE_SHARE = 0.5
 /** Least time for which a request waits for a connection, in milliseconds: opening one takes 12 ms and a round trip. */
@@ -31,7 +31,7 @@
 export const UNKNOWN_IDLE_MS = 3000
 /**
  * Time of a request that is kept for the statement itself while it waits for a primary, in milliseconds: the longest
- * ordinary statement of the users' descriptions takes 170 ms, and few do.
+ * ordinary statement takes 170 ms, and few do.
  */
 export const ANSWER_RESERVE_MS = 100
 /**
--- a/src/leadership/consts.ts
+++ b/src/leadership/consts.ts
@@ -20,7 +20,7 @@
 export const UNREACHABLE_MS = 150
 /**
  * Time that an upstream has to say what it is. The question waits for a slot behind the few statements that are let
- * through to an upstream, 170 ms at most in the users' descriptions; opening a connection takes 12 ms.
+ * through to an upstream, which take up to 170 ms; opening a connection takes 12 ms.
  */
 export const PROBE_MS = 300
 /** Age of an answer of an upstream that needs no question whether it is reached. */
@@ -47,7 +47,7 @@
 export const SUCCESSOR_POLL_MS = 60
 /** Orders to promote an upstream when answers are lost: the first may have gone out on a connection that is dead. */
 export const ORDER_TRIES = 2
-/** Time within which a promotion must have taken effect; the slowest installation takes 600 ms. */
+/** Time within which a promotion must have taken effect: four times what slow upstreams take, 600 ms. */
 export const TAKE_EFFECT_MS = 2500
 /** Pause of a host after it has looked at a group's need. */
 export const RETRY_MS = 300
@@ -58,7 +58,7 @@
 export const STEP_BACK_MS = 2500
 /**
  * Time for which upstreams that have missed a whole term are not promoted: those that have it may come back. Longer
- * than the longest crash in the users' descriptions, 7 s.
+ * than an upstream that has crashed takes to come back, up to 7 s.
  */
 export const OUTDATED_WAIT_MS = 10_000
 /** Age of the last confirmation by the store from which on peers are asked for extensions: one read has failed. */
--- a/src/registry/follow-table.ts
+++ b/src/registry/follow-table.ts
@@ -19,7 +19,7 @@
 /**
  * Pause after changes before the next question, in milliseconds: changes that come in a row are brought by one answer.
  * When 18 upstreams announced themselves one after the other, 71 hosts asked 1,349 times in three seconds, half of all
- * their calls on a calm day.
+ * their calls while nothing else happened.
  */
 export const GATHER_MS = 400
 /**
