--- a/src/registry/consts.ts
+++ b/src/registry/consts.ts
@@ -7,8 +7,8 @@
  */
 export const RIGHT_MS = 3000
 /**
- * Greatest age of the last confirmation by the store with which extensions still count: longer than an ordinary outage of
- * the store, which lasts some seconds.
+ * Greatest age of the last confirmation by the store with which extensions still count: longer than an ordinary outage
+ * of the store, which lasts some seconds.
  */
 export const EXTENDED_RIGHT_MS = 15_000
 /** What a promoter waits beyond a right: statements that are sent at the last moment are broken off within it. */
