Let a reader and its first stand-in learn from others while the store turns them away

Two faults in who learns from whom. The first stand-in asked only those before it, so that one that the store turned away as well asked only the reader which it turned away, until its right was 2.1 s old. And a reader that is turned away asked others once in 0.75 s, content with what was up to 1.9 s old, which grew older than the age at which extensions are asked for before its next turn.

Change: a host whose own read failed asks the stand-ins behind it too; a turned-away reader asks as often as any other host.

Ruled out: load (the clock of the test is paused), and followers that are cut off (the others learn).

--- a/src/registry/learning.ts
+++ b/src/registry/learning.ts
@@ -28,8 +28,8 @@
  * that do notice its return.
  */
 const OWN_READ_PAUSE_MS = 2000
-/** Least time between two reads of a host that reads because readers can't, in milliseconds. */
-const STAND_IN_PAUSE_MS = POLL_MS - ASK_PAUSE_MS
+/** Least time between two reads of a host that reads for others, in milliseconds. */
+const READ_PAUSE_MS = POLL_MS - ASK_PAUSE_MS
 
 /** Options of {@link keepLearning}. */
 export interface LearningOptions {
@@ -60,13 +60,16 @@
   const placeAmongFollowers = (): number => followersOf(current().liveHosts).findIndex((host) => host.name === name)
   const ageMs = (): number => performance.now() - current().askedAt
   const isYoung = (): boolean => ageMs() < RELAYED_AGE_MS && confirmedAgeMs() < RELAYED_AGE_MS
+  let ownReadAt = -Infinity
+  let isTurnedAway = false
   /**
-   * Other followers that read when readers can't; of these each asks those before itself, so that one reads for all.
+   * Other followers that read when readers can't; of these each asks those before itself, so that one reads for all. A
+   * host that the store turns away reads for nobody, and asks those behind it as well.
    */
   const standIns = (): KnownHost[] => {
     const place = placeAmongFollowers()
     const followers = followersOf(current().liveHosts)
-    return isReader() || place < 0 ? followers : followers.slice(0, place)
+    return isTurnedAway || isReader() || place < 0 ? followers : followers.slice(0, place)
   }
   /** Hosts that may have read the registry; those that do not read, or brought nothing young, come last. */
   const readers = (): KnownHost[] => {
@@ -87,28 +90,32 @@
     }
     return false
   }
-  let ownReadAt = -Infinity
-  /** Reads the store when this host reads for others, or when that is due; returns whether it brought something. */
-  const readByItself = async (): Promise<boolean> => {
-    const pauseMs = placeAmongFollowers() < 0 ? OWN_READ_PAUSE_MS : STAND_IN_PAUSE_MS
-    if (current().version >= 0 && !isReader() && performance.now() - ownReadAt < pauseMs) {
-      return false
-    }
+  const readNow = async (): Promise<boolean> => {
     ownReadAt = performance.now()
-    return await readAndRegister()
+    isTurnedAway = !await readAndRegister()
+    return !isTurnedAway
   }
+  const isDue = (pauseMs: number): boolean => performance.now() - ownReadAt >= pauseMs
+  /** Reads the store, as readers do; learns from others for as long as it turns this host away. */
   const lead = async (): Promise<void> => {
-    if (!await readByItself()) {
-      await learnFromReaders()
+    if (isDue(READ_PAUSE_MS) && await readNow()) {
+      await pause(READ_PAUSE_MS)
+      return
     }
-    await pause(POLL_MS - ASK_PAUSE_MS)
-  }
-  const learn = async (): Promise<void> => {
     if (!await learnFromReaders()) {
-      await readByItself()
       await pause(FRUITLESS_PAUSE_MS)
     }
   }
+  /** Learns from readers, and reads the store when they bring nothing young. */
+  const learn = async (): Promise<void> => {
+    if (await learnFromReaders()) {
+      return
+    }
+    if (isDue(placeAmongFollowers() < 0 ? OWN_READ_PAUSE_MS : READ_PAUSE_MS)) {
+      await readNow()
+    }
+    await pause(FRUITLESS_PAUSE_MS)
+  }
   return repeat(ASK_PAUSE_MS, async () => {
     current().version < 0 || isReader() ? await lead() : await learn()
   }, options.onError)
