--- a/src/homes/home-watch.ts
+++ b/src/homes/home-watch.ts
@@ -48,8 +48,8 @@
  * @returns the watch
  */
 export function createHomeWatch ({ links, choice, logger, homes }: HomeWatchOptions): HomeWatch {
+  /** Questions in progress by home, and whether they are answered soon: those who wait for the same home share them. */
   const asking = new Map<string, Promise<boolean>>()
-
   let lookedAroundAt = -Infinity
   /** Asks all homes that have answered before, when several are silent. */
   const lookAround = (): void => {
@@ -108,9 +108,10 @@
     asking.set(home.name, soon)
     return soon
   }
-  const isSilent = (home: KnownHost): boolean => performance.now() - choice.lastAnswerAt(home) > HOME_SILENCE_MS
+  const hasAnsweredLately = (home: KnownHost): boolean =>
+    performance.now() - choice.lastAnswerAt(home) <= HOME_SILENCE_MS
   const isThere = async (home: KnownHost): Promise<boolean> =>
-    !isSilent(home) || await (asking.get(home.name) ?? ask(home))
+    hasAnsweredLately(home) || await (asking.get(home.name) ?? ask(home))
   return {
     isThere,
     whileWaiting: (home, onSuspected) => {
