One formula for what fades, one order of readers for each list, no wait for links that are open

Read once more; behaviour stays. The load and the overhead of a home faded by the same formula written twice. The first hosts of each failure domain were found anew at each look at readers and followers, several times a turn, though the order before it was kept; both orders are kept now. Each request to a peer started a timer for its link also when that was open; only those that wait for one do. A socket whose link never opened stayed in the client's set; it goes with its end.

--- a/src/homes/home-choice.ts
+++ b/src/homes/home-choice.ts
@@ -101,12 +101,12 @@
   }
   const loadAt = ({ loads, inProgress }: SeenHome, upstream: string): number => {
     const told = loads.get(upstream)
-    const toldNow = told === undefined ? 0 : told.load * 0.5 ** ((performance.now() - told.at) / LOAD_HALF_LIFE_MS)
+    const toldNow = told === undefined ? 0 : faded(told.load, told.at, LOAD_HALF_LIFE_MS)
     return Math.max(toldNow, inProgress.get(upstream) ?? 0)
   }
   /** What was seen some time ago counts less and less, so that a home which was busy is tried again. */
   const overheadOf = ({ overhead: { meanMs, at } }: SeenHome): number =>
-    meanMs * 0.5 ** ((performance.now() - at) / OVERHEAD.halfLifeMs)
+    faded(meanMs, at, OVERHEAD.halfLifeMs)
   const noteOverhead = (home: SeenHome, overheadMs: number): void => {
     const meanMs = overheadOf(home) * (1 - OVERHEAD.newPart) + overheadMs * OVERHEAD.newPart
     home.overhead = { meanMs, at: performance.now() }
@@ -169,6 +169,11 @@
   }
 }
 
+/** What is left of a value that was seen some time ago, and counts half after each half-life. */
+function faded (value: number, seenAt: number, halfLifeMs: number): number {
+  return value * 0.5 ** ((performance.now() - seenAt) / halfLifeMs)
+}
+
 function drawTwo<Item> (items: Item[]): Item[] {
   const first = Math.floor(Math.random() * items.length)
   const second = Math.floor(Math.random() * (items.length - 1))
--- a/src/peers/peer-client.ts
+++ b/src/peers/peer-client.ts
@@ -73,6 +73,13 @@
   pending: Map<number, PendingRequest>
 }
 
+/** A link that is open or being opened. */
+interface KnownLink {
+  opening: Promise<OpenLink>
+  /** Given once it is open. */
+  opened?: OpenLink
+}
+
 /**
  * Creates the asking side.
  *
@@ -81,7 +88,7 @@
  */
 export function createPeerClient (options: PeerClientOptions): PeerClient {
   const { connectTimeoutMs = CONNECT_TIMEOUT_MS, linkWaitMs = connectTimeoutMs } = options
-  const links = new Map<string, Promise<OpenLink>>()
+  const links = new Map<string, KnownLink>()
   const sockets = new Set<Socket>()
   let nextId = 1
   let lateAnswers = 0
@@ -105,34 +112,34 @@
   const open = async (endpoint: Endpoint, name: string): Promise<OpenLink> => {
     const socket = options.dialer(endpoint)
     sockets.add(socket)
+    socket.once('close', () => sockets.delete(socket))
     return await authenticate(socket, { ...options, connectTimeoutMs }, name, takeReply)
   }
 
-  const linkTo = (endpoint: Endpoint): Promise<OpenLink> => {
-    const name = formatEndpoint(endpoint)
+  const linkTo = (endpoint: Endpoint, name: string): KnownLink => {
     const existing = links.get(name)
     if (existing !== undefined) {
       links.delete(name)
       links.set(name, existing)
       return existing
     }
-    const opening = open(endpoint, name)
-    links.set(name, opening)
+    const link: KnownLink = { opening: open(endpoint, name) }
+    links.set(name, link)
     const forget = (): void => {
-      if (links.get(name) === opening) {
+      if (links.get(name) === link) {
         links.delete(name)
       }
     }
-    opening.then((link) => link.socket.once('close', () => {
-      sockets.delete(link.socket)
-      forget()
-    }), forget)
+    link.opening.then((opened) => {
+      link.opened = opened
+      opened.socket.once('close', forget)
+    }, forget)
     void closeIdleLinks(links)
-    return opening
+    return link
   }
 
-  const waitForLink = async (endpoint: Endpoint, name: string): Promise<OpenLink> => {
-    const link = await within(linkTo(endpoint), linkWaitMs)
+  const waitForLink = async ({ opening }: KnownLink, name: string): Promise<OpenLink> => {
+    const link = await within(opening, linkWaitMs)
     if (link === TIMED_OUT) {
       throw unavailable(name, 'no answer to the connection attempt', 'not-run')
     }
@@ -144,7 +151,8 @@
     get links () { return links.size },
     request: async (endpoint, type, body, timeoutMs) => {
       const name = formatEndpoint(endpoint)
-      const link = await waitForLink(endpoint, name)
+      const known = linkTo(endpoint, name)
+      const link = known.opened ?? await waitForLink(known, name)
       return await new Promise((resolve, reject) => {
         const id = nextId++
         const timer = setTimeout(() => {
@@ -156,14 +164,14 @@
       })
     },
     disconnect: (endpoint) => {
-      links.get(formatEndpoint(endpoint))?.then(({ socket }) => socket.destroy(), () => {})
+      links.get(formatEndpoint(endpoint))?.opening.then(({ socket }) => socket.destroy(), () => {})
     },
     close: () => sockets.forEach((socket) => socket.destroy())
   }
 }
 
-async function closeIdleLinks (links: Map<string, Promise<OpenLink>>): Promise<void> {
-  for (const opening of [...links.values()].slice(0, Math.max(0, links.size - KEPT_LINKS))) {
+async function closeIdleLinks (links: Map<string, KnownLink>): Promise<void> {
+  for (const { opening } of [...links.values()].slice(0, Math.max(0, links.size - KEPT_LINKS))) {
     const link = await opening.catch(() => undefined)
     if (link?.pending.size === 0) {
       link.socket.destroy()
--- a/src/registry/readers.ts
+++ b/src/registry/readers.ts
@@ -14,21 +14,33 @@
  */
 export const LEAST_FOLLOWERS = 8
 
-/** Hosts in the order in which they become readers, by the list that they were ordered from. */
-const orders = new WeakMap<KnownHost[], KnownHost[]>()
+/** Orders in which hosts become readers. */
+interface ReaderOrders {
+  /** One that all compute alike and that does not follow failure domains. */
+  ordered: KnownHost[]
+  /** The same, after the first host of each failure domain. */
+  spread: KnownHost[]
+  failureDomains: number
+}
 
-/** Orders hosts in a way that all compute alike and that does not follow failure domains, but for the first of each. */
-function orderOf (hosts: KnownHost[]): KnownHost[] {
-  const known = orders.get(hosts)
-  if (known !== undefined) {
-    return known
-  }
+/** Orders by the list that they were made from: they are looked up several times in each turn. */
+const orders = new WeakMap<KnownHost[], ReaderOrders>()
+
+function ordersOf (hosts: KnownHost[]): ReaderOrders {
+  const known = orders.get(hosts) ?? orderHosts(hosts)
+  orders.set(hosts, known)
+  return known
+}
+
+function orderHosts (hosts: KnownHost[]): ReaderOrders {
   const ordered = hosts
     .map((host) => ({ host, place: hashOf(host.name) }))
     .sort((left, right) => left.place < right.place ? -1 : 1)
     .map(({ host }) => host)
-  orders.set(hosts, ordered)
-  return ordered
+  const domains = new Set(ordered.map(({ failureDomain }) => failureDomain))
+  const first = [...domains].map((domain) => ordered.find(({ failureDomain }) => failureDomain === domain)!)
+  const spread = [...first, ...ordered.filter((host) => !first.includes(host))]
+  return { ordered, spread, failureDomains: domains.size }
 }
 
 /**
@@ -36,13 +48,8 @@
  * domains are paid for.
  */
 function firstOf (hosts: KnownHost[], count: number): KnownHost[] {
-  const ordered = orderOf(hosts)
-  const domains = new Set(ordered.map(({ failureDomain }) => failureDomain))
-  if (count < domains.size) {
-    return ordered.slice(0, count)
-  }
-  const first = [...domains].map((domain) => ordered.find(({ failureDomain }) => failureDomain === domain)!)
-  return [...first, ...ordered.filter((host) => !first.includes(host))].slice(0, count)
+  const { ordered, spread, failureDomains } = ordersOf(hosts)
+  return (count < failureDomains ? ordered : spread).slice(0, count)
 }
 
 /**
