Serve organisations by their keys, on connections of their own, within limits over all hosts

Cause: nothing knew an organisation.

Change: - The port replaces keys by digests, in what callers name and in rows of the desired state, so that no frame, log, dump, metric or error can hold one. The desired state tells who holds a key; it is looked up with each statement outside a transaction, so a key that is taken away or passed on binds with the next one. A transaction of a caller whose key is gone is rolled back. - A connection to an upstream belongs to an organisation, whose name the upstream is told. With no room left, the connection that has been idle for longest makes room for another organisation's. - A limit is kept by one host, first in an order that is the same everywhere; the others ask it before an operation begins, once for all that wait. What was certainly not run is given back.

--- a/src/core/errors/catalogue.ts
+++ b/src/core/errors/catalogue.ts
@@ -59,6 +59,12 @@
     hint: 'Connect with the name of a declared group as the database.',
     mysqlCode: 1049
   }),
+  UnknownKey: entry<{ group: string }>({
+    title: 'Unknown key',
+    message: ({ group }) => `no organisation holds the key with which '${group}' was asked for`,
+    hint: 'Use a key of an organisation that is declared; keys that were taken away are refused.',
+    mysqlCode: 1045
+  }),
   AccessDenied: entry<{ user: string }>({
     title: 'Access denied',
     message: ({ user }) => `access denied for '${user}'`,
@@ -96,6 +102,14 @@
     hint: 'The request did not run. Come back after the stated time.',
     mysqlCode: 1040
   }),
+  LimitReached: entry<{ organisation: string, version?: number, keeper?: string, retryAfterMs: number }>({
+    title: 'Limit reached',
+    message: ({ organisation, version, keeper, retryAfterMs }) => keeper === undefined
+      ? `no host could say what the limit of ${organisation} leaves; retry after ${retryAfterMs} ms`
+      : `${organisation} has reached its limit of version ${version}, kept by ${keeper}; retry after ${retryAfterMs} ms`,
+    hint: 'The request did not run. Come back after the stated time, or raise the limit of the organisation.',
+    mysqlCode: 1226
+  }),
   NoUpstream: entry<{ group: string, reason: string, retryAfterMs: number }>({
     title: 'No fit upstream',
     message: ({ group, reason, retryAfterMs }) =>
--- a/src/entry/answers.ts
+++ b/src/entry/answers.ts
@@ -22,6 +22,7 @@
 /** Failures of statements that were certainly not run, by the error that says so. */
 const NOT_RUN_KINDS: Partial<Record<ErrorName, FailureKind>> = {
   UnknownGroup: 'unknown-database',
+  UnknownKey: 'unknown-key',
   TransactionLost: 'aborted'
 }
 
--- a/src/entry/home-seat.ts
+++ b/src/entry/home-seat.ts
@@ -65,6 +65,7 @@
   const openingOf = (scope: RequestScope, step: TransactionStep) => ({
     ...commonOf(scope, step),
     upstream: known.upstream,
+    organisation: scope.organisation ?? '',
     version: scope.version,
     priority: scope.priority,
     costMs: Math.round(scope.costMs),
--- a/src/entry/home-server.ts
+++ b/src/entry/home-server.ts
@@ -187,7 +187,7 @@
 }
 
 function scopeOf (context: EntryContext, question: HomeStatement): { known: KnownUpstream, scope: RequestScope } {
-  const { id, upstream, version, priority, costMs, leftMs, inTimeMs, values = [] } = question
+  const { id, upstream, organisation, version, priority, costMs, leftMs, inTimeMs, values = [] } = question
   const known = context.directory.get(upstream)
   if (known === undefined || !mayTakeWork(known, context.drainMs)) {
     throw new RequestError('not-run', 'NoUpstream', {
@@ -197,6 +197,7 @@
   const scope: RequestScope = {
     requestId: id,
     group: known.group,
+    organisation,
     version,
     priority,
     costMs,
--- a/src/entry/index.ts
+++ b/src/entry/index.ts
@@ -18,7 +18,8 @@
 registerPlugin({
   name: 'entry',
   needs: [
-    'ports', 'desiredState', 'directory', 'pools', 'homes', 'leadership', 'freshness', 'metrics', 'registry', 'peers'
+    'ports', 'desiredState', 'directory', 'pools', 'homes', 'leadership', 'freshness', 'metrics', 'registry', 'peers',
+    'limits'
   ],
   start: async (context) => {
     const settings = context.settings as EntrySettings
@@ -32,6 +33,7 @@
       homes: context.use('homes'),
       directory: context.use('directory'),
       leadership: context.use('leadership'),
+      limits: context.use('limits'),
       freshness: context.use('freshness'),
       logger,
       budget: createRetryBudget(),
--- a/src/entry/primary-access.ts
+++ b/src/entry/primary-access.ts
@@ -28,7 +28,7 @@
  * @throws RequestError with verdict `not-run`
  */
 export async function acquire (
-  { measures }: EntryContext, { values, priority, costMs, inTimeUntil }: RequestScope,
+  { measures }: EntryContext, { organisation, values, priority, costMs, inTimeUntil }: RequestScope,
   { pool, gate }: UsedUpstream, greatestWaitMs: number
 ): Promise<Turn> {
   const startedAt = performance.now()
@@ -38,7 +38,7 @@
   try {
     leave = await gate.enter({ priority, costMs, waitMs })
     const leftMs = Math.max(1, waitMs - (performance.now() - startedAt))
-    const lease = await pool.acquire({ values, priority, waitMs: leftMs })
+    const lease = await pool.acquire({ organisation, values, priority, waitMs: leftMs })
     measures.queue('done', performance.now() - startedAt)
     return { lease, leave }
   } catch (thrown) {
--- a/src/entry/prove-position.ts
+++ b/src/entry/prove-position.ts
@@ -43,6 +43,7 @@
     const scope: RequestScope = {
       requestId: PROOF_ID,
       group,
+      organisation: undefined,
       version: 0,
       priority: 0,
       costMs: 0,
--- a/src/entry/reads.ts
+++ b/src/entry/reads.ts
@@ -1,7 +1,7 @@
 /** Reads: where they go, and what is tried when an upstream does not serve them. */
 import { RequestError } from '../core/errors/index.ts'
 import { pause } from '../core/time/deadline.ts'
-import type { Freshness, StatementAnswer } from '../ports/index.ts'
+import { verdictOf, type Freshness, type StatementAnswer } from '../ports/index.ts'
 import { formatPosition, type LogPosition } from '../upstreams/position.ts'
 import { chooseForRead } from './choose-upstream.ts'
 import { NOT_RUN_PAUSE_MS, READ_ATTEMPTS, WAIT_SHARE } from './consts.ts'
@@ -151,6 +151,9 @@
       if (consequence === 'answer' || last || !mayRepeat(context, answer)) {
         return { ...answer, upstream: name }
       }
+      if (answer.failure !== undefined && verdictOf(answer.failure.kind) !== 'not-run') {
+        context.limits.countAgain(scope.organisation ?? '')
+      }
       logRepeat(context, scope, name, answer.failure?.kind ?? '', place)
       if (consequence === 'elsewhere') {
         tried.add(name)
@@ -167,6 +170,9 @@
       if (last || scope.deadline.passed || !(error.verdict === 'not-run' || context.budget.spend())) {
         throw error
       }
+      if (error.verdict !== 'not-run') {
+        context.limits.countAgain(scope.organisation ?? '')
+      }
       logRepeat(context, scope, name, error.message, place)
     }
   }
--- a/src/entry/request-log.ts
+++ b/src/entry/request-log.ts
@@ -38,6 +38,7 @@
     type: statement.type,
     database,
     group: scope?.group,
+    organisation: scope?.organisation,
     upstream: upstream ?? scope?.upstream,
     home: scope?.home,
     floor,
--- a/src/entry/session.ts
+++ b/src/entry/session.ts
@@ -1,9 +1,10 @@
 /** One caller's session: its values, its prepared statements, its floor, and its transaction. */
-import { RequestError } from '../core/errors/index.ts'
+import { RequestError, toRequestError } from '../core/errors/index.ts'
 import { Deadline } from '../core/time/deadline.ts'
-import type {
-  CallerHandler, CallerLink, CallerRequest, CallerStatement, DesiredState, PreparedShape, Route, StatementAnswer,
-  TransactionState
+import { identify } from '../organisations/identify.ts'
+import {
+  verdictOf, type CallerHandler, type CallerLink, type CallerRequest, type CallerStatement, type DesiredState,
+  type Organisation, type PreparedShape, type Route, type StatementAnswer, type TransactionState
 } from '../ports/index.ts'
 import { formatPosition, laterPosition, type LogPosition } from '../upstreams/position.ts'
 import { doneAnswer, failureAnswer, failureOf } from './answers.ts'
@@ -38,6 +39,12 @@
   end: () => void
 }
 
+/** Where a caller's requests go, and on behalf of which organisation. */
+interface CallerRoute {
+  route: Route
+  organisation: Organisation
+}
+
 /** Values and prepared statements that a session may have; more is refused, so that memory stays bounded. */
 const MAXIMUM_NAMES = 256
 
@@ -68,17 +75,20 @@
       })
     }
   }
-  const findRoute = (): Route => {
-    const route = desiredState()?.routes.get(link.database)
-    if (route === undefined) {
+  /** Where requests of this caller go by the desired state in force, and on whose behalf. */
+  const findRoute = (): CallerRoute => {
+    const state = desiredState()
+    const route = state?.routes.get(link.database)
+    if (state === undefined || route === undefined) {
       throw new RequestError('not-run', 'UnknownGroup', { group: link.database })
     }
-    return route
+    return { route, organisation: identify(state, route, link.keyDigest) }
   }
-  const scopeOf = (id: string, route: Route): RequestScope => {
+  const scopeOf = (id: string, { route, organisation }: CallerRoute): RequestScope => {
     const scope: RequestScope = {
       requestId: id,
       group: route.group,
+      organisation: organisation.name,
       version: desiredState()?.version ?? 0,
       priority: route.priority,
       database: route.database,
@@ -111,32 +121,57 @@
     return { type: 'execute', requestId: id, access: shape.access, prepared: shape, parameters }
   }
 
+  /** What no upstream has run does not count against the limit of its organisation. */
+  const giveBackUnused = (organisation: Organisation, answer: StatementAnswer): StatementAnswer => {
+    if (answer.failure !== undefined && verdictOf(answer.failure.kind) === 'not-run') {
+      context.limits.giveBack(organisation)
+    }
+    return answer
+  }
   const runSingle = async (id: string, work: DataWork): Promise<StatementAnswer> => {
     const arrivedAt = performance.now()
-    const route = findRoute()
-    const scope = scopeOf(id, route)
+    const callerRoute = findRoute()
+    const { route, organisation } = callerRoute
+    const scope = scopeOf(id, callerRoute)
+    await context.limits.take(organisation)
     try {
       if (work.access === 'write') {
         const answer = await serveWrite(context, scope, work)
         if (answer.failure === undefined) {
           raiseFloor(answer)
         }
-        return answer
+        return giveBackUnused(organisation, answer)
       }
       const place = await placeRead(context, route.group, route.freshness, arrivedAt, floor)
       trace.floor = place.type === 'after' ? formatPosition(place.position) : 'primary'
       const answer = await serveRead(context, scope, work, place)
       trace.upstream = answer.upstream
-      return answer
+      return giveBackUnused(organisation, answer)
     } catch (thrown) {
+      if (toRequestError(thrown, 'may-have-run').verdict === 'not-run') {
+        context.limits.giveBack(organisation)
+      }
       return { ...failureAnswer('busy', '', 'idle'), failure: failureOf(thrown, work.access === 'read') }
     }
   }
+  /** A transaction goes on by the route with which it began, but not for a caller whose key has been taken away. */
+  const endWithoutKey = (open: CallerTransaction): void => {
+    const state = desiredState()
+    if (state !== undefined && open.route.needsKey && !state.keys.has(link.keyDigest)) {
+      const reason = 'no organisation holds its key any more'
+      open.abort(reason)
+      throw new RequestError('not-run', 'TransactionLost', { reason })
+    }
+  }
   const runInTransaction = async (id: string, open: CallerTransaction, work: DataWork): Promise<StatementAnswer> => {
-    const scope = scopeOf(id, open.route)
+    const scope = scopeOf(id, open)
     try {
+      endWithoutKey(open)
       return await open.execute(scope, work)
     } catch (thrown) {
+      if (!open.begun) {
+        context.limits.giveBack(open.organisation)
+      }
       return { ...failureAnswer('aborted', '', 'failed'), failure: failureOf(thrown, true) }
     } finally {
       trace.upstream = open.upstream
@@ -158,11 +193,13 @@
     if (transaction !== undefined) {
       return failureAnswer('malformed', 'a transaction is open', stateNow())
     }
-    const route = findRoute()
+    const { route, organisation } = findRoute()
+    await context.limits.take(organisation)
     failureTold = false
     transaction = createTransaction({
       context,
       route,
+      organisation,
       readOnly,
       place: readOnly
         ? await placeRead(context, route.group, route.freshness, performance.now(), floor)
@@ -180,9 +217,10 @@
     if (ending.failed) {
       return failureAnswer('aborted', 'the transaction had failed; it was rolled back', 'idle')
     }
-    const scope = scopeOf(id, ending.route)
+    const scope = scopeOf(id, ending)
     trace.upstream = ending.upstream
     try {
+      endWithoutKey(ending)
       const answer = await ending.commit(scope, text)
       if (answer.failure === undefined && ending.wrote) {
         raiseFloor(answer)
--- a/src/entry/transaction.ts
+++ b/src/entry/transaction.ts
@@ -1,7 +1,7 @@
 /** One transaction of a caller. It begins at an upstream with its first statement and stays on that connection. */
 import { RequestError, toRequestError } from '../core/errors/index.ts'
 import { pause } from '../core/time/deadline.ts'
-import type { Route, StatementAnswer } from '../ports/index.ts'
+import type { Organisation, Route, StatementAnswer } from '../ports/index.ts'
 import { verdictOf } from '../ports/index.ts'
 import { NOT_RUN_PAUSE_MS, READ_ATTEMPTS } from './consts.ts'
 import { seatAtPrimary } from './primary-access.ts'
@@ -17,6 +17,8 @@
 export interface TransactionOptions {
   context: EntryContext
   route: Route
+  /** On whose behalf it runs. */
+  organisation: Organisation
   readOnly: boolean
   /** Where a transaction that only reads may run. */
   place: ReadPlace
@@ -27,6 +29,9 @@
 /** A transaction of a caller. */
 export interface CallerTransaction {
   readonly route: Route
+  readonly organisation: Organisation
+  /** Whether it has begun at an upstream. */
+  readonly begun: boolean
   /** Whether it can only be rolled back. */
   readonly failed: boolean
   readonly failedBecause: string | undefined
@@ -64,6 +69,7 @@
   let at: Seat | undefined
   let failedBecause: string | undefined
   let wrote = false
+  let begun = false
   let running = false
   let restTimer: NodeJS.Timeout | undefined
 
@@ -144,6 +150,7 @@
   }
   const takeBegun = (seat: Seat, { first, lost: missing }: Begun): TimedAnswer => {
     at = seat
+    begun = true
     if (first === undefined) {
       throw new FirstStepLost(missing!)
     }
@@ -172,6 +179,8 @@
 
   return {
     route,
+    organisation: options.organisation,
+    get begun () { return begun },
     get failed () { return failedBecause !== undefined },
     get failedBecause () { return failedBecause },
     get wrote () { return wrote },
--- a/src/entry/types.ts
+++ b/src/entry/types.ts
@@ -4,6 +4,7 @@
 import type { Logger } from '../core/logger/index.ts'
 import type { Directory } from '../directory/index.ts'
 import type { FreshnessOfGroups } from '../freshness/index.ts'
+import type { Limits } from '../limits/index.ts'
 import type { Leadership } from '../leadership/index.ts'
 import type { Pools, UsedUpstream } from '../pools/index.ts'
 import type { Homes } from '../homes/index.ts'
@@ -17,6 +18,7 @@
   homes: Homes
   directory: Directory
   leadership: Leadership
+  limits: Limits
   freshness: FreshnessOfGroups
   logger: Logger
   budget: RetryBudget
@@ -55,6 +57,8 @@
 export interface RequestScope {
   requestId: string
   group: string
+  /** Name of the organisation on whose behalf it is served; empty for none, undefined where any will do. */
+  organisation: string | undefined
   /** Version of the desired state by which it is served. */
   version: number
   priority: number
--- a/src/homes/index.ts
+++ b/src/homes/index.ts
@@ -61,6 +61,19 @@
   ensureThere: (home: KnownHost) => Promise<void>
   /** Statements that this host has in progress at an upstream through its homes. */
   loadOf: (upstream: string) => number
+  /** Part of the other hosts that this host has been in touch with which are not silent now, from 0 to 1. */
+  seenPart: () => number
+  /**
+   * Finds the first host that is not known to be silent; has silent ones before it asked whether they are there again.
+   *
+   * @param hosts - the hosts, the best first
+   * @returns the host; undefined when there is none
+   */
+  firstAnswering: (hosts: KnownHost[]) => KnownHost | undefined
+  /** Takes note that a host has answered a question of another kind. */
+  noteAnswer: (host: KnownHost) => void
+  /** Takes note that a host could not be reached, or has not answered. */
+  noteSilent: (host: KnownHost, thrown: unknown) => void
 }
 
 declare module '../core/kernel/index.ts' {
@@ -128,6 +141,14 @@
           isLeft ? onLateReply?.(reply) : resolve(reply)
         }).catch(reject)
       })
+    /** This host counts as one of those that it sees. */
+    const seenPart = (hosts: KnownHost[]): number => {
+      const silent = hosts.filter(choice.isSilent).length
+      const hasAnswered = (host: KnownHost): boolean =>
+        !choice.isSilent(host) && Number.isFinite(choice.lastAnswerAt(host))
+      const answering = hosts.filter(hasAnswered).length
+      return (1 + answering) / (1 + answering + silent)
+    }
     handle('home-alive', async () => ({}))
 
     return {
@@ -169,7 +190,18 @@
             throw silent(home, 'not-run')
           }
         },
-        loadOf: choice.loadOf
+        loadOf: choice.loadOf,
+        seenPart: () => seenPart(registry.current.liveHosts.filter((host) => !isSelf(host))),
+        firstAnswering: (hosts) => {
+          const first = hosts.findIndex((host) => !choice.isSilent(host))
+          const due = choice.takeDue(first < 0 ? hosts : hosts.slice(0, first))
+          if (due !== undefined) {
+            void watch.isThere(due)
+          }
+          return hosts[first]
+        },
+        noteAnswer: (host) => choice.answered(host, ''),
+        noteSilent: watch.failed
       },
       dump: () => Object.fromEntries(directory.all().map((upstream) =>
         [upstream.upstream, { group: upstream.group, homes: of(upstream).map(({ name }) => name) }]))
--- a/src/homes/messages.ts
+++ b/src/homes/messages.ts
@@ -27,6 +27,8 @@
 export const homeStatementSchema = z.object({
   ...common,
   upstream: z.string(),
+  /** Name of the organisation on whose behalf it runs; empty for none. */
+  organisation: z.string(),
   /** Version of the desired state by which the asking host passes it on. */
   version: z.number(),
   priority: z.number(),
--- /dev/null
+++ b/src/limits/index.ts
@@ -0,0 +1,152 @@
+/**
+ * Plug-in `limits`: what organisations may ask for, on all hosts together. Each limit is kept by one host, the first
+ * that answers in an order that is the same everywhere; the others ask it before they begin an operation. Hosts that
+ * see different ones of the others may ask two that keep the same limit; so each grants no more than the part of the
+ * limit that the hosts it can see have of all.
+ */
+import * as z from 'zod'
+import { describeThrown } from '../core/errors/index.ts'
+import { registerPlugin } from '../core/kernel/index.ts'
+import { scoreOf } from '../homes/placement.ts'
+import type { Organisation } from '../ports/index.ts'
+import type { KnownHost } from '../registry/index.ts'
+import { ASK_MS, HOSTS_ASKED, NAMED_IN_METRICS, REACH_VERSION_MS } from './consts.ts'
+import { createCredits, type GrantAnswer } from './credits.ts'
+import { createKeeper } from './keeper.ts'
+
+/** Service of the plug-in. */
+export interface Limits {
+  /**
+   * Takes one operation from what an organisation's limit leaves.
+   *
+   * @param organisation - the organisation
+   * @returns at once where it has no limit
+   * @throws RequestError `LimitReached` with verdict `not-run` and the time to come back
+   */
+  take: (organisation: Organisation) => Promise<void>
+  /** Gives back an operation that was certainly not run. */
+  giveBack: (organisation: Organisation) => void
+  /** Counts a repetition of an operation that may have run. */
+  countAgain: (organisation: string) => void
+}
+
+declare module '../core/kernel/index.ts' {
+  interface Services { limits: Limits }
+}
+
+const questionSchema = z.object({
+  organisation: z.string(),
+  wanted: z.number().int().positive(),
+  /** Version of the desired state by which the asking host goes. */
+  version: z.number()
+})
+const answerSchema = z.object({
+  granted: z.number().int().nonnegative(),
+  retryAfterMs: z.number().nonnegative(),
+  /** Version of the desired state whose limit was kept. */
+  version: z.number()
+})
+
+registerPlugin({
+  name: 'limits',
+  needs: ['registry', 'homes', 'peers', 'desiredState', 'metrics'],
+  start: (context) => {
+    const registry = context.use('registry')
+    const homes = context.use('homes')
+    const { work: links, handle } = context.use('peers')
+    const desiredState = context.use('desiredState')
+    const { logger } = context
+    const count = context.use('metrics').count('worksward_limit_questions', 'Questions to hosts that keep limits, by outcome')
+    const versionNow = (): number => desiredState.current?.version ?? -1
+    const keeper = createKeeper({ desiredState: () => desiredState.current, seenPart: homes.seenPart })
+
+    /** Hosts in the order in which they keep an organisation's limit, and the list that it was made from. */
+    const orders = new Map<string, { liveHosts: KnownHost[], order: KnownHost[] }>()
+    const orderOf = (organisation: string): KnownHost[] => {
+      const { liveHosts } = registry.current
+      const known = orders.get(organisation)
+      if (known?.liveHosts === liveHosts) {
+        return known.order
+      }
+      const staying = liveHosts.filter(({ leaving }) => leaving !== true)
+      const order = (staying.length > 0 ? staying : liveHosts)
+        .map((host) => ({ host, score: scoreOf(organisation, host.name) }))
+        .sort((left, right) => left.score > right.score ? -1 : 1)
+        .map(({ host }) => host)
+      orders.set(organisation, { liveHosts, order })
+      return order
+    }
+    desiredState.onChange(({ organisations }) => {
+      [...orders.keys()].filter((name) => !organisations.has(name)).forEach((name) => orders.delete(name))
+    })
+    const grantHere = (organisation: string, wanted: number): GrantAnswer | undefined => {
+      const grant = keeper.grant(organisation, wanted)
+      return grant && { ...grant, version: versionNow(), keeper: registry.self.name }
+    }
+    const askHost = async (host: KnownHost, organisation: string, wanted: number): Promise<GrantAnswer | undefined> => {
+      if (host.name === registry.self.name) {
+        return grantHere(organisation, wanted)
+      }
+      try {
+        const question = { organisation, wanted, version: versionNow() }
+        const answer = answerSchema.parse(await links.request(host, 'limit-take', question, ASK_MS))
+        homes.noteAnswer(host)
+        count('answered')
+        return { ...answer, keeper: host.name }
+      } catch (thrown) {
+        homes.noteSilent(host, thrown)
+        count('failed')
+        logger.log('info', 'limit.keeper-failed', { organisation, peer: host.name, reason: describeThrown(thrown) })
+        return undefined
+      }
+    }
+    const ask = async (organisation: string, wanted: number): Promise<GrantAnswer | undefined> => {
+      for (let tries = 0; tries < HOSTS_ASKED; tries++) {
+        const host = homes.firstAnswering(orderOf(organisation))
+        const answer = host && await askHost(host, organisation, wanted)
+        if (answer !== undefined) {
+          return answer
+        }
+      }
+      return undefined
+    }
+    const credits = createCredits({ ask })
+    handle('limit-take', async (body) => {
+      const { organisation, wanted, version } = questionSchema.parse(body)
+      await desiredState.reach(version, REACH_VERSION_MS)
+      const grant = keeper.grant(organisation, wanted) ?? { granted: 0, retryAfterMs: REACH_VERSION_MS }
+      return { ...grant, version: versionNow() }
+    })
+    /** The organisations that were granted most, and the rest together. */
+    const grantedByOrganisation = (): Record<string, number> => {
+      const all = [...keeper.kept()].map(([name, { granted }]) => [name, granted] as const)
+      const sorted = all.sort(([, left], [, right]) => right - left)
+      const others = sorted.slice(NAMED_IN_METRICS).reduce((sum, [, granted]) => sum + granted, 0)
+      return { ...Object.fromEntries(sorted.slice(0, NAMED_IN_METRICS)), others }
+    }
+    context.use('metrics').expose(
+      'worksward_limit_granted', 'Operations granted by this host as the one that keeps limits', grantedByOrganisation)
+
+    return {
+      service: {
+        take: async ({ name, limit }) => {
+          if (limit !== undefined) {
+            await credits.take(name)
+          }
+        },
+        giveBack: ({ name, limit }) => {
+          if (limit !== undefined) {
+            credits.giveBack(name)
+          }
+        },
+        countAgain: (name) => {
+          if (desiredState.current?.organisations.get(name)?.limit !== undefined) {
+            credits.countAgain(name)
+          }
+        }
+      },
+      dump: () => Object.fromEntries([...keeper.kept()].map(([name, kept]) =>
+        [name, { ...kept, ...desiredState.current?.organisations.get(name)?.limit }]))
+    }
+  }
+})
--- a/src/pools/index.ts
+++ b/src/pools/index.ts
@@ -109,7 +109,7 @@
       const { health } = of(known)
       const target = { group: known.group, upstream: known.upstream, endpoint: known.endpoint }
       try {
-        const connection = await port.open(target, timeoutMs)
+        const connection = await port.open(target, { organisation: '', timeoutMs })
         try {
           const report = await within(question(connection), timeoutMs)
           if (report === TIMED_OUT) {
--- a/src/pools/types.ts
+++ b/src/pools/types.ts
@@ -4,6 +4,8 @@
 /** A connection, and what was left on it by the sessions that used it. */
 export interface PooledConnection {
   connection: UpstreamConnection
+  /** Name of the organisation whose statements it carries; empty for none. */
+  readonly organisation: string
   /** Session values that were set on it. */
   values: Map<string, string>
   /** Names of statements that were prepared on it, by access and shape. */
@@ -21,6 +23,8 @@
 
 /** What a user of a connection needs. */
 export interface LeaseRequest {
+  /** Name of the organisation that asks; undefined where a connection of any will do. */
+  organisation: string | undefined
   /** Session values that the connection should have; a connection that fits is preferred. */
   values: ReadonlyMap<string, string>
   /** 0 goes first. */
--- a/src/pools/upstream-pool.ts
+++ b/src/pools/upstream-pool.ts
@@ -66,11 +66,16 @@
   const idle: PooledConnection[] = []
   const used = new Set<PooledConnection>()
   const waiters: Waiter[] = []
-  let opening = 0
+  /** Connections that are being opened, by organisation. */
+  const opening = new Map<string, number>()
   let fullUntil = -Infinity
   let closed = false
 
-  const size = (): number => idle.length + used.size + opening
+  const countOpening = (organisation: string, change: number): void => {
+    opening.set(organisation, (opening.get(organisation) ?? 0) + change)
+  }
+  const openingNow = (): number => [...opening.values()].reduce((sum, count) => sum + count, 0)
+  const size = (): number => idle.length + used.size + openingNow()
   const mayOpen = (): boolean => !closed && size() < options.limits().share && performance.now() >= fullUntil
 
   const lease = (pooled: PooledConnection): ConnectionLease => {
@@ -105,11 +110,13 @@
     }
     serveWaiters()
   }
-  const takeIdle = ({ values }: LeaseRequest): PooledConnection | undefined => {
+  const takeIdle = ({ organisation, values }: LeaseRequest): PooledConnection | undefined => {
     let best = -1
     let leastMismatch = Infinity
     for (let index = idle.length - 1; index >= 0; index--) {
-      const mismatch = mismatchOf(idle[index]!.values, values)
+      const pooled = idle[index]!
+      const isFit = organisation === undefined || pooled.organisation === organisation
+      const mismatch = isFit ? mismatchOf(pooled.values, values) : Infinity
       if (mismatch < leastMismatch) {
         best = index
         leastMismatch = mismatch
@@ -117,16 +124,40 @@
     }
     return best < 0 ? undefined : idle.splice(best, 1)[0]
   }
+  /** Makes room for a connection of another organisation: the one that has been idle for longest goes. */
+  const makeRoom = (): boolean => {
+    if (closed || mayOpen()) {
+      return !closed
+    }
+    const [longestIdle] = idle.splice(0, 1)
+    longestIdle?.connection.close()
+    return longestIdle !== undefined
+  }
   const serveWaiters = (): void => {
-    while (waiters.length > 0 && idle.length > 0) {
-      const [waiter] = waiters.splice(0, 1)
-      clearTimeout(waiter!.timer)
-      waiter!.resolve(lease(takeIdle(waiter!.request)!))
+    for (const waiter of [...waiters]) {
+      const ready = takeIdle(waiter.request)
+      if (ready !== undefined) {
+        waiters.splice(waiters.indexOf(waiter), 1)
+        clearTimeout(waiter.timer)
+        waiter.resolve(lease(ready))
+      }
     }
-    while (waiters.length > opening && mayOpen()) {
-      void open()
+    for (const organisation of unservedOrganisations()) {
+      if (!makeRoom()) {
+        return
+      }
+      void open(organisation)
     }
   }
+  /** For whom connections are still to be opened: one for each who waits, less those that are being opened. */
+  const unservedOrganisations = (): string[] => {
+    const coming = new Map(opening)
+    return waiters.flatMap(({ request: { organisation = '' } }) => {
+      const left = coming.get(organisation) ?? 0
+      coming.set(organisation, left - 1)
+      return left > 0 ? [] : [organisation]
+    })
+  }
   const failWaiters = (error: RequestError): void => {
     for (const waiter of waiters.splice(0)) {
       clearTimeout(waiter.timer)
@@ -142,13 +173,15 @@
         group: target.group, reason: `no connection to ${target.upstream} in time`, retryAfterMs: Math.round(waitMs)
       })
   }
-  const open = async (): Promise<void> => {
-    opening++
+  const open = async (organisation: string): Promise<void> => {
+    countOpening(organisation, 1)
     try {
-      const connection = await port.open(target, CONNECT_TIMEOUT_MS)
-      opening--
+      const connection = await port.open(target, { organisation, timeoutMs: CONNECT_TIMEOUT_MS })
+      countOpening(organisation, -1)
       events.onAnswer()
-      const pooled: PooledConnection = { connection, values: new Map(), prepared: new Map(), idleSince: 0 }
+      const pooled: PooledConnection = {
+        connection, organisation, values: new Map(), prepared: new Map(), idleSince: 0
+      }
       connection.onClose(() => {
         const index = idle.indexOf(pooled)
         if (index >= 0) {
@@ -158,7 +191,7 @@
       })
       putBack(pooled)
     } catch (thrown) {
-      opening--
+      countOpening(organisation, -1)
       takeOpenFailure(thrown as RequestError)
     }
   }
--- a/src/ports/statements.ts
+++ b/src/ports/statements.ts
@@ -30,7 +30,7 @@
 export type FailureKind =
   | 'busy' | 'aborted' | 'lagging' | 'read-only' | 'misrouted' | 'too-many-connections'
   | 'failed' | 'timeout' | 'in-doubt'
-  | 'unknown-database' | 'unknown-statement' | 'too-large' | 'malformed'
+  | 'unknown-database' | 'unknown-key' | 'unknown-statement' | 'too-large' | 'malformed'
 
 /** A failed statement. */
 export interface StatementFailure {
@@ -71,7 +71,8 @@
 /** A caller's connection, as its handler sees it. */
 export interface CallerLink {
   database: string
-  user: string
+  /** Digest of the key that the caller named; the key itself stays with the port. */
+  keyDigest: string
   /** Ends the connection once the answer in progress has been sent. */
   end: () => void
 }
--- a/src/ports/types.ts
+++ b/src/ports/types.ts
@@ -71,17 +71,25 @@
   endpoint: Endpoint
 }
 
+/** For whom a connection is opened. */
+export interface ConnectionUse {
+  /** Name of the organisation whose statements it carries; empty for none. */
+  organisation: string
+  /** Greatest wait, in milliseconds. */
+  timeoutMs: number
+}
+
 /** Opens connections to upstreams. */
 export interface UpstreamPort {
   /**
    * Opens a connection.
    *
    * @param target - the upstream
-   * @param timeoutMs - greatest wait, in milliseconds
+   * @param use - for whom, and the greatest wait
    * @returns the connection
    * @throws RequestError with verdict `not-run`: `ConnectionLost`, or `UpstreamRefused` with its reason
    */
-  open: (target: UpstreamTarget, timeoutMs: number) => Promise<UpstreamConnection>
+  open: (target: UpstreamTarget, use: ConnectionUse) => Promise<UpstreamConnection>
 }
 
 /** A row of a table in the store. */
@@ -153,6 +161,11 @@
   draining: boolean
   /** Whether it takes itself for the primary. */
   claimsPrimary: boolean
+  /**
+   * When it started, in milliseconds of its clock; undefined where it does not say so. One that started again holds
+   * nothing of what it held before.
+   */
+  bornAt?: number
 }
 
 /** The upstreams that exist, as rows of a table. */
@@ -168,6 +181,21 @@
   | { type: 'bounded', maximumAgeMs: number }
   | { type: 'session', maximumAgeMs: number }
 
+/** How much an organisation may ask for, on all hosts together, counted in single statements and in transactions. */
+export interface OperationLimit {
+  /** Operations a second in the long run. */
+  perSecond: number
+  /** Operations beyond that at a time. */
+  burst: number
+}
+
+/** Whose callers are served. */
+export interface Organisation {
+  name: string
+  /** What it may ask for; undefined where that is not limited. */
+  limit?: OperationLimit
+}
+
 /** How requests for one database are served. */
 export interface Route {
   name: string
@@ -180,6 +208,8 @@
   targetMs: number
   /** 0 goes first. */
   priority: number
+  /** Whether only callers that name a key of an organisation are served. */
+  needsKey: boolean
 }
 
 /** The operator's wishes. */
@@ -187,6 +217,10 @@
   version: number
   /** Routes by database. */
   routes: Map<string, Route>
+  /** Organisations by name. */
+  organisations: Map<string, Organisation>
+  /** Names of the organisations that hold keys, by the digests of these. */
+  keys: Map<string, string>
   /** Greatest number of connections to one upstream of a group, from all hosts together. */
   connectionCaps: Map<string, number>
   /** Time a transaction may rest, in milliseconds. */
--- a/test/entry/leaving-upstreams.test.ts
+++ b/test/entry/leaving-upstreams.test.ts
@@ -69,7 +69,9 @@
   })
 
   it('are found in a history in which one got work too late', () => {
-    const run = { connection: 1, host: 'h1', text: '', values: {}, inTransaction: false, upstream: 'g-b', requestId: 'r1' }
+    const run = {
+      connection: 1, host: 'h1', organisation: '', text: '', values: {}, inTransaction: false, upstream: 'g-b', requestId: 'r1'
+    }
     const leaving = [{ upstream: 'g-b', since: 100 }]
     expect(checkLeaving([{ ...run, at: 100 + DRAIN_MS + 1 }], leaving, DRAIN_MS).length).toEqual(1)
     expect(checkLeaving([{ ...run, at: 100 + DRAIN_MS - 1 }], leaving, DRAIN_MS)).toEqual([])
--- /dev/null
+++ b/test/entry/organisations.test.ts
@@ -0,0 +1,189 @@
+import { describe, it } from 'node:test'
+import { expect } from 'earl'
+import { REFUSED_HERE_MS } from '../../src/limits/consts.ts'
+import { setUpWorld } from '../fixtures/fleet/set-up.ts'
+import type { FakeOrganisation, FakeRoute } from '../fixtures/fleet/world.ts'
+
+const ROUTES: FakeRoute[] = [
+  { database: 'money', group: 'g', freshness: { type: 'primary' }, timeoutMs: 800 },
+  { database: 'view', group: 'g', freshness: { type: 'bounded', maximumAgeMs: 1500 }, timeoutMs: 800 }
+]
+const RED: FakeOrganisation = { name: 'red', keys: ['red-1', 'red-2'] }
+const BLUE: FakeOrganisation = { name: 'blue', keys: ['blue-1'] }
+const HOSTS = Array.from({ length: 9 }, (_, index) => `h${index + 1}`)
+
+describe('callers of organisations', () => {
+  const suite = setUpWorld(HOSTS, ROUTES)
+  const { settle } = suite
+  const configure = async (organisations: FakeOrganisation[]): Promise<void> => {
+    suite.world.configure(ROUTES, organisations)
+    await suite.clock.tickAsync(1000)
+  }
+  const organisationOf = (id: string): string | undefined =>
+    suite.world.upstreams.runs.find(({ requestId }) => requestId === id)?.organisation
+
+  it('have their statements run on connections of their own organisation', async () => {
+    await configure([RED, BLUE])
+    for (let turn = 0; turn < 30; turn++) {
+      const host = HOSTS[turn % HOSTS.length]!
+      const database = turn % 2 === 0 ? 'money' : 'view'
+      const [red, blue] = await settle(Promise.all([
+        suite.world.connect(host, database, RED.keys[turn % 2]!).read(),
+        suite.world.connect(host, database, 'blue-1').read()
+      ]), 100)
+      expect([red.failure, blue.failure]).toEqual([undefined, undefined])
+      expect([organisationOf(red.id), organisationOf(blue.id)]).toEqual(['red', 'blue'])
+    }
+  })
+
+  it('keep transactions to their organisation', async () => {
+    await configure([RED, BLUE])
+    const red = suite.world.connect('h1', 'money', 'red-1')
+    await settle(red.send({ type: 'begin', readOnly: false }), 20)
+    const first = await settle(red.write(), 60)
+    const blue = await settle(suite.world.connect('h1', 'money', 'blue-1').write(), 60)
+    const second = await settle(red.write(), 60)
+    expect((await settle(red.send({ type: 'commit', text: 'COMMIT' }), 60)).failure).toEqual(undefined)
+    expect([first, blue, second].map(({ id }) => organisationOf(id))).toEqual(['red', 'blue', 'red'])
+  })
+
+  it('are refused with a key that nobody holds, and served as soon as somebody does', async () => {
+    await configure([RED])
+    const caller = suite.world.connect('h2', 'money', 'blue-1')
+    expect((await settle(caller.read(), 50)).failure?.kind).toEqual('unknown-key')
+    await configure([RED, BLUE])
+    const served = await settle(caller.read(), 100)
+    expect([served.failure, organisationOf(served.id)]).toEqual([undefined, 'blue'])
+  })
+
+  it('are refused once their key has been taken away, also in an open transaction, which is rolled back', async () => {
+    await configure([RED, BLUE])
+    const caller = suite.world.connect('h3', 'money', 'red-1')
+    await settle(caller.send({ type: 'begin', readOnly: false }), 20)
+    await settle(caller.write(), 60)
+    await configure([{ ...RED, keys: ['red-2'] }, BLUE])
+    const before = suite.world.upstreams.runs.length
+    expect((await settle(caller.write(), 60)).failure?.kind).toEqual('aborted')
+    expect((await settle(caller.send({ type: 'rollback' }), 60)).failure).toEqual(undefined)
+    expect((await settle(caller.read(), 60)).failure?.kind).toEqual('unknown-key')
+    expect(suite.world.upstreams.runs.length).toEqual(before)
+    expect((await settle(suite.world.connect('h3', 'money', 'red-2').read(), 100)).failure).toEqual(undefined)
+  })
+
+  it('follow a key that passes from one organisation to another', async () => {
+    await configure([RED, BLUE])
+    const caller = suite.world.connect('h4', 'money', 'red-1')
+    const first = await settle(caller.read(), 100)
+    await configure([{ ...RED, keys: ['red-2'] }, { ...BLUE, keys: ['blue-1', 'red-1'] }])
+    const second = await settle(caller.read(), 100)
+    expect([first, second].map(({ id }) => organisationOf(id))).toEqual(['red', 'blue'])
+  })
+
+  it('are all served where there are more organisations than an upstream takes connections', async () => {
+    suite.world.cap = 6
+    suite.world.upstreams.all.forEach((upstream) => { upstream.maximumConnections = 6 })
+    const many = Array.from({ length: 20 }, (_, index) => ({ name: `o${index}`, keys: [`k${index}`] }))
+    await configure(many)
+    for (let turn = 0; turn < 60; turn++) {
+      const answer = await settle(suite.world.connect(HOSTS[turn % 9]!, 'money', `k${turn % 20}`).write(), 200)
+      expect([answer.failure, organisationOf(answer.id)]).toEqual([undefined, `o${turn % 20}`])
+    }
+  })
+})
+
+describe('the limit of an organisation', () => {
+  const suite = setUpWorld(HOSTS, ROUTES)
+  const limit = { perSecond: 20, burst: 20 }
+  const windowMs = 5000
+  const most = (limit.perSecond * windowMs / 1000 + limit.burst) * 1.1 + 20
+
+  /** Plays reads of one organisation on all hosts. */
+  const play = async (perSecond: number, forMs: number): Promise<Array<{ kind?: string, message?: string }>> => {
+    const outcomes: Array<{ kind?: string, message?: string }> = []
+    const pauseMs = 1000 / perSecond
+    for (let sent = 0; sent * pauseMs < forMs; sent++) {
+      const running = HOSTS.filter((name) => suite.world.hosts.get(name)!.running)
+      const caller = suite.world.connect(running[sent % running.length]!, 'view', 'red-1')
+      void caller.read().then(({ failure }) => outcomes.push({ kind: failure?.kind, message: failure?.message }))
+      await suite.clock.tickAsync(pauseMs)
+    }
+    await suite.clock.tickAsync(1000)
+    return outcomes
+  }
+  const mostRunInWindow = (): number => {
+    const times = suite.world.upstreams.runs.map(({ at }) => at)
+    return Math.max(0, ...times.map((from) => times.filter((at) => at >= from && at < from + windowMs).length))
+  }
+  const configure = async (): Promise<void> => {
+    suite.world.configure(ROUTES, [{ ...RED, limit }, BLUE])
+    await suite.clock.tickAsync(1000)
+  }
+
+  it('refuses nobody who stays below it', async () => {
+    await configure()
+    const outcomes = await play(12, 8000)
+    expect(outcomes.filter(({ kind }) => kind !== undefined)).toEqual([])
+  })
+
+  it('holds in every window when five times as much is asked for, and what is left of it is used', async () => {
+    await configure()
+    const outcomes = await play(100, 10_000)
+    expect(mostRunInWindow() <= most).toEqual(true)
+    const served = outcomes.filter(({ kind }) => kind === undefined).length
+    expect(served >= limit.perSecond * 9).toEqual(true)
+    const refused = outcomes.filter(({ kind }) => kind === 'busy')
+    expect(refused.length + served).toEqual(outcomes.length)
+    const says = /reached its limit of version \d+, kept by h\d; retry after \d+ ms/
+    expect(refused.every(({ message }) => says.test(message!))).toEqual(true)
+  })
+
+  it('slows nobody of other organisations', async () => {
+    await configure()
+    const flood = play(100, 3000)
+    const caller = suite.world.connect('h1', 'view', 'blue-1')
+    const answers = []
+    for (let turn = 0; turn < 10; turn++) {
+      answers.push(await caller.read())
+    }
+    await flood
+    expect(answers.filter(({ failure }) => failure !== undefined)).toEqual([])
+  })
+
+  it('holds when the host that keeps it falls silent, and callers below it are served again', async () => {
+    await configure()
+    await play(100, 3000)
+    const keeper = /kept by (h\d)/.exec((await play(100, 500)).find(({ kind }) => kind === 'busy')!.message!)![1]!
+    suite.world.silent.add(keeper)
+    await play(100, 4000)
+    suite.world.silent.delete(keeper)
+    await play(100, 4000)
+    expect(mostRunInWindow() <= most).toEqual(true)
+    await suite.clock.tickAsync(REFUSED_HERE_MS)
+    const outcomes = await play(12, 4000)
+    expect(outcomes.filter(({ kind }) => kind !== undefined)).toEqual([])
+  })
+
+  it('is not given twice when all hosts restart', async () => {
+    await configure()
+    await play(100, 6000)
+    for (const name of HOSTS) {
+      await suite.world.kill(name)
+    }
+    for (const name of HOSTS) {
+      await suite.world.startHost(name)
+    }
+    await suite.clock.tickAsync(1000)
+    await play(100, 6000)
+    expect(mostRunInWindow() <= most).toEqual(true)
+  })
+
+  it('holds when hosts are cut in two', async () => {
+    await configure()
+    await play(100, 3000)
+    HOSTS.slice(0, 4).forEach((name) => suite.world.beyondCut.add(name))
+    await play(100, 6000)
+    suite.world.beyondCut.clear()
+    await play(100, 5000)
+    expect(mostRunInWindow() <= most).toEqual(true)
+  })
+})
--- a/test/entry/routes.test.ts
+++ b/test/entry/routes.test.ts
@@ -73,7 +73,7 @@
   })
 
   it('are found wrong in histories that break a rule', () => {
-    const base = { connection: 1, host: 'h1', text: '', values: {}, inTransaction: false }
+    const base = { connection: 1, host: 'h1', organisation: '', text: '', values: {}, inTransaction: false }
     const inForce = [{ since: -Infinity, group: 'g' }, { since: 1000, group: 'k' }]
     const request = (sentAt: number, id = 'r1'): RoutedRequest => ({ id, host: 'h1', sentAt, refused: false })
     const run = (upstream: string, requestId = 'r1', at = 0) => ({ ...base, upstream, requestId, at })
--- a/test/entry/trouble.test.ts
+++ b/test/entry/trouble.test.ts
@@ -65,7 +65,7 @@
   }
   const done: StatementAnswer = { rows: [], signature: 's', state: 'idle' }
   const write: Operation = { ...base, id: 'w', type: 'write', answer: done }
-  const run = { connection: 1, host: 'h1', text: '', values: {}, inTransaction: false }
+  const run = { connection: 1, host: 'h1', organisation: '', text: '', values: {}, inTransaction: false }
   const sound: Evidence = {
     operations: [write, { ...base, id: 'r', type: 'read', startedAt: 5, endedAt: 6, answer: { ...done, rows: ['w'] } }],
     runs: [{ ...run, upstream: 'a', requestId: 'w', at: 1 }],
--- a/test/platform/store-client.test.ts
+++ b/test/platform/store-client.test.ts
@@ -163,7 +163,7 @@
       version: 5, routes: [route], services: [{ name: 'g', 'max-connections': 23 }], limits: { 'tx-idle-ms': 3000 }
     }
     const { routes, connectionCaps, ...rest } = desiredState.decode(JSON.stringify(state))
-    expect(rest).toEqual({ version: 5, transactionIdleMs: 3000 })
+    expect(rest).toEqual({ version: 5, organisations: new Map(), keys: new Map(), transactionIdleMs: 3000 })
     expect(routes.get('lepu270')).toEqual({
       name: 'r',
       database: 'lepu270',
@@ -171,7 +171,8 @@
       freshness: { type: 'bounded', maximumAgeMs: 1500 },
       timeoutMs: 2000,
       targetMs: 500,
-      priority: 2
+      priority: 2,
+      needsKey: false
     })
     expect(connectionCaps.get('g')).toEqual(23)
     expect(() => desiredState.decode(JSON.stringify({ ...state, limits: {} }))).toThrow()
--- a/test/platform/upstream-port.test.ts
+++ b/test/platform/upstream-port.test.ts
@@ -43,9 +43,10 @@
     connections.splice(0).forEach((connection) => connection.close())
     await new Promise((resolve) => server.close(resolve))
   })
-  const open = async (): Promise<UpstreamConnection> => {
+  const open = async (organisation = ''): Promise<UpstreamConnection> => {
     const endpoint = { address: '127.0.0.1', port: (server.address() as AddressInfo).port }
-    const connection = await port.open({ group: 'lepu270', upstream: 'i-7f3a91c2', endpoint }, OPEN_MS)
+    const connection = await port.open({ group: 'lepu270', upstream: 'i-7f3a91c2', endpoint },
+      { organisation, timeoutMs: OPEN_MS })
     connections.push(connection)
     return connection
   }
@@ -58,6 +59,8 @@
   it('names the group and the identity that it expects', async () => {
     await open()
     expect(received).toEqual(['START lepu270 worksward i-7f3a91c2'])
+    await open('reader-club')
+    expect(received.at(-1)).toEqual('START lepu270 reader-club i-7f3a91c2')
   })
 
   it('passes on ids, texts and positions, and decodes rows, signature, state and position', async () => {
--- a/test/pools/upstream-pool.test.ts
+++ b/test/pools/upstream-pool.test.ts
@@ -59,7 +59,7 @@
     pools.push(pool)
     return pool
   }
-  const request = { values: new Map<string, string>(), priority: 1, waitMs: 3000 }
+  const request = { organisation: 'o', values: new Map<string, string>(), priority: 1, waitMs: 3000 }
   /** Asks for connections at once; those that are not there within the tick are not waited for. */
   const acquire = async (pool: UpstreamPool, count: number): Promise<ConnectionLease[]> => {
     const leases: ConnectionLease[] = []
