--- a/src/core/config/reload-settings.ts
+++ b/src/core/config/reload-settings.ts
@@ -8,6 +8,11 @@
 const LIVE_SETTINGS: Record<string, (settings: EntrySettings, next: EntrySettings) => void> = {
   graceSeconds: (settings, { graceSeconds }) => { settings.graceSeconds = graceSeconds },
   drainMs: (settings, { drainMs }) => { settings.drainMs = drainMs },
+  'limits.windowSeconds': (settings, { limits }) => { settings.limits.windowSeconds = limits.windowSeconds },
+  'limits.tolerance.part': (settings, { limits }) => { settings.limits.tolerance.part = limits.tolerance.part },
+  'limits.tolerance.operations': (settings, { limits }) => {
+    settings.limits.tolerance.operations = limits.tolerance.operations
+  },
   'log.level': (settings, { log }) => { settings.log.level = log.level }
 }
 
--- a/test/core/reload-settings.test.ts
+++ b/test/core/reload-settings.test.ts
@@ -50,6 +50,12 @@
     expect(lines).toEqual([{ event: 'process.reload', applied: 'drainMs,log.level', atNextStart: 'listen.peers' }])
   })
 
+  it('applies how limits are counted at once', () => {
+    reload(`${SETTINGS}limits: { windowSeconds: 7, tolerance: { part: 0.2, operations: 3 } }\n`)
+    expect(settings.limits).toEqual({ windowSeconds: 7, tolerance: { part: 0.2, operations: 3 } })
+    expect(lines[0]?.['atNextStart']).toEqual('none')
+  })
+
   it('says that nothing has changed', () => {
     reload(SETTINGS)
     expect(lines).toEqual([{ event: 'process.reload', applied: 'none', atNextStart: 'none' }])
