--- a/src/entry/caller-route.ts
+++ b/src/entry/caller-route.ts
@@ -28,14 +28,16 @@
 }
 
 /**
- * Says whether a caller's transaction may go on: by the route with which it began, as long as some organisation holds
- * the caller's key.
+ * Says whether a caller's transaction may go on: by the route with which it began, as long as the caller's key is held
+ * by the organisation on whose connection it runs. It may last for longer than a change of keys takes to bind.
  *
  * @param state - the desired state in force
- * @param route - the route with which the transaction began
+ * @param begun - route and organisation with which the transaction began
  * @param keyDigest - digest of the key that the caller named
  * @returns whether it may
  */
-export function mayGoOn (state: DesiredState | undefined, route: Route, keyDigest: string): boolean {
-  return state === undefined || !route.needsKey || state.keys.has(keyDigest)
+export function mayGoOn (
+  state: DesiredState | undefined, { route, organisation }: CallerRoute, keyDigest: string
+): boolean {
+  return state === undefined || !route.needsKey || state.keys.get(keyDigest) === organisation.name
 }
--- a/src/entry/session.ts
+++ b/src/entry/session.ts
@@ -140,10 +140,10 @@
       return { ...failureAnswer('busy', '', 'idle'), failure: failureOf(thrown, work.access === 'read') }
     }
   }
-  /** A transaction goes on by the route with which it began, but not for a caller whose key has been taken away. */
+  /** A transaction goes on by the route with which it began, but not for a caller whose key is another one's now. */
   const endWithoutKey = (open: CallerTransaction): void => {
-    if (!mayGoOn(desiredState(), open.route, link.keyDigest)) {
-      const reason = 'no organisation holds its key any more'
+    if (!mayGoOn(desiredState(), open, link.keyDigest)) {
+      const reason = 'its organisation does not hold its key any more'
       open.abort(reason)
       throw new RequestError('not-run', 'TransactionLost', { reason })
     }
--- a/test/entry/organisations.test.ts
+++ b/test/entry/organisations.test.ts
@@ -80,6 +80,19 @@
     expect([first, second].map(({ id }) => organisationOf(id))).toEqual(['red', 'blue'])
   })
 
+  it('have a transaction rolled back that began before their key passed to another organisation', async () => {
+    await configure([RED, BLUE])
+    const caller = suite.world.connect('h5', 'money', 'red-1')
+    await settle(caller.send({ type: 'begin', readOnly: false }), 20)
+    expect((await settle(caller.write(), 60)).failure).toEqual(undefined)
+    await configure([{ ...RED, keys: ['red-2'] }, { ...BLUE, keys: ['blue-1', 'red-1'] }])
+    const before = suite.world.upstreams.runs.length
+    expect((await settle(caller.write(), 60)).failure?.kind).toEqual('aborted')
+    expect(suite.world.upstreams.runs.length).toEqual(before)
+    await settle(caller.send({ type: 'rollback' }), 60)
+    expect(organisationOf((await settle(caller.read(), 100)).id)).toEqual('blue')
+  })
+
   it('are all served where there are more organisations than an upstream takes connections', async () => {
     suite.world.cap = 6
     suite.world.upstreams.all.forEach((upstream) => { upstream.maximumConnections = 6 })
