--- a/src/limits/credits.ts
+++ b/src/limits/credits.ts
@@ -112,12 +112,13 @@
       credit.waiting.splice(0).forEach(({ reject }) => reject(refusal(organisation, credit)))
     }
   }
-  const takeAnswer = (credit: OrganisationCredit, answer: GrantAnswer | undefined): void => {
+  const takeAnswer = (credit: OrganisationCredit, wanted: number, answer: GrantAnswer | undefined): void => {
     const now = performance.now()
     credit.left = (credit.goodUntil >= now || credit.left < 0 ? credit.left : 0) + (answer?.granted ?? 0)
     credit.goodUntil = now + AHEAD_MS
     const retryAfterMs = Math.max(1, answer === undefined ? NOBODY_KNOWS_MS : answer.retryAfterMs)
-    const isRefused = credit.left < credit.waiting.length
+    // Those that came while it was asked are asked for next; who got less than that gets no more now.
+    const isRefused = (answer?.granted ?? 0) < wanted && credit.left < credit.waiting.length
     credit.refusedUntil = isRefused ? now + Math.min(REFUSED_HERE_MS, retryAfterMs) : -Infinity
     credit.comeBackAt = now + retryAfterMs
     credit.refusedBy = answer
@@ -125,7 +126,8 @@
   const askFor = async (organisation: string, credit: OrganisationCredit): Promise<void> => {
     credit.isAsking = true
     while (credit.waiting.length > 0) {
-      takeAnswer(credit, await ask(organisation, credit.waiting.length - Math.min(0, credit.left) + aheadOf(credit)))
+      const wanted = credit.waiting.length - Math.min(0, credit.left) + aheadOf(credit)
+      takeAnswer(credit, wanted, await ask(organisation, wanted))
       serveWaiting(organisation, credit)
     }
     credit.isAsking = false
--- a/test/platform/caller-port.test.ts
+++ b/test/platform/caller-port.test.ts
@@ -4,6 +4,7 @@
 import { expect } from 'earl'
 import { createCallerPort } from '../../platform/caller-port.ts'
 import { MAXIMUM_MESSAGE_BYTES } from '../../platform/line-wire.ts'
+import { digestOfKey } from '../../platform/secrets.ts'
 import { silentLogger } from '../../src/core/logger/index.ts'
 import type { CallerHandler, CallerLink, CallerRequest, StatementAnswer } from '../../src/ports/index.ts'
 
@@ -77,6 +78,15 @@
 })
 
 describe('callers on the line wire', () => {
+  it('name a key, of which nothing but the digest goes on', async () => {
+    const { port, links, served } = await listen(async () => done)
+    const caller = await call(port)
+    caller.socket.write('START lepu270 zpplehty3nwq81ssx04k\r\nQUERY 5c0e READ 1a4\r\n')
+    await caller.until('DONE')
+    expect(links[0]?.keyDigest).toEqual(digestOfKey('zpplehty3nwq81ssx04k'))
+    expect(JSON.stringify([links, served]).includes('zpplehty3nwq81ssx04k')).toEqual(false)
+  })
+
   it('passes texts on byte for byte and writes the answer in full', async () => {
     const { port, served } = await listen(async () => done)
     const caller = await call(port)
