--- a/src/core/config/entry-settings.ts
+++ b/src/core/config/entry-settings.ts
@@ -45,8 +45,9 @@
     /** Span of time in which a limit holds, in seconds. */
     windowSeconds: optionalNumber(5),
     /**
-     * What the count in such a span may exceed a limit by: a part of it, and a number of operations. Half is given to
-     * callers; the rest makes up for hosts that cannot tell each other what they have granted.
+     * What the count in such a span may exceed a limit by: a part of it, and a number of operations. Callers get a
+     * quarter of the part and half of the operations; the rest makes up for hosts that cannot tell each other what they
+     * have granted.
      */
     tolerance: z.strictObject({ part: optionalNumber(0), operations: optionalNumber(0) }).prefault({})
   }).prefault({}),
--- a/src/homes/home-choice.ts
+++ b/src/homes/home-choice.ts
@@ -1,7 +1,7 @@
 /** Chooses among the homes of an upstream by what was seen of each: whether it answers, and how much it has to do. */
 import type { KnownHost } from '../registry/index.ts'
 import { ASK_AGAIN_MS, LOAD_COST_MS, LOAD_HALF_LIFE_MS, OTHER_HOME_MS, OVERHEAD } from './consts.ts'
-import { scoreOf } from './placement.ts'
+import { orderByScore } from './placement.ts'
 
 /** What a home tells with each answer. */
 export interface HomeReport {
@@ -126,7 +126,8 @@
         return !tried.has(home.name) && !isSilent && !leaving
       })
       // Two drawn at random: hosts that all went to the one that told the least would overload it.
-      const preferred = organisation === '' ? undefined : preferredOf(organisation, fit)
+      // The home where the organisation's connections are.
+      const [preferred] = organisation === '' ? [] : orderByScore(organisation, fit)
       const cost = (home: KnownHost): number =>
         costOf(home, upstream) + (preferred === undefined || home === preferred ? 0 : OTHER_HOME_MS)
       const drawn = fit.length <= 2 ? fit : drawTwo(fit, preferred)
@@ -181,12 +182,6 @@
   return value * 0.5 ** ((performance.now() - seenAt) / halfLifeMs)
 }
 
-/** The home where an organisation's connections are; hosts that see the same homes prefer the same. */
-function preferredOf (organisation: string, homes: KnownHost[]): KnownHost | undefined {
-  const scored = homes.map((home) => ({ home, score: scoreOf(organisation, home.name) }))
-  return scored.sort((left, right) => left.score > right.score ? -1 : 1)[0]?.home
-}
-
 /** Draws two items; one of them is the given one, if any. */
 function drawTwo<Item> (items: Item[], given?: Item): Item[] {
   const first = given === undefined ? Math.floor(Math.random() * items.length) : items.indexOf(given)
--- a/src/homes/placement.ts
+++ b/src/homes/placement.ts
@@ -46,6 +46,20 @@
   return score
 }
 
+/**
+ * Orders hosts for whatever one of them is to do for all, the same way on each host that knows the same ones.
+ *
+ * @param name - what it is for
+ * @param hosts - the hosts
+ * @returns the hosts, the highest score first
+ */
+export function orderByScore<Host extends { name: string }> (name: string, hosts: readonly Host[]): Host[] {
+  return hosts
+    .map((host) => ({ host, score: scoreOf(name, host.name) }))
+    .sort((left, right) => left.score > right.score ? -1 : 1)
+    .map(({ host }) => host)
+}
+
 /**
  * Says how many homes an upstream has.
  *
--- a/src/limits/index.ts
+++ b/src/limits/index.ts
@@ -8,7 +8,7 @@
 import type { EntrySettings } from '../core/config/entry-settings.ts'
 import { describeThrown } from '../core/errors/index.ts'
 import { registerPlugin } from '../core/kernel/index.ts'
-import { scoreOf } from '../homes/placement.ts'
+import { orderByScore } from '../homes/placement.ts'
 import type { OperationLimit, Organisation } from '../ports/index.ts'
 import type { KnownHost } from '../registry/index.ts'
 import { createAskers } from './askers.ts'
@@ -83,10 +83,7 @@
         return known.order
       }
       const staying = liveHosts.filter(({ leaving }) => leaving !== true)
-      const order = (staying.length > 0 ? staying : liveHosts)
-        .map((host) => ({ host, score: scoreOf(organisation, host.name) }))
-        .sort((left, right) => left.score > right.score ? -1 : 1)
-        .map(({ host }) => host)
+      const order = orderByScore(organisation, staying.length > 0 ? staying : liveHosts)
       orders.set(organisation, { liveHosts, order })
       return order
     }
--- a/src/limits/keeper.ts
+++ b/src/limits/keeper.ts
@@ -14,7 +14,7 @@
 
 /** Options of {@link createKeeper}. */
 export interface KeeperOptions {
-  desiredState: () => Pick<DesiredState, 'organisations' | 'version'> | undefined
+  desiredState: () => Pick<DesiredState, 'organisations'> | undefined
   counting: () => LimitCounting
   /** Part of all hosts that this host can see, from 0 to 1: another may keep the same limits for the rest. */
   seenPart: () => number
