--- a/platform/days/play.sh
+++ b/deploy/days/play.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Plays every day in this folder on the given site files, four at a time, and prints one line a day.
-# Usage: FLEETBENCH=path-of-the-bench platform/days/play.sh SITE... (from the root of the repository)
+# Usage: FLEETBENCH=path-of-the-bench deploy/days/play.sh SITE... (from the root of the repository)
 set -euo pipefail
 : "${FLEETBENCH:?set FLEETBENCH to the program of the bench}"
 logs=$(mktemp -d)
--- a/test/entry/organisations.test.ts
+++ b/test/entry/organisations.test.ts
@@ -1,8 +1,9 @@
-import { describe, it } from 'node:test'
+import { afterEach, beforeEach, describe, it } from 'node:test'
 import { expect } from 'earl'
 import { REFUSED_HERE_MS } from '../../src/limits/consts.ts'
 import { setUpWorld } from '../fixtures/fleet/set-up.ts'
 import type { FakeOrganisation, FakeRoute } from '../fixtures/fleet/world.ts'
+import { seedRandom } from '../fixtures/seed-random.ts'
 
 const ROUTES: FakeRoute[] = [
   { database: 'money', group: 'g', freshness: { type: 'primary' }, timeoutMs: 800 },
@@ -92,6 +93,9 @@
 })
 
 describe('the limit of an organisation', () => {
+  let restoreRandom = (): void => {}
+  beforeEach(() => { restoreRandom = seedRandom(24) })
+  afterEach(() => restoreRandom())
   const suite = setUpWorld(HOSTS, ROUTES)
   const limit = { perSecond: 20, burst: 20 }
   const windowMs = 5000
@@ -198,4 +202,41 @@
     await play(100, 5000)
     expect(mostRunInWindow() <= most).toEqual(true)
   })
+
+  it('is found broken when a question that is not answered counts as granted', async () => {
+    suite.world.unansweredCountsAsGranted = true
+    await configure()
+    await play(100, 3000)
+    HOSTS.slice(0, 4).forEach((name) => suite.world.beyondCut.add(name))
+    await play(100, 6000)
+    expect(mostRunInWindow() > most).toEqual(true)
+  })
+
+  for (const seed of [1, 2, 3, 4, 5, 6]) {
+    it(`holds in a random schedule of floods, cuts, silence and restarts (seed ${seed})`, async () => {
+      restoreRandom()
+      restoreRandom = seedRandom(seed)
+      const some = (): string[] => HOSTS.filter(() => Math.random() < 0.35)
+      const troubles: Array<() => Promise<void>> = [
+        async () => { some().forEach((name) => suite.world.beyondCut.add(name)) },
+        async () => { suite.world.beyondCut.clear() },
+        async () => { some().slice(0, 2).forEach((name) => suite.world.silent.add(name)) },
+        async () => { suite.world.silent.clear() },
+        async () => {
+          const [name] = some()
+          if (name !== undefined) {
+            await suite.world.kill(name)
+            await suite.world.startHost(name)
+          }
+        },
+        configure
+      ]
+      await configure()
+      for (let turn = 0; turn < 8; turn++) {
+        await troubles[Math.floor(Math.random() * troubles.length)]!()
+        await play(20 + Math.floor(Math.random() * 120), 500 + Math.random() * 1500)
+      }
+      expect(mostRunInWindow() <= most).toEqual(true)
+    })
+  }
 })
