Log each retry that the budget refuses

An aborted read showed in the log as `request.failed` with the error of its attempt. Whether it was not repeated for want of tries, of time, by its verdict or for want of budget could not be told.

On the known failure (test/entry/process/retry-budget.test.ts): 100 `read.repeated`, then 20 `retry.refused` with attempts=1 and balance=0.0, one for each aborted read.

--- a/src/core/logger/events.ts
+++ b/src/core/logger/events.ts
@@ -90,6 +90,7 @@
   'registry.unregister-failed': { level: 'warn', pairs: 'reason', when: 'this process could not remove its row; peers retire it' },
   'request.done': { level: 'info', pairs: 'id, type, database, group, organisation, upstream, home, floor, attempts, outcome, state, position, ms', when: 'a request was answered by an upstream' },
   'request.failed': { level: 'warn', pairs: 'id, type, database, group, organisation, upstream, home, floor, attempts, outcome, reason, state, position, ms', when: 'a request was refused, failed, or is in doubt' },
+  'retry.refused': { level: 'warn', pairs: 'id, group, upstream, home, reason, attempts, balance', when: 'a request that may have run is not sent again, since the retry budget is used up; `balance` is what is left of it' },
   'standin.tail-discarded': { level: 'warn', pairs: 'upstream, records', when: 'a stand-in dropped records that no majority had' },
   'store.lost': { level: 'warn', pairs: 'reason, confirmedAgeMs, version', when: 'the store stopped answering this host' },
   'store.regained': { level: 'info', pairs: 'confirmedAgeMs, version', when: 'the store answers this host again' },
--- a/src/entry/requests/reads.ts
+++ b/src/entry/requests/reads.ts
@@ -140,7 +140,7 @@
       attempts: scope.attempts,
       primaryOnly: place.type === 'primary',
       deadlinePassed: scope.deadline.passed,
-      spendBudget: context.budget.spend
+      spendBudget: () => spendRetry(context, scope, upstream, cause)
     })
     if (decision.action === 'give-up') {
       return { ...finalAnswerOf(outcome), upstream }
@@ -158,6 +158,20 @@
   }
 }
 
+/** Takes a retry from the budget. A refusal is logged: the caller's answer does not show that it is the cause. */
+function spendRetry (
+  { budget, logger }: Pick<EntryContext, 'budget' | 'logger'>, { requestId, group, attempts, home }: RequestScope,
+  upstream: string, cause: RetryCause
+): boolean {
+  if (budget.spend()) {
+    return true
+  }
+  logger.log('warn', 'retry.refused', {
+    id: requestId, group, upstream, home, reason: retryReason(cause), attempts, balance: budget.balance.toFixed(1)
+  })
+  return false
+}
+
 function logRepeat (
   { logger, measures }: Pick<EntryContext, 'logger' | 'measures'>, { requestId, group, attempts, home }: RequestScope, upstream: string,
   cause: RetryCause, place: ReadPlace
--- a/src/mysql-proxy/routing/group-home.ts
+++ b/src/mysql-proxy/routing/group-home.ts
@@ -63,7 +63,7 @@
  * @returns the home
  */
 export function createGroupHome (options: GroupHomeOptions): GroupHome {
-  const { name } = options
+  const { name, logger } = options
   const state = { group: options.group, inProgress: 0 }
   const group = (): Group => state.group
   const counts = createGroupCounts()
@@ -76,9 +76,12 @@
   const stopWatch = refreshWhile(view, () => state.inProgress > 0)
 
   const spendRetry = (): boolean => {
-    const granted = budget.spend()
-    counts.retries += granted ? 1 : 0
-    return granted
+    const isGranted = budget.spend()
+    counts.retries += isGranted ? 1 : 0
+    if (!isGranted) {
+      logger.log('warn', 'retry.refused', { group: name, balance: budget.balance.toFixed(1) })
+    }
+    return isGranted
   }
   const { failureDomain, seed } = options
   const onServed = (fromReplica: boolean): void => { counts[fromReplica ? 'readsOnReplicas' : 'readsOnPrimary']++ }
