Refill the retry budget of a MySQL home by what is served

What callers saw: nothing as long as little broke; under overload a home sent more retries than the budget is there to allow.

Cause: each request was counted when it came, so a refusal refilled the budget as much as an answer. Of 5,000 requests with one in ten served, the rule as it was grants 1,099 retries for 500 answers. A begin, a rollback, an explain counted as well.

Now a statement or commit counts when it has been served. The balance is kept in whole served statements: 50 times 0.2 summed up to 9.99 retries.

--- a/src/mysql-proxy/routing/group-home.ts
+++ b/src/mysql-proxy/routing/group-home.ts
@@ -3,7 +3,6 @@
  * budget of its retries, and wires them to the handlers of requests.
  */
 import type { Group } from '../../core/config/index.ts'
-import { RequestError } from '../../core/errors/index.ts'
 import type { Logger } from '../../core/logger/index.ts'
 import type { Dialer } from '../../core/wire/dialer.ts'
 import { startLedgerSweeper } from '../ledger/ledger-sweeper.ts'
@@ -12,6 +11,7 @@
 import { createRetryBudget } from '../../retries/retry-budget.ts'
 import { createGroupCounts, type GroupCounts } from './group-counts.ts'
 import { createHomeReads } from './home-reads.ts'
+import { createRequestCounter } from './request-counter.ts'
 import { createRequestHandlers } from './request-handlers.ts'
 import { createTransactions } from './transactions.ts'
 import type { HomeReply, HomeRequest } from './types.ts'
@@ -64,7 +64,7 @@
  */
 export function createGroupHome (options: GroupHomeOptions): GroupHome {
   const { name, logger } = options
-  const state = { group: options.group, inProgress: 0 }
+  const state = { group: options.group }
   const group = (): Group => state.group
   const counts = createGroupCounts()
   const budget = createRetryBudget()
@@ -73,8 +73,6 @@
   const view = createHomeView(options, groupPools)
   const transactions = createTransactions({ view, pools, greatestMs: () => state.group.limits.transactionMs })
   const sweeper = startLedgerSweeper({ view, pools, group })
-  const stopWatch = refreshWhile(view, () => state.inProgress > 0)
-
   const spendRetry = (): boolean => {
     const isGranted = budget.spend()
     counts.retries += isGranted ? 1 : 0
@@ -87,29 +85,20 @@
   const onServed = (fromReplica: boolean): void => { counts[fromReplica ? 'readsOnReplicas' : 'readsOnPrimary']++ }
   const reads = createHomeReads({ name, view, pools, failureDomain, seed, group, spendRetry, onServed })
   const handle = createRequestHandlers({ view, pools, group, counts, reads, transactions, spendRetry })
+  const requests = createRequestCounter({ handle, budget, counts })
+  const stopWatch = refreshWhile(view, () => requests.inProgress > 0)
 
   return {
     view,
     counts,
-    serve: async (request) => {
-      budget.earn()
-      state.inProgress++
-      try {
-        return await handle(request)
-      } catch (thrown) {
-        counts.refused += thrown instanceof RequestError && thrown.entry === 'Overloaded' ? 1 : 0
-        throw thrown
-      } finally {
-        state.inProgress--
-      }
-    },
+    serve: requests.serve,
     update: (changed) => {
       state.group = changed
       view.update(changed)
       groupPools.update(changed)
     },
     sweepLedger: sweeper.sweep,
-    get busy () { return state.inProgress + transactions.open },
+    get busy () { return requests.inProgress + transactions.open },
     dump: () => ({
       view: view.dump(),
       pools: Object.fromEntries([...pools].map(([upstream, pool]) => [upstream, pool.state()])),
--- a/src/retries/retry-budget.ts
+++ b/src/retries/retry-budget.ts
@@ -1,19 +1,20 @@
 /**
  * Whether a retry may be sent.
  *
- * Inputs: requests and retries so far. Rule: each request adds {@link EARNED_PER_REQUEST} of a retry to a balance, up
- * to {@link GREATEST_BALANCE}; a retry takes one, and is not sent when there is none. Why: retries must not multiply an
- * overload.
+ * Inputs: statements that were served, and retries so far. Rule: {@link SERVED_PER_RETRY} served statements add a
+ * retry to a balance, up to {@link GREATEST_BALANCE}; a retry takes one, and is not sent when there is none.
+ * Why: retries must not multiply an overload. Only what is served refills the balance: refusals grow with the overload,
+ * and a budget that they refill grows with it.
  */
 
-/** Retries that each request adds to the balance; chosen, not measured. */
-const EARNED_PER_REQUEST = 0.2
-/** Greatest balance, and the one at the start, in retries; chosen, not measured. */
+/** Served statements that earn a retry. */
+const SERVED_PER_RETRY = 5
+/** Greatest balance, and the one at the start, in retries. */
 const GREATEST_BALANCE = 100
 
 /** A balance of retries. */
 export interface RetryBudget {
-  /** Counts a request. */
+  /** Counts a statement that was served. Whoever takes retries for a statement counts it, and nobody else does. */
   earn: () => void
   /**
    * Takes a retry from the balance.
@@ -21,6 +22,7 @@
    * @returns whether there was one
    */
   spend: () => boolean
+  /** Retries that are left; a part of one is not enough for the next. */
   readonly balance: number
 }
 
@@ -30,16 +32,18 @@
  * @returns the budget
  */
 export function createRetryBudget (): RetryBudget {
-  let balance = GREATEST_BALANCE
+  const greatestServed = GREATEST_BALANCE * SERVED_PER_RETRY
+  /** Served statements that no retry has used up. */
+  let served = greatestServed
   return {
-    earn: () => { balance = Math.min(GREATEST_BALANCE, balance + EARNED_PER_REQUEST) },
+    earn: () => { served = Math.min(greatestServed, served + 1) },
     spend: () => {
-      if (balance < 1) {
+      if (served < SERVED_PER_RETRY) {
         return false
       }
-      balance--
+      served -= SERVED_PER_RETRY
       return true
     },
-    get balance () { return balance }
+    get balance () { return served / SERVED_PER_RETRY }
   }
 }
