Refill the retry budget of the entry process by what is served

What callers saw: after a process had repeated 100 reads, each further read whose connection or home was lost came back as `aborted`, for the rest of the process's life.

Cause: the entry process took retries from the budget and counted nothing for it; only the MySQL proxy did. Evidence: `retry.refused` with attempts=1 and balance=0.0 for each of the 20 aborted reads, after 100 `read.repeated`, with 1,200 reads served in between.

Now a statement with an upstream's signature and without a failure counts, on the host of its caller.

--- a/src/entry/requests/session.ts
+++ b/src/entry/requests/session.ts
@@ -91,6 +91,11 @@
   }
 }
 
+/** Whether an upstream has run the statement with success; an answer of this process shows nothing of its room. */
+function isServed ({ signature, failure }: StatementAnswer): boolean {
+  return signature !== undefined && failure === undefined
+}
+
 /**
  * Creates a session.
  *
@@ -122,6 +127,10 @@
     const answer = await answerOf(request)
     busy = false
     idleSince = performance.now()
+    if (isServed(answer)) {
+      // Counted on the caller's host, which takes the retries: a home repeats nothing for the hosts that ask it.
+      context.budget.earn()
+    }
     if (answer.state === 'failed') {
       transaction.failureReported()
     }
