Say that nothing is new in a table only while the store answers

The logs rule out the suspected transaction that outlasts a change of keys: seven hosts put the version in force 6 to 8 s late, and served by the old one.

Cause, two halves: a host that fails to read the store drops the version to ask from, and a peer's notification was compared with that alone, so it passed; and a host answered for a table as long as its registry was young, which comes from peers, so that two rejected followers told each other that nothing was new.

Now the newest reported version is kept and an answer must be as of it (feed.peer-behind names a host that knew less); that nothing is new is said only while the store answers.

--- a/src/core/logger/events.ts
+++ b/src/core/logger/events.ts
@@ -34,6 +34,7 @@
   'feed.behind': { level: 'info', pairs: 'table, version, told, peer', when: 'a peer has reported a change that did not arrive here in time; the table is read whole' },
   'feed.history-lost': { level: 'warn', pairs: 'table, version', when: 'the store has forgotten the changes since a version; the table is read whole' },
   'feed.lost': { level: 'warn', pairs: 'table, reason', when: 'a table of the store cannot be followed; the question is repeated' },
+  'feed.peer-behind': { level: 'info', pairs: 'table, peer, version, told', when: 'a host that follows a table has answered with less than another host has reported; the next one is asked' },
   'feed.regained': { level: 'info', pairs: 'table, version', when: 'a table can be followed again' },
   'freshness.asked': { level: 'info', pairs: 'group, peers, found, position, before', when: 'this host had no proof of freshness and asked peers for theirs' },
   'freshness.not-proven': { level: 'info', pairs: 'group, upstream, reason', when: 'a home could not learn where the log of its primary ends' },
--- a/src/entry/registry/follow-table.ts
+++ b/src/entry/registry/follow-table.ts
@@ -7,7 +7,9 @@
  * - Rule: a follower asks the store first, and peers when the store fails. Any other host asks peers first, and the
  *   store when none can answer; then it acts as a follower for {@link ACT_AS_FOLLOWER_MS}. A host whose own question
  *   has not returned a change within {@link BEHIND_MS} of a notification asks peers first, whoever it is.
- * - Why: calls to the store are priced, and the connection of a question to the store may go silent for good.
+ *   What a peer answers counts only when it is as of the newest version that any has notified.
+ * - Why: calls to the store are priced, and the connection of a question to the store may go silent for good. Hosts
+ *   that the store rejects would go on telling each other that nothing is new.
  */
 import { describeThrown } from '../../core/errors/index.ts'
 import type { Logger } from '../../core/logger/index.ts'
@@ -73,10 +75,12 @@
   const reads = createTableReads({ store, table, logger, followed, notifications, exchange, gatherMs })
   /** Whether a peer knows of a change that this host has not got: a peer's answer is surer than a silent store's. */
   let isPeerAhead = false
+  /** Newest version that peers have notified this host of; it outlasts a version that is forgotten meanwhile. */
+  let newestNotified = -1
   let actsAsFollowerUntil = -Infinity
   const asksStoreFirst = (): boolean => exchange.isFollower() || performance.now() < actsAsFollowerUntil
 
-  exchange.serve(table, followed.copy, reads.readAnew)
+  exchange.serve(table, { copy: followed.copy, readAnew: reads.readAnew, isFollowing: () => reads.isFollowing })
   exchange.onRelieved(reads.interrupt)
   options.onStoreLost(() => {
     if (asksStoreFirst()) {
@@ -85,8 +89,10 @@
   })
   options.onReread?.(reads.readAnew)
   notifications.onNotified(table, (notifiedVersion, peer) => {
+    newestNotified = Math.max(newestNotified, notifiedVersion)
     void pause(BEHIND_MS).then(() => {
-      const { version } = followed
+      // The copy's version: the one to ask from is forgotten whenever the store fails.
+      const { version } = followed.copy
       if (version !== undefined && version < notifiedVersion) {
         logger.log('info', 'feed.behind', { table, version, told: notifiedVersion, peer })
         isPeerAhead = true
@@ -107,14 +113,14 @@
     await exchange.hostsKnown()
     if (!asksStoreFirst() || isPeerAhead) {
       isPeerAhead = false
-      await reads.readFromPeer() || await readFromStore()
+      await reads.readFromPeer(newestNotified) || await readFromStore()
       return
     }
     try {
       await readFromStore()
     } catch (thrown) {
       actsAsFollowerUntil = -Infinity
-      if (!await reads.readFromPeer()) {
+      if (!await reads.readFromPeer(newestNotified)) {
         throw thrown
       }
     }
--- a/src/entry/registry/table-copy.ts
+++ b/src/entry/registry/table-copy.ts
@@ -33,6 +33,8 @@
    * @returns what has changed; undefined when the table is not known here, or not as far as `after`
    */
   changesSince: (after: number | undefined, holdMs: number) => Promise<TableChanges | undefined>
+  /** Version of the store that the copy is as of; undefined while nothing is known. */
+  readonly version: number | undefined
   /** When the store was last asked for the whole table by this host, on the steady clock. */
   readonly readAt: number
   /**
@@ -79,6 +81,7 @@
   const hasChanges = ({ isWhole, rows, removed }: TableChanges): boolean =>
     isWhole || rows.length > 0 || removed.length > 0
   return {
+    get version () { return version },
     get readAt () { return readAt },
     readSince: async (since, timeoutMs) =>
       await waiters.until(() => readAt >= since || undefined, timeoutMs) ?? false,
--- a/src/entry/registry/table-reads.ts
+++ b/src/entry/registry/table-reads.ts
@@ -21,14 +21,27 @@
   gatherMs: number
 }
 
+/**
+ * Time after its last answer for which the store counts as answering this host, in milliseconds: longer than the pause
+ * between two questions.
+ */
+const ANSWERING_MS = 1000
+
 /** Reads of a followed table. */
 interface TableReads {
+  /** Whether the store answers this host's questions for the table, or holds one. */
+  readonly isFollowing: boolean
   /** Reads the whole table from the store. */
   readWhole: () => Promise<void>
   /** Waits for changes after a version from the store, for at most `waitMs` milliseconds. */
   readChanges: (after: number, waitMs: number) => Promise<void>
-  /** Asks followers; returns whether one could answer. */
-  readFromPeer: () => Promise<boolean>
+  /**
+   * Asks followers.
+   *
+   * @param atLeast - version that an answer must be as of: another host has reported it
+   * @returns whether one could answer
+   */
+  readFromPeer: (atLeast: number) => Promise<boolean>
   /** Ends a wait for changes. */
   interrupt: () => void
   /** Has the table read whole next. */
@@ -47,12 +60,15 @@
   const { store, table, logger, followed, notifications, exchange, gatherMs } = options
   let mustBeAnew = false
   let waiting = new AbortController()
+  let isAsking = false
+  let answeredAt = -Infinity
 
   const startAgain = (): void => {
     followed.forgetVersion()
     waiting.abort()
   }
   return {
+    get isFollowing () { return isAsking || performance.now() - answeredAt < ANSWERING_MS },
     startAgain,
     interrupt: () => waiting.abort(),
     readAnew: () => {
@@ -63,19 +79,22 @@
       mustBeAnew = false
       const askedAt = performance.now()
       const snapshot = await store.list(table)
+      answeredAt = performance.now()
       followed.replace(snapshot.rows, snapshot.version, askedAt)
     },
     readChanges: async (after, waitMs) => {
       waiting = new AbortController()
       const { signal } = waiting
+      isAsking = true
       const changes = await store.follow(table, after, waitMs, signal).catch((thrown: unknown) => {
         if (!signal.aborted) {
           throw thrown
         }
-      })
+      }).finally(() => { isAsking = false })
       if (signal.aborted) {
         return
       }
+      answeredAt = performance.now()
       if (changes === undefined) {
         logger.log('warn', 'feed.history-lost', { table, version: after })
         followed.forgetVersion()
@@ -87,11 +106,13 @@
         await pause(gatherMs)
       }
     },
-    readFromPeer: async () => {
+    readFromPeer: async (atLeast) => {
       const before = followed.version
       const isAnew = mustBeAnew
       mustBeAnew = false
-      const changes = isAnew ? await exchange.askAnew(table) : await exchange.ask(table, before)
+      const changes = isAnew
+        ? await exchange.askAnew(table, atLeast)
+        : await exchange.ask(table, followed.copy.version, atLeast)
       // A change of the version meanwhile means that the answer is to an earlier state.
       if (changes === undefined || followed.version !== before) {
         return changes !== undefined
--- a/test/entry/registry/table-exchange.test.ts
+++ b/test/entry/registry/table-exchange.test.ts
@@ -1,8 +1,9 @@
-import { describe, it } from 'node:test'
+import { afterEach, beforeEach, describe, it } from 'node:test'
 import { expect } from 'earl'
 import { followersOf, LEAST_FOLLOWERS, orderFor } from '../../../src/entry/registry/readers.ts'
 import type { KnownHost } from '../../../src/entry/registry/snapshot.ts'
 import { MONEY, setUpWorld } from '../../fixtures/fleet/set-up.ts'
+import { seedRandom } from '../../fixtures/seed-random.ts'
 
 const NAMES = Array.from({ length: 16 }, (_, index) => `h${index + 1}`)
 const HOSTS: KnownHost[] = NAMES.map((name) => ({
@@ -86,3 +87,49 @@
     expect(suite.world.messagesByType.get('extend') ?? 0).toEqual(0)
   })
 })
+
+/**
+ * Callers were served by a desired state that had been replaced seconds before, on hosts that the store rejected.
+ * A follower whose question to the store fails forgets the version to ask from and asks other followers. It passed over
+ * a peer's notification of a change that came in that moment, since it had no version to compare; and when the follower
+ * that it asked was rejected as well, that one said that nothing was new, which counted as an answer. Two followers told
+ * each other so for as long as the store rejected them, and all hosts that asked them stayed behind too. The log of such
+ * a host has neither `feed.behind` nor `feed.lost`, and no `desired-state.in-force` of the version. Now a host says that
+ * nothing is new only while the store answers it, and `feed.peer-behind` names one that knew less than was told.
+ */
+describe('a change that comes soon after the store has begun to reject hosts', () => {
+  let restoreRandom = (): void => {}
+  beforeEach(() => { restoreRandom = seedRandom(93) })
+  afterEach(() => restoreRandom())
+  const suite = setUpWorld(NAMES)
+  const behind = (): string[] =>
+    NAMES.filter((name) => suite.world.hosts.get(name)!.kernel.use('desiredState').current?.version !== 2)
+  const changeAfter = async (rejected: string[], leadMs: number): Promise<void> => {
+    await suite.clock.tickAsync(5000)
+    rejected.forEach((name) => suite.world.store.cutOff.add(name))
+    await suite.clock.tickAsync(leadMs)
+    suite.world.configure(MORE)
+    await suite.clock.tickAsync(IN_FORCE_MS)
+  }
+
+  it('reaches two rejected followers that ask each other, and whoever asks them', async () => {
+    await changeAfter(['h14', 'h9', 'h10', 'h1', 'h3', 'h2', 'h12', 'h13'], 660)
+    expect(behind()).toEqual([])
+  })
+
+  for (const leadMs of [0, 150, 300, 450, 600, 800, 1000, 1300]) {
+    it(`reaches all hosts when all followers but one are rejected, ${leadMs} ms before`, async () => {
+      await changeAfter(FOLLOWERS.slice(1), leadMs)
+      expect(behind()).toEqual([])
+    })
+  }
+
+  it('reaches them with few calls to the store', async () => {
+    await suite.clock.tickAsync(5000)
+    FOLLOWERS.slice(2).forEach((name) => suite.world.store.cutOff.add(name))
+    const before = suite.world.store.calls
+    await suite.clock.tickAsync(9000)
+    // A reader reads each 0.75 s, and so do deputies; each rejected follower tries two tables each 1.2 s.
+    expect(suite.world.store.calls - before < 200).toEqual(true)
+  })
+})
