Start one statement to see whether a slow upstream is fast again

What callers saw: after an upstream had been slow for a while, a home refused all statements for it until it was restarted.

Cause: what has less than twice the mean latency left is not started, and the mean moves only with statements that run. Once it was above half of the longest deadline nothing could lower it.

Now, when none has run for 500 ms, one statement at a time is started all the same and measures the mean anew. Why it holds: while the upstream is slow it costs one statement each half second, and the first one that is fast sets the mean.

--- a/src/mysql-proxy/upstreams/concurrency-limit.ts
+++ b/src/mysql-proxy/upstreams/concurrency-limit.ts
@@ -13,6 +13,11 @@
 const TOLERATED_SLOWDOWN = 3
 /** Least change of the mean latency that is taken for queueing, in milliseconds. */
 const TIMER_GRAIN_MS = 2
+/**
+ * Time after the last statement from which the mean latency is out of date, in milliseconds: the next one measures it
+ * anew.
+ */
+const MEAN_VALID_MS = 500
 /** Most the limit shrinks by in one step. */
 const SMALLEST_GRADIENT = 0.5
 
@@ -22,6 +27,8 @@
   readonly current: number
   /** Mean time of a statement, in milliseconds. */
   readonly meanMs: number
+  /** Whether the mean is out of date, as no statement has run for a while. */
+  readonly isMeanOutOfDate: boolean
   /**
    * Records the latency of a statement.
    *
@@ -51,6 +58,8 @@
   let fastestOfWindow = Infinity
   let batchSum = 0
   let samples = 0
+  let measuredAt = -Infinity
+  const isMeanOutOfDate = (): boolean => performance.now() - measuredAt > MEAN_VALID_MS
 
   const measureFastest = (latencyMs: number): void => {
     batchSum += latencyMs
@@ -72,9 +81,11 @@
   return {
     get current () { return Math.max(1, Math.min(Math.floor(limit), maximum())) },
     get meanMs () { return mean },
+    get isMeanOutOfDate () { return isMeanOutOfDate() },
     record: (latencyMs) => {
       measureFastest(latencyMs)
-      mean = mean === 0 ? latencyMs : mean + SAMPLE_WEIGHT * (latencyMs - mean)
+      mean = isMeanOutOfDate() ? latencyMs : mean + SAMPLE_WEIGHT * (latencyMs - mean)
+      measuredAt = performance.now()
       const tolerated = fastest * TOLERATED_SLOWDOWN + TIMER_GRAIN_MS
       const gradient = Math.max(SMALLEST_GRADIENT, Math.min(1, tolerated / mean))
       const target = limit * gradient + Math.sqrt(limit) * SAMPLE_WEIGHT
--- a/src/mysql-proxy/upstreams/connection-pool.ts
+++ b/src/mysql-proxy/upstreams/connection-pool.ts
@@ -74,6 +74,11 @@
   /** Brings the queues in line with the limit, the share and what transactions hold. */
   const adjust = (): void => queues.adjust(connections.concurrency, connections.share)
   adjust()
+  /**
+   * Whether the statement that starts now is to measure the mean anew, alone. Otherwise an upstream that was slow once
+   * would get no statement any more, and so none that shows that it is fast again.
+   */
+  const measuresMean = (): boolean => connections.isMeanOutOfDate && queues.running <= 1
 
   const admit = ({ deadline }: PoolRequest, waiting: number): void => {
     const request = { ...pace(), upstream: access.name, waiting, bound, leftMs: deadline.leftMs }
@@ -87,7 +92,7 @@
     run: async (request, work) => {
       admit(request, queues.waitingBefore(request.access))
       return await queues.run(request, async () => {
-        if (isTooLateToStart(request.deadline.leftMs, connections.meanMs)) {
+        if (!measuresMean() && isTooLateToStart(request.deadline.leftMs, connections.meanMs)) {
           throw refuse(`too little time is left to run it on ${access.name}`)
         }
         return await connections.use(work)
--- a/src/mysql-proxy/upstreams/pool-connections.ts
+++ b/src/mysql-proxy/upstreams/pool-connections.ts
@@ -46,6 +46,8 @@
   readonly concurrency: number
   /** Mean latency of a statement, in milliseconds; 0 before one is measured. */
   readonly meanMs: number
+  /** Whether the mean is out of date, as no statement has run for a while. */
+  readonly isMeanOutOfDate: boolean
   /** Runs a statement's work on a connection; it must throw when the connection's state is in doubt. */
   use: <Result>(work: (client: Client) => Promise<Result>) => Promise<Result>
   /**
@@ -89,6 +91,7 @@
     get pinned () { return pinned },
     get concurrency () { return limit.current },
     get meanMs () { return limit.meanMs },
+    get isMeanOutOfDate () { return limit.isMeanOutOfDate },
     use: async (work) => {
       const client = await acquire()
       const startedAt = performance.now()
--- a/test/entry/registry/table-exchange.test.ts
+++ b/test/entry/registry/table-exchange.test.ts
@@ -89,13 +89,14 @@
 })
 
 /**
- * Callers were served by a desired state that had been replaced seconds before, on hosts that the store rejected.
- * A follower whose question to the store fails forgets the version to ask from and asks other followers. It passed over
- * a peer's notification of a change that came in that moment, since it had no version to compare; and when the follower
- * that it asked was rejected as well, that one said that nothing was new, which counted as an answer. Two followers told
- * each other so for as long as the store rejected them, and all hosts that asked them stayed behind too. The log of such
- * a host has neither `feed.behind` nor `feed.lost`, and no `desired-state.in-force` of the version. Now a host says that
- * nothing is new only while the store answers it, and `feed.peer-behind` names one that knew less than was told.
+ * Callers were served by a desired state that had been replaced seconds before, on hosts that the store rejected. A
+ * follower whose question to the store fails forgets the version to ask from and asks other followers. It passed over
+ * a peer's notification of a change that came in that moment, since it had no version to compare. When the follower
+ * that it asked was rejected as well, that one said that nothing was new, which counted as an answer. Two followers
+ * told each other so for as long as the store rejected them, and all hosts that asked them stayed behind too. The log
+ * of such a host has neither `feed.behind` nor `feed.lost`, and no `desired-state.in-force` of the version. Now a host
+ * says that nothing is new only while the store answers it, and `feed.peer-behind` names one that knew less than was
+ * told.
  */
 describe('a change that comes soon after the store has begun to reject hosts', () => {
   let restoreRandom = (): void => {}
