Notice that a primary is back on a host that asks homes there

What callers saw: on a host that had once gone to a primary itself, in want of a home, and not reached it, requests were refused at once in the next failover which could have waited for its end.

Cause: the host records that it expects a failover, and withdrew that only when it went to the primary itself and reached it. Once a home answers it does neither.

Now each look at the groups withdraws it when the row is open and the upstream answers this host, through homes too. Why it holds: while the row is closed nothing is withdrawn, and an upstream that does not answer keeps its mark of being unreachable.

--- a/src/entry/leadership/index.ts
+++ b/src/entry/leadership/index.ts
@@ -65,9 +65,18 @@
       await closeHere(group, epoch)
       return {}
     })
+    /** A host that lost its way to a primary, and now has others ask it there, hears only so that it is back. */
+    const noticeReturn = (group: string): void => {
+      const { row } = registry.current.group(group)
+      const primary = row?.state === 'open' ? directory.get(row.primary) : undefined
+      if (primary !== undefined && pools.of(primary).health.unreachableSince === undefined) {
+        recoveryEstimates.reached(group)
+      }
+    }
     const stopWatching = repeat(WATCH_MS, async () => {
       localWork.abortExpired(groups())
       groups().forEach(watch.consider)
+      groups().forEach(noticeReturn)
     }, (thrown) => logger.log('error', 'leadership.watch-failed', { reason: describeThrown(thrown) }))
     const stopExtending = createExtensions({ registry, peers, primaryLeases, logger })
     const recordRecovery = createRecoveryRecorder(registry, recoveryEstimates)
--- a/test/entry/process/recovery-estimates.test.ts
+++ b/test/entry/process/recovery-estimates.test.ts
@@ -1,6 +1,8 @@
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
+import { homesOf } from '../../../src/placement/upstream-homes.ts'
 import { MONEY, setUpWorld } from '../../fixtures/fleet/set-up.ts'
+import { FAKE_CAP, FAKE_DOMAIN, FAKE_SLOTS } from '../../fixtures/fleet/world.ts'
 
 /** What became of a write, in milliseconds since the play began. */
 interface WriteOutcome {
@@ -70,3 +72,36 @@
     expect(failure).toEqual(undefined)
   })
 })
+
+/**
+ * A host that has no fit home goes to the primary itself, and expects a failover when it does not reach it. Once a home
+ * answers again the host asks there, and never saw that the primary was back: it expected the failover for good, and in
+ * the next one it took the recovery for long overdue and refused at once what could have waited. `expectedMs` stayed at
+ * 2000 after the home was back. Now a host looks whether a primary that it had lost answers it.
+ */
+describe('a host that lost the way to a primary and asks a home there again', () => {
+  const HOSTS = ['h1', 'h2', 'h3', 'h4', 'h5', 'h6']
+  const suite = setUpWorld(HOSTS, [MONEY])
+  const placed = HOSTS.map((name) => ({ name, failureDomain: FAKE_DOMAIN }))
+  const homes = homesOf({ upstream: 'g-a', failureDomain: FAKE_DOMAIN, slots: FAKE_SLOTS }, placed, FAKE_CAP)
+    .map(({ name }) => name)
+  const MESSAGES_TO_HOMES = ['home-statement', 'home-alive']
+  const other = HOSTS.find((name) => !homes.includes(name))!
+
+  it('expects no failover any more', async () => {
+    const primary = suite.world.upstreams.all.get('g-a')!
+    const expectedMs = (): number => suite.world.hosts.get(other)!.kernel.use('leadership').expectedMs('g')
+    await suite.settle(suite.world.connect(other, 'money').write(), 100)
+    MESSAGES_TO_HOMES.forEach((type) => suite.world.lostTypes.add(type))
+    primary.cutOff.add(other)
+    await suite.settle(suite.world.connect(other, 'money').write(), 1500)
+    await suite.settle(suite.world.connect(other, 'money').write(), 1500)
+    expect(expectedMs() > 0).toEqual(true)
+    suite.world.lostTypes.clear()
+    // Homes that were silent are asked whether they are alive when they are needed.
+    await suite.settle(suite.world.connect(other, 'money').write(), 1500)
+    const { failure } = await suite.settle(suite.world.connect(other, 'money').write(), 500)
+    expect(failure).toEqual(undefined)
+    expect(expectedMs()).toEqual(0)
+  })
+})
