Drop organisations with nothing to open from an upstream's opener

Cause: the count of connections being opened kept an entry of 0 for each organisation ever served, and is summed up and copied at each request for a connection. After 1,000 organisations it held 1,000 entries; now it holds those that open one.

--- a/src/entry/pools/connection-opener.ts
+++ b/src/entry/pools/connection-opener.ts
@@ -56,7 +56,9 @@
   let pausedUntil = -Infinity
 
   const count = (organisation: string, change: number): void => {
-    opening.set(organisation, (opening.get(organisation) ?? 0) + change)
+    const left = (opening.get(organisation) ?? 0) + change
+    // Organisations come and go; one with nothing to open must not be looked through at each request.
+    left === 0 ? opening.delete(organisation) : opening.set(organisation, left)
   }
   const takeFailure = (thrown: unknown): void => {
     const fault = faultOf(thrown)
--- a/test/entry/pools/connection-opener.test.ts
+++ b/test/entry/pools/connection-opener.test.ts
@@ -1,7 +1,7 @@
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
 import { RequestError } from '../../../src/core/errors/index.ts'
-import { faultOf } from '../../../src/entry/pools/connection-opener.ts'
+import { createConnectionOpener, faultOf } from '../../../src/entry/pools/connection-opener.ts'
 import { UpstreamUnreachable } from '../../../src/entry/ports/index.ts'
 
 describe('a failed attempt to connect to an upstream', () => {
@@ -18,3 +18,21 @@
       .toEqual(['misrouted', 'refused', 'silent', 'silent'])
   })
 })
+
+describe('the opener of connections', () => {
+  it('looks through no organisations but those for which it opens one', async () => {
+    const opener = createConnectionOpener({
+      target: { group: 'g', upstream: 'u', endpoint: { address: '127.0.0.1', port: 1 } },
+      port: { open: async () => { throw new UpstreamUnreachable('u', 'no answer', 'silent') } },
+      onOpened: () => {},
+      onPauseOver: () => {},
+      onFault: () => {}
+    })
+    for (let number = 0; number < 1000; number++) {
+      const opening = opener.open(`organisation-${number}`)
+      expect(opener.count).toEqual(1)
+      await opening
+    }
+    expect([opener.count, opener.byOrganisation.size]).toEqual([0, 0])
+  })
+})
