Drop what was seen of hosts and upstreams that are gone

Cause: a process kept what it had seen of each host and upstream for its whole life, and adds up all hosts for the load of an upstream at each read. Hosts are replaced under new names: after 5,000 it held 5,000.

A statement of a restarted host's former process that ended late also replaced what was seen since, so that a home that had just been found silent counted as fit again. An earlier process is now told by the version of its row, and only its statements in progress are counted. What is in progress at a host that is gone is counted to its end.

--- a/src/entry/homes/home-choice.ts
+++ b/src/entry/homes/home-choice.ts
@@ -78,6 +78,12 @@
   lastAnswerAt: (home: KnownHost) => number
   /** Statements that this host has in progress at an upstream through homes. */
   loadOf: (upstream: string) => number
+  /** Drops what was seen of hosts that are not in a list. */
+  retain: (hosts: KnownHost[]) => void
+  /** Drops what was seen of an upstream. */
+  forgetUpstream: (upstream: string) => void
+  /** Hosts of which anything is remembered. */
+  readonly remembered: number
 }
 
 /**
@@ -129,7 +135,10 @@
       return due.host
     },
     lastAnswerAt: (home) => seen.of(home).lastAnswerAt,
-    loadOf: seen.inProgressAt
+    loadOf: seen.inProgressAt,
+    retain: seen.retain,
+    forgetUpstream: seen.forgetUpstream,
+    get remembered () { return seen.size }
   }
 }
 
--- a/src/entry/homes/index.ts
+++ b/src/entry/homes/index.ts
@@ -81,16 +81,29 @@
   needs: ['registry', 'directory', 'desiredState', 'peers', 'metrics'],
   start: ({ use, logger }) => {
     const directory = use('directory')
+    const registry = use('registry')
     const { work: links, handle } = use('peers')
     const metrics = use('metrics')
     const choice = createHomeChoice()
     const count = metrics.count('worksward_passed_on', 'Statements passed on to homes, by outcome')
     const time = metrics.time('worksward_passed_on_milliseconds', 'Time of statements passed on to homes')
     const { of, isHome, others } = createUpstreamHomes({
-      registry: use('registry'), desiredState: use('desiredState'), directory
+      registry, desiredState: use('desiredState'), directory
     })
     const watch = createHomeWatch({ links, choice, logger, homes: others })
     handle('home-alive', async () => ({}))
+    let { liveHosts } = registry.current
+    registry.onChange(() => {
+      if (registry.current.liveHosts !== liveHosts) {
+        liveHosts = registry.current.liveHosts
+        choice.retain(liveHosts)
+      }
+    })
+    directory.onChange(({ upstream, change }) => {
+      if (change === 'gone') {
+        choice.forgetUpstream(upstream.upstream)
+      }
+    })
 
     return {
       service: {
--- a/test/entry/homes/home-choice.test.ts
+++ b/test/entry/homes/home-choice.test.ts
@@ -5,8 +5,8 @@
 import { LOAD_HALF_LIFE_MS, OVERHEAD } from '../../../src/entry/homes/home-cost.ts'
 import type { KnownHost } from '../../../src/entry/registry/index.ts'
 
-const homeNamed = (name: string, process = `${name}-1`): KnownHost =>
-  ({ name, process, address: '10.0.0.1', port: 1, failureDomain: 'x', version: 1 })
+const homeNamed = (name: string, process = `${name}-1`, version = 1): KnownHost =>
+  ({ name, process, address: '10.0.0.1', port: 1, failureDomain: 'x', version })
 const NONE: ReadonlySet<string> = new Set()
 
 describe('the choice among homes', () => {
@@ -105,4 +105,35 @@
     expect(chosen([a, b], new Set(['a']))).toEqual('b')
     expect(chosen([a, b], new Set(['a', 'b']))).toEqual(undefined)
   })
+
+  it('keeps what it has seen of a restarted process when a statement of the one before ends late', () => {
+    const restarted = homeNamed('a', 'a-2', 2)
+    choice.recordSent(a, 'u')
+    choice.recordFailure(restarted)
+    choice.recordEnded(a, 'u')
+    choice.recordFailure(a)
+    expect(choice.isSilent(restarted)).toEqual(true)
+    expect(choice.loadOf('u')).toEqual(0)
+  })
+
+  it('remembers no more hosts than there are, however many come and go', () => {
+    for (let number = 0; number < 5000; number++) {
+      const host = homeNamed(`host-${number}`)
+      choice.recordSent(host, `upstream-${number}`)
+      choice.recordAnswer(host, `upstream-${number}`, { load: 1, leaving: false })
+      choice.recordEnded(host, `upstream-${number}`)
+      choice.retain([host])
+      choice.forgetUpstream(`upstream-${number}`)
+    }
+    expect(choice.remembered).toEqual(1)
+  })
+
+  it('goes on counting what is in progress at a host that is gone', () => {
+    choice.recordSent(a, 'u')
+    choice.retain([b])
+    expect(choice.loadOf('u')).toEqual(1)
+    choice.recordEnded(a, 'u')
+    choice.retain([b])
+    expect([choice.loadOf('u'), choice.remembered]).toEqual([0, 0])
+  })
 })
