Count a change of membership as carried only when a heartbeat has carried it

Cause: a heartbeat carries 16 changes, and counted down those that found no room as well. Of 40 at once the first 16 were carried six times and the others never; those waited for an exchange of whole lists, each fourth round. Now each is carried as often as any other.

--- a/src/mysql-proxy/membership/opinions.ts
+++ b/src/mysql-proxy/membership/opinions.ts
@@ -106,8 +106,12 @@
     takeChanges: () => {
       const changed: Member[] = []
       for (const [host, left] of heartbeatsLeft) {
+        // What finds no room waits: counting it as carried would leave many changes at once to the exchange of lists.
+        if (changed.length === CHANGES_IN_HEARTBEAT) {
+          break
+        }
         const member = host === self.host ? undefined : list.get(host)
-        if (member !== undefined && changed.length < CHANGES_IN_HEARTBEAT) {
+        if (member !== undefined) {
           changed.push(member)
         }
         left > 1 ? heartbeatsLeft.set(host, left - 1) : heartbeatsLeft.delete(host)
--- /dev/null
+++ b/test/mysql-proxy/membership/opinions.test.ts
@@ -0,0 +1,30 @@
+import { describe, it } from 'node:test'
+import { expect } from 'earl'
+import { silentLogger } from '../../../src/core/logger/index.ts'
+import { createMemberList } from '../../../src/mysql-proxy/membership/member-list.ts'
+import { createOpinions } from '../../../src/mysql-proxy/membership/opinions.ts'
+import type { Member } from '../../../src/mysql-proxy/membership/types.ts'
+
+const memberNamed = (host: string): Member => ({
+  host, role: 'proxy', failureDomain: 'x', address: '127.0.0.1', port: 1, startedAt: 1, version: 1, state: 'live'
+})
+/** Members that change at once, more than one heartbeat has room for. */
+const CHANGED = 40
+
+describe('what heartbeats carry', () => {
+  it('is each change, as often as any other, however many come at once', () => {
+    const opinions = createOpinions({
+      self: memberNamed('self'), list: createMemberList(), logger: silentLogger, onChange: () => {}, onSilent: () => {}
+    })
+    const hosts = Array.from({ length: CHANGED }, (_value, index) => `host-${index}`)
+    hosts.forEach((host) => opinions.hear(memberNamed(host)))
+    const carried = new Map<string, number>()
+    for (let heartbeat = 0; heartbeat < CHANGED; heartbeat++) {
+      opinions.takeChanges().forEach(({ host }) => carried.set(host, (carried.get(host) ?? 0) + 1))
+    }
+    opinions.close()
+    const times = hosts.map((host) => carried.get(host) ?? 0)
+    expect([...new Set(times)].length).toEqual(1)
+    expect(times[0]! > 0).toEqual(true)
+  })
+})
