Have reads avoid an upstream that could not be reached in their time

Cause: a read waits for a connection for half of the time until its target, and then goes elsewhere; the attempt to open one fails after 700 ms, and only that counted against the upstream.

Now the wait that was in vain has reads avoid the upstream for 250 ms, as a first failure does, but it does not count as unreachable: a failover needs more than one request's wait. Why it holds: between two tries no read waits there, and the first connection that opens ends it.

--- a/src/entry/pools/upstream-health.ts
+++ b/src/entry/pools/upstream-health.ts
@@ -4,8 +4,9 @@
  *
  * Inputs: faults, lags and latencies (in milliseconds) as they are seen here. Rule: an upstream that did not answer is
  * avoided for {@link AVOID_MS}, a replica that lagged for {@link LAG_MS}, twice as long with each repetition until it
- * answers or has caught up. The expected time is a running mean, whose excess over that of an unused upstream halves
- * with time, so that one which was slow is tried again. A connection that breaks says nothing about the upstream.
+ * answers or has caught up; one to which a request got no connection in its time, for the first of {@link AVOID_MS}.
+ * The expected time is a running mean, whose excess over that of an unused upstream halves with time, so that one which
+ * was slow is tried again. A connection that breaks says nothing about the upstream.
  */
 import { laterPosition, type LogPosition } from '../../positions/position.ts'
 import type { UpstreamFault } from './types.ts'
@@ -50,6 +51,8 @@
   /** Records the time of a statement, in milliseconds. */
   recordLatency: (latencyMs: number) => void
   failed: (fault: UpstreamFault) => void
+  /** Records that it could not be reached in the time of a request, which says less than a failure. */
+  notReachedInTime: () => void
   lagged: () => void
   caughtUp: () => void
 }
@@ -102,6 +105,7 @@
       avoidUntil = performance.now() + avoidMs
       avoidMs = Math.min(AVOID_MS.greatest, avoidMs * 2)
     },
+    notReachedInTime: () => { avoidUntil = Math.max(avoidUntil, performance.now() + AVOID_MS.first) },
     lagged: () => {
       lagUntil = performance.now() + lagMs
       lagMs = Math.min(LAG_MS.greatest, lagMs * 2)
--- a/src/entry/requests/reads.ts
+++ b/src/entry/requests/reads.ts
@@ -6,7 +6,7 @@
  * must see everything goes to the primary; any other one goes wherever the log has reached the proven position, and to
  * the primary when nothing is proven. What is repeated is decided in `retry-rules.ts`.
  */
-import { describeThrown } from '../../core/errors/index.ts'
+import { describeThrown, RequestError } from '../../core/errors/index.ts'
 import { pause } from '../../core/time/deadline.ts'
 import type { Freshness, StatementAnswer } from '../ports/index.ts'
 import { formatPosition, type LogPosition } from '../../positions/position.ts'
@@ -102,6 +102,10 @@
         known, used, ...turn, after: place.position, primaryLease: isPrimary ? primaryLease : undefined
       })
     } catch (thrown) {
+      if (thrown instanceof RequestError && thrown.entry === 'ConnectionLost') {
+        // Its connection attempts fail later than reads give up waiting for one; until then each read would try it.
+        used.health.notReachedInTime()
+      }
       scope.deadline.check('not-run', 'looking for an upstream')
       context.logger.log('info', 'read.upstream-unavailable', {
         id: scope.requestId, group: scope.group, upstream: known.upstream, reason: describeThrown(thrown)
