Tell callers of a silent primary when another one may be there

Cause: the queue in front of an upstream cannot tell one that answers nobody from one that answers others first.

Now a request that has waited there in vain is told that the upstream has answered nothing for 300 ms, and to come back after 300 ms, about one promotion, when questions were in progress and unanswered all that time. It is refused as before and at the same moment, so that nothing is held longer. The first 300 ms are left as they are.

--- a/src/entry/pools/index.ts
+++ b/src/entry/pools/index.ts
@@ -8,6 +8,7 @@
 export { alignValues, prepareOn } from './align-connection.ts'
 export type { ConnectionLease } from './types.ts'
 export type { UsedUpstream } from './used-upstreams.ts'
+export { SILENCE_MS } from './upstream-health.ts'
 
 /** Service of the plug-in. */
 export interface Pools extends UpstreamQuestions {
--- a/src/entry/pools/upstream-health.ts
+++ b/src/entry/pools/upstream-health.ts
@@ -31,10 +31,18 @@
  */
 const LAG_MS = { first: 100, greatest: 800 } as const
 
+/**
+ * Time without any answer from which an upstream that was asked something counts as silent, in milliseconds: ten times
+ * an ordinary statement.
+ */
+export const SILENCE_MS = 300
+
 /** Health of one upstream as this host sees it. */
 export interface UpstreamHealth {
   /** When it last answered anything, on the steady clock. */
   readonly lastAnswerAt: number
+  /** Whether it has answered nothing for {@link SILENCE_MS} although something was asked all that time. */
+  readonly isSilent: boolean
   /** Since when it has not answered although it was asked; undefined while it answers. */
   readonly unreachableSince: number | undefined
   /** Whether reads should go elsewhere because it failed. */
@@ -48,6 +56,10 @@
   /** Records the position of an answer, a refusal's too. */
   reachedPosition: (position: LogPosition) => void
   answered: () => void
+  /** Records that it was asked something. */
+  asked: () => void
+  /** Records that a question has ended, with or without an answer. */
+  ended: () => void
   /** Records the time of a statement, in milliseconds. */
   recordLatency: (latencyMs: number) => void
   failed: (fault: UpstreamFault) => void
@@ -65,6 +77,9 @@
 export function createUpstreamHealth (): UpstreamHealth {
   let lastAnswerAt = -Infinity
   let unreachableSince: number | undefined
+  let questions = 0
+  /** When the first of the questions in progress was asked, or an answer came since. */
+  let awaitedSince = -Infinity
   let avoidUntil = -Infinity
   let avoidMs: number = AVOID_MS.first
   let lagUntil = -Infinity
@@ -80,6 +95,7 @@
   }
   return {
     get lastAnswerAt () { return lastAnswerAt },
+    get isSilent () { return questions > 0 && performance.now() - awaitedSince >= SILENCE_MS },
     get unreachableSince () { return unreachableSince },
     get avoided () { return performance.now() < avoidUntil },
     get lagging () { return performance.now() < lagUntil },
@@ -88,10 +104,16 @@
     reachedPosition: (position) => { reached = reached === undefined ? position : laterPosition(reached, position) },
     answered: () => {
       lastAnswerAt = performance.now()
+      awaitedSince = lastAnswerAt
       unreachableSince = undefined
       avoidUntil = -Infinity
       avoidMs = AVOID_MS.first
     },
+    asked: () => {
+      awaitedSince = questions === 0 ? performance.now() : awaitedSince
+      questions++
+    },
+    ended: () => { questions-- },
     recordLatency: (latencyMs) => {
       const before = decayed()
       latency = before + SAMPLE_WEIGHT * (latencyMs - before)
--- a/src/entry/requests/primary-access.ts
+++ b/src/entry/requests/primary-access.ts
@@ -5,13 +5,14 @@
 import { describeThrown, RequestError } from '../../core/errors/index.ts'
 import { pause } from '../../core/time/deadline.ts'
 import type { KnownUpstream } from '../directory/index.ts'
+import { SILENCE_MS } from '../pools/index.ts'
 import { acquireConnection } from './acquire-connection.ts'
 import { createForwardingExecutor } from './forwarding-executor.ts'
 import { createLocalExecutor, holdsLease, type LocalExecutor } from './local-executor.ts'
 import { NOT_RUN_PAUSE_MS } from './retry-rules.ts'
 import type { StatementExecutor } from './statement-executor.ts'
 import type { EntryContext, RequestScope } from './types.ts'
-import { failoverWaitMs, mayTakeWork, retryAfterMsOf, WAIT_SHARE } from './wait-rules.ts'
+import { failoverWaitMs, mayTakeWork, RETRY_AFTER_MS, retryAfterMsOf, WAIT_SHARE } from './wait-rules.ts'
 
 /** What the way to a primary needs from the rest of the process. */
 export type PrimaryContext = Pick<
@@ -115,8 +116,18 @@
   } catch (thrown) {
     // Waiting on at an overloaded primary makes every request there late.
     if (thrown instanceof RequestError && thrown.entry === 'Overloaded') {
-      throw thrown
+      throw used.health.isSilent ? silentPrimary(known) : thrown
     }
     return { notYet: describeThrown(thrown) }
   }
 }
+
+/**
+ * The refusal of a request that has waited behind others at a primary which answers none of them: to come back as soon
+ * as the queue of a busy one allows would be too soon.
+ */
+function silentPrimary ({ group, upstream }: KnownUpstream): RequestError {
+  return new RequestError('not-run', 'Overloaded', {
+    group, reason: `${upstream} has answered nothing for ${SILENCE_MS} ms`, retryAfterMs: RETRY_AFTER_MS
+  })
+}
--- a/src/entry/requests/run-statement.ts
+++ b/src/entry/requests/run-statement.ts
@@ -2,21 +2,16 @@
  * Runs one statement on a leased connection.
  *
  * When does an upstream count as silent? When it has answered nobody for {@link SILENCE_MS} since the statement was
- * sent; the caller of this module is notified, and decides whether the statement is given up.
+ * sent; the caller of this module is notified, and decides whether the statement is given up. The upstream is then
+ * asked, which costs one of its slots for 12 ms when it is only slow.
  */
 import { RequestError, toRequestError } from '../../core/errors/index.ts'
 import type { Deadline } from '../../core/time/deadline.ts'
-import { alignValues, prepareOn, type ConnectionLease, type UsedUpstream } from '../pools/index.ts'
+import { alignValues, prepareOn, SILENCE_MS, type ConnectionLease, type UsedUpstream } from '../pools/index.ts'
 import type { StatementAnswer, UpstreamCommand } from '../ports/index.ts'
 import type { LogPosition } from '../../positions/position.ts'
 import type { DataWork } from './types.ts'
 
-/**
- * Time without any answer of an upstream after which a statement there makes it suspect, in milliseconds: ten times an
- * ordinary one. The upstream is then asked, which costs one of its slots for 12 ms when it is only slow.
- */
-const SILENCE_MS = 300
-
 /** The command that runs a statement; `name` is the prepared statement's name on the connection. */
 function commandOf (work: DataWork, name: string, after?: LogPosition): UpstreamCommand {
   const { requestId } = work
@@ -68,6 +63,7 @@
       giveUp()
     }
   }, SILENCE_MS)
+  used.health.asked()
   try {
     const pending = Promise.race([lease.connection.run(command), givenUp])
     const answer = await deadline.race(pending, 'may-have-run', `waiting for ${used.pool.target.upstream}`)
@@ -82,6 +78,7 @@
     throw thrown
   } finally {
     clearInterval(watch)
+    used.health.ended()
   }
 }
 
