Wait for silent leases from when too few hosts are left to extend them

Cause: the wait of a lease's length was counted from when the last of the other hosts had stopped. The rule's reason is that no majority can extend a lease any more, and that holds from when a quarter of the hosts is left: an extension needs the grants of a majority, also of those that a host knows which sees only half of the others, so one of the granting hosts has stopped by then and names the closed epoch.

Now the wait counts from there.

--- a/src/entry/leadership/close-epoch.ts
+++ b/src/entry/leadership/close-epoch.ts
@@ -10,7 +10,7 @@
 import { isRefusal } from '../../peers/refusal.ts'
 import type { KnownHost, Registry } from '../registry/index.ts'
 import { REACH_HOST_MS } from './probe-times.ts'
-import { silentLeasesExpireAt, type ClosingProgress } from './silent-leases.ts'
+import { areFewSilent, silentLeasesExpireAt, type ClosingProgress } from './silent-leases.ts'
 
 /** Why a host counts as stopped. */
 type ClosedBecause =
@@ -41,8 +41,9 @@
   const progress: ClosingProgress = { hosts: others.length + 1, silent: others.length, lastStoppedAt: closedAt }
   await Promise.all(others.map(async (host) => {
     const because = await awaitHost(host, options, progress)
+    // One that stops when few are left changes nothing for the others: their leases have not been extended since.
+    progress.lastStoppedAt = areFewSilent(progress) ? progress.lastStoppedAt : performance.now()
     progress.silent--
-    progress.lastStoppedAt = because === 'lease-expired' ? progress.lastStoppedAt : performance.now()
     logger.log('info', 'leadership.host-closed', {
       group, epoch, peer: host.name, because, waitedMs: Math.round(performance.now() - closedAt)
     })
--- a/test/entry/process/failover-time.test.ts
+++ b/test/entry/process/failover-time.test.ts
@@ -1,6 +1,6 @@
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
-import { EXTENDED_LEASE_MS, LEASE_MARGIN_MS } from '../../../src/entry/registry/lease-times.ts'
+import { EXTENDED_LEASE_MS, LEASE_MARGIN_MS, PRIMARY_LEASE_MS } from '../../../src/entry/registry/lease-times.ts'
 import { setUpWorld } from '../../fixtures/fleet/set-up.ts'
 
 describe('the time of a failover', () => {
@@ -102,6 +102,36 @@
     expect(gap > 2000 && gap < 6500).toEqual(true)
   })
 
+  /**
+   * A failover waited for a silent host's lease from when the last of the other hosts had stopped: with one that
+   * answered after 2.5 s, that was 2.5 s longer than it had to. `leadership.host-closed` shows it by its `waitedMs`:
+   * 2.4 s for the last that stopped, 6.4 s for the silent one. No lease is extended from the moment on at which too few
+   * hosts are left to grant it, and the wait now counts from there.
+   */
+  it('waits for a silent lease from when too few hosts are left to extend it, not for the last to stop', async () => {
+    for (const host of ['h4', 'h5', 'h6', 'h7', 'h8', 'h9']) {
+      await suite.world.startHost(host)
+    }
+    await suite.clock.tickAsync(3000)
+    powerOff('h3')
+    powerOff('h4')
+    const waited: Record<string, number> = {}
+    suite.world.logger = {
+      log: (_level, event, fields) => {
+        if (event === 'leadership.host-closed') {
+          waited[`${String(fields?.['peer'])} ${String(fields?.['because'])}`] = Number(fields?.['waitedMs'])
+        }
+      }
+    }
+    setTimeout(() => {
+      suite.world.silent.delete('h4')
+      suite.world.store.cutOff.delete('h4')
+    }, 3300)
+    await gapAfter(crashPrimary, ['h1', 'h2', 'h5', 'h6', 'h7', 'h8', 'h9'])
+    expect(Object.keys(waited).some((host) => host.startsWith('h4') && !host.includes('expired'))).toEqual(true)
+    expect(waited['h3 lease-expired']! < PRIMARY_LEASE_MS + LEASE_MARGIN_MS + 1000).toEqual(true)
+  })
+
   it('goes on without the store while a majority of the hosts hear each other', async () => {
     for (const host of ['h4', 'h5']) {
       await suite.world.startHost(host)
