--- a/src/core/time/repeat.ts
+++ b/src/core/time/repeat.ts
@@ -1,8 +1,6 @@
 /** Periodic work with a jittered pause, and a backoff while it fails. */
 
-/**
- * Least part of a pause that is waited, and the random rest; chosen, not measured: processes must not act in step.
- */
+/** Least part of a pause that is waited, and the random rest: processes must not act in step. */
 const SHORTEST_WAIT = 0.75
 const WAIT_JITTER = 0.5
 
--- a/src/emulation/standin/replication.ts
+++ b/src/emulation/standin/replication.ts
@@ -3,7 +3,7 @@
 import { openDatabase, type Database } from './database.ts'
 import type { ReplicationLog } from './replication-log.ts'
 
-/** Time after which a follower tries again to reach its primary, in milliseconds; chosen, not measured. */
+/** Time after which a follower tries again to reach its primary, in milliseconds. */
 const RECONNECT_MS = 5
 /** Time after which a snapshot is tried again while a transaction is open at the primary, in milliseconds. */
 const SNAPSHOT_RETRY_MS = 1
--- a/src/entry/directory/index.ts
+++ b/src/entry/directory/index.ts
@@ -20,7 +20,7 @@
   interface Services { directory: Directory }
 }
 
-/** Time between two checks for rows that have been missing for long, in milliseconds. Chosen, not measured. */
+/** Time between two checks for rows that have been missing for long, in milliseconds. */
 const EXPIRY_CHECK_MS = 500
 
 registerPlugin({
--- a/src/entry/freshness/group-freshness.ts
+++ b/src/entry/freshness/group-freshness.ts
@@ -10,14 +10,12 @@
  */
 import { comparePositions, laterPosition, type LogPosition } from '../../positions/position.ts'
 
-/**
- * Age beyond which proofs are dropped, in milliseconds. Derived: above every age that routes accept, checked when read.
- */
+/** Age beyond which proofs are dropped, in milliseconds: above every age that routes accept, checked when read. */
 const KEPT_MS = 10_000
-/** Least distance of two proofs, in milliseconds; chosen, not measured: closer ones prove nearly the same. */
+/** Least distance of two proofs, in milliseconds: closer ones prove nearly the same. */
 const SPACING_MS = 20
 
-/** Proofs in an answer to a peer, and their least distance in milliseconds. Derived: they cover the ages of routes. */
+/** Proofs in an answer to a peer, and their least distance in milliseconds. They cover the ages of routes. */
 const PASSED_ON = { count: 12, spacingMs: 250 } as const
 
 /** A proof. */
--- a/src/entry/freshness/peers-asked.ts
+++ b/src/entry/freshness/peers-asked.ts
@@ -10,14 +10,11 @@
 import type { KnownHost } from '../registry/index.ts'
 
 /**
- * Peers that are asked for one proof; chosen, not measured: the homes of the primary, and others drawn at random, more
- * than a partition takes away.
+ * Peers that are asked for one proof: the homes of the primary, and others drawn at random, more than a partition takes
+ * away.
  */
 const PEERS_ASKED = 8
-/**
- * Of these, those that are asked before the others; chosen, not measured: one of two homes nearly always has a proof or
- * makes one.
- */
+/** Of these, those that are asked before the others: one of two homes nearly always has a proof or makes one. */
 const ASKED_FIRST = 2
 
 /** Peers to ask. */
--- a/src/entry/freshness/proof-exchange.ts
+++ b/src/entry/freshness/proof-exchange.ts
@@ -17,12 +17,9 @@
 import { choosePeersAsked } from './peers-asked.ts'
 import { proofQuestionSchema, proofReplySchema } from './proof-messages.ts'
 
-/**
- * Time that a peer has to answer, in milliseconds; chosen, not measured: a round trip takes 3 ms, a busy process some
- * tens.
- */
+/** Time that a peer has to answer, in milliseconds: a round trip takes 3 ms, a busy process some tens. */
 const ANSWER_MS = 150
-/** Time for which no further question is asked after one without result, in milliseconds; chosen, not measured. */
+/** Time for which no further question is asked after one without result, in milliseconds. */
 const NO_RESULT_PAUSE_MS = 300
 
 /** Options of {@link createProofExchange}. */
--- a/src/entry/homes/home-choice.ts
+++ b/src/entry/homes/home-choice.ts
@@ -16,15 +16,14 @@
 import { countInProgress, createSeenHomes, type SeenHome } from './seen-homes.ts'
 
 /**
- * Pause before a home that failed is probed again, and between two such probes of a host, in milliseconds. Measured:
- * with a pause for each home alone, 71 hosts split in two sent 1,007 probes a second, as many as their callers had
- * statements; so they send 540 in all.
+ * Pause before a home that failed is probed again, and between two such probes of a host, in milliseconds: with
+ * a pause for each home alone, hosts that are cut in two would send as many probes as their callers send statements.
  */
 export const PROBE_AGAIN_MS = 250
 /**
  * Cost of another home than the one that an organisation prefers, in milliseconds: a connection carries the statements
  * of one organisation only, so the other home opens one more, which takes 12 ms of a slot and a round trip, and closes
- * one that would have been used. Derived: as much as two statements before it.
+ * one that would have been used; as much as two statements before it.
  */
 const OTHER_HOME_MS = 20
 
--- a/src/entry/homes/home-cost.ts
+++ b/src/entry/homes/home-cost.ts
@@ -8,18 +8,14 @@
  */
 import type { SeenHome } from './seen-homes.ts'
 
-/** Half-life of the load that a home has reported, in milliseconds; chosen, not measured. */
+/** Half-life of the load that a home has reported, in milliseconds. */
 export const LOAD_HALF_LIFE_MS = 200
-/**
- * Wait that one statement before the next one stands for, in milliseconds; chosen, not measured: about what one takes
- * at an upstream.
- */
+/** Wait that one statement before the next one stands for, in milliseconds: about what one takes at an upstream. */
 const STATEMENT_COST_MS = 10
 /**
  * What an answer took beyond its statement shows how busy the home's processor is, which its load does not: hosts
  * differ in what share of a core they have, and in what else they do. The part that a new answer counts, and the
- * half-life of what was seen, in milliseconds; chosen, not measured: some answers, so that one slow answer moves
- * little.
+ * half-life of what was seen, in milliseconds: some answers, so that one slow answer moves little.
  */
 export const OVERHEAD = { newPart: 0.3, halfLifeMs: 500 } as const
 
--- a/src/entry/homes/home-watch.ts
+++ b/src/entry/homes/home-watch.ts
@@ -8,8 +8,8 @@
  * PROBE_ANSWER_MS} is suspected: what can run elsewhere leaves it, and it is skipped until it answers. After {@link
  * HOME_GONE_MS} its link is broken. When several homes are silent, all others with a link are probed; when one answers
  * again, all silent ones are.
- * Why: requests of callers find out one home at a time, at 0.2 to 0.3 s each. Measured: when 71 hosts were split in
- * two, requests met silent homes 3,667 times in 1.5 s.
+ * Why: requests of callers find out one home at a time, at 0.2 to 0.3 s each, and again at
+ * each other home when hosts are cut in two.
  */
 import { describeThrown } from '../../core/errors/index.ts'
 import type { Logger } from '../../core/logger/index.ts'
@@ -18,23 +18,21 @@
 import type { KnownHost } from '../registry/index.ts'
 import type { HomeChoice } from './home-choice.ts'
 
-/** Time after which a home that has answered nothing is probed, in milliseconds; chosen, not measured. */
+/** Time after which a home that has answered nothing is probed, in milliseconds. */
 export const UNHEARD_MS = 150
 /**
- * Time that it then has to answer before it is suspected, in milliseconds; chosen, not measured: a process with little
- * to do answers within some tens, and one that has used up its share of a core within a hundred.
+ * Time that it then has to answer before it is suspected, in milliseconds: a process with little to do answers within
+ * some tens, and one that has used up its share of a core within a hundred.
  */
 export const PROBE_ANSWER_MS = 150
 /**
- * Time that it then has to answer before its link is broken and what waits there fails, in milliseconds. Derived: as
- * long as most routes give a statement; what is in doubt is not sent again, so that a late answer serves a caller
- * better.
+ * Time that it then has to answer before its link is broken and what waits there fails, in milliseconds: as long as
+ * most routes give a statement; what is in doubt is not sent again, so that a late answer serves a caller better.
  */
 export const HOME_GONE_MS = 800
 /**
  * Silent homes from which on all others with a link are probed as well, and the least pause between two such rounds, in
- * milliseconds; chosen, not measured: one may have ended or be paused, while more at once are often those beyond a
- * partition.
+ * milliseconds: one may have ended or be paused, while more at once are often those beyond a partition.
  */
 export const PROBE_OTHERS = { silent: 2, pauseMs: 1000 } as const
 
--- a/src/entry/homes/index.ts
+++ b/src/entry/homes/index.ts
@@ -12,8 +12,8 @@
 export type { PassedOn } from './pass-on.ts'
 
 /**
- * What the answer of a home may take beyond the time that a statement has left, in milliseconds; chosen, not measured:
- * the refusal of the home itself comes first.
+ * What the answer of a home may take beyond the time that a statement has left, in milliseconds: the refusal of the
+ * home itself comes first.
  */
 export const HOP_GRACE_MS = 30
 
--- a/src/entry/leadership/act-on-need.ts
+++ b/src/entry/leadership/act-on-need.ts
@@ -14,7 +14,7 @@
 
 /**
  * Time for which a host leaves a group to others after a failover of its own that did not complete, in milliseconds:
- * what stopped it, such as a cut between it and the upstreams, may not stop the next one. Chosen, not measured.
+ * what stopped it, such as a cut between it and the upstreams, may not stop the next one.
  */
 const STEP_BACK_MS = 2500
 
--- a/src/entry/leadership/choose-successor.ts
+++ b/src/entry/leadership/choose-successor.ts
@@ -14,7 +14,7 @@
 
 /**
  * Time for which upstreams that have missed a whole term are not promoted, in milliseconds, since those that have it
- * may come back. Derived: longer than an upstream that has crashed takes to come back, up to 7 s.
+ * may come back: longer than an upstream that has crashed takes to come back, up to 7 s.
  */
 const OUTDATED_WAIT_MS = 10_000
 
--- a/src/entry/leadership/close-epoch.ts
+++ b/src/entry/leadership/close-epoch.ts
@@ -27,7 +27,7 @@
   closedAt: number
 }
 
-/** Pause before a silent host is asked again, in milliseconds: chosen, not measured. */
+/** Pause before a silent host is asked again, in milliseconds. */
 const RETRY_MS = 100
 
 /**
--- a/src/entry/leadership/extensions.ts
+++ b/src/entry/leadership/extensions.ts
@@ -18,13 +18,13 @@
 import { extendQuestionSchema, grantSchema, type Grant } from './types.ts'
 
 /**
- * Age of the last confirmation by the store from which on peers are asked for extensions, in milliseconds: derived, one
- * read has failed.
+ * Age of the last confirmation by the store from which on peers are asked for extensions, in milliseconds: one read has
+ * failed.
  */
 export const EXTEND_AFTER_MS = 2100
-/** Time between two looks at that age, in milliseconds: derived, several fit into a lease. */
+/** Time between two looks at that age, in milliseconds: several fit into a lease. */
 const EXTEND_INTERVAL_MS = 600
-/** Time that a peer has to grant an extension, in milliseconds: chosen, not measured. */
+/** Time that a peer has to grant an extension, in milliseconds. */
 const GRANT_MS = 500
 
 /** Whether hosts that grant are more than half of all. */
--- a/src/entry/leadership/failover.ts
+++ b/src/entry/leadership/failover.ts
@@ -19,14 +19,9 @@
 import { promoteOne, type PromoteOptions } from './promote.ts'
 import type { FailoverReason } from './types.ts'
 
-/**
- * Time between two renewals of the promotion lease while hosts are waited for, in milliseconds: chosen, not measured.
- */
+/** Time between two renewals of the promotion lease while hosts are waited for, in milliseconds. */
 const LEASE_RENEW_MS = 1500
-/**
- * Time that a successor has to catch up with a primary that was stopped in order, in milliseconds: chosen, not
- * measured.
- */
+/** Time that a successor has to catch up with a primary that was stopped in order, in milliseconds. */
 const CATCH_UP_MS = 1000
 
 /** Options of {@link runFailover}. */
--- a/src/entry/leadership/group-need.ts
+++ b/src/entry/leadership/group-need.ts
@@ -15,12 +15,9 @@
 import type { Registry } from '../registry/index.ts'
 import type { FailoverReason } from './types.ts'
 
-/**
- * Delay for each host that comes first, in milliseconds: so that the first one is usually the only one. Chosen, not
- * measured.
- */
+/** Delay for each host that comes first, in milliseconds: so that the first one is usually the only one. */
 const STAGGER_MS = 120
-/** Time for which a primary must be unreachable before this host acts, in milliseconds: chosen, not measured. */
+/** Time for which a primary must be unreachable before this host acts, in milliseconds. */
 const UNREACHABLE_MS = 150
 
 /** What a group needs. */
@@ -69,7 +66,7 @@
   return unreachable ? 'unreachable' : undefined
 }
 
-/** Least time for which a need must persist before any host acts on it, in milliseconds: chosen, not measured. */
+/** Least time for which a need must persist before any host acts on it, in milliseconds. */
 const STANDING_MS: Partial<Record<GroupNeed, number>> = {
   // The row of a new primary changes when the promotion has taken effect, and may be late.
   deposed: 1500
--- a/src/entry/leadership/group-watch.ts
+++ b/src/entry/leadership/group-watch.ts
@@ -6,7 +6,7 @@
 import type { Registry } from '../registry/index.ts'
 import { assessGroup, staggerOf, type AssessOptions, type GroupNeed } from './group-need.ts'
 
-/** Pause of a host after it has acted on a group's need, in milliseconds: chosen, not measured. */
+/** Pause of a host after it has acted on a group's need, in milliseconds. */
 const RETRY_MS = 300
 
 /** A need of a group, and since when this host has seen it. */
--- a/src/entry/leadership/index.ts
+++ b/src/entry/leadership/index.ts
@@ -31,7 +31,7 @@
   interface Services { leadership: Leadership }
 }
 
-/** Time between two assessments of every group, in milliseconds: chosen, not measured. */
+/** Time between two assessments of every group, in milliseconds. */
 const WATCH_MS = 100
 
 registerPlugin({
--- a/src/entry/leadership/promote.ts
+++ b/src/entry/leadership/promote.ts
@@ -13,10 +13,7 @@
 
 /** Orders to promote an upstream when answers are lost: the first may have gone out on a dead connection. */
 const ORDER_TRIES = 2
-/**
- * Time within which a promotion must take effect, in milliseconds: derived, four times what slow upstreams take, 600
- * ms.
- */
+/** Time within which a promotion must take effect, in milliseconds: four times what slow upstreams take, 600 ms. */
 const TAKE_EFFECT_MS = 2500
 
 /** Options of {@link promoteOne}. */
--- a/src/entry/leadership/promotion-lease.ts
+++ b/src/entry/leadership/promotion-lease.ts
@@ -14,11 +14,9 @@
 import { registryKeys, type PromotionLeaseRow, type Registry } from '../registry/index.ts'
 import { REACH_HOST_MS } from './probe-times.ts'
 
-/** Length of the lease, in milliseconds: derived, a promotion takes less than half of it. */
+/** Length of the lease, in milliseconds: a promotion takes less than half of it. */
 export const PROMOTION_LEASE_MS = 5000
-/**
- * Least time left of the lease with which a promotion is ordered, in milliseconds: derived, the order's own timeout.
- */
+/** Least time left of the lease with which a promotion is ordered, in milliseconds: the order's own timeout. */
 const ORDER_MS = 2000
 
 /** The promotion lease as this host holds it. */
--- a/src/entry/leadership/reach-questions.ts
+++ b/src/entry/leadership/reach-questions.ts
@@ -12,17 +12,14 @@
 import { countReach, isLostToMost, type ReachAnswer } from './reach.ts'
 import { reachAnswerSchema, reachQuestionSchema } from './types.ts'
 
-/**
- * Age of an upstream's last answer up to which it counts as reached without a probe, in milliseconds: chosen, not
- * measured.
- */
+/** Age of an upstream's last answer up to which it counts as reached without a probe, in milliseconds. */
 const HEARD_MS = 300
 /**
- * Peers that are asked whether they reach an upstream. Measured: each may have to open a connection there, which takes
+ * Peers that are asked whether they reach an upstream: each may have to open a connection there, which takes
  * one of its slots for 12 ms, and 71 at once keep an upstream of three slots from answering anything else for 0.3 s.
  */
 const REACH_ASKED = 8
-/** Time that a peer has to answer, in milliseconds; it may have to probe the upstream. Chosen, not measured. */
+/** Time that a peer has to answer, in milliseconds; it may have to probe the upstream. */
 const REACH_MS = 1300
 
 /** Options of {@link createReachQuestions}. */
--- a/src/entry/leadership/recovery-estimates.ts
+++ b/src/entry/leadership/recovery-estimates.ts
@@ -8,22 +8,15 @@
  *   until it is late.
  */
 
-/**
- * Time that is expected before the first recovery, in milliseconds: derived, a promotion of 0.6 s and the steps before
- * it.
- */
+/** Time that is expected before the first recovery, in milliseconds: a promotion of 0.6 s and the steps before it. */
 const TYPICAL_MS = 1500
-/** Weight of the last recovery in the running mean: chosen, not measured. */
+/** Weight of the last recovery in the running mean. */
 const SAMPLE_WEIGHT = 0.5
-/**
- * Least time that is expected while there is no primary, in milliseconds: one step of a failover; chosen, not measured.
- */
+/** Least time that is expected while there is no primary, in milliseconds: one step of a failover. */
 const LEAST_MS = 150
-/**
- * Greatest time that is expected, in milliseconds: callers that retry should soon see the end. Chosen, not measured.
- */
+/** Greatest time that is expected, in milliseconds: callers that retry should soon see the end. */
 const GREATEST_MS = 2000
-/** Longer recoveries had another cause and say nothing of the next one, in milliseconds: chosen, not measured. */
+/** Longer recoveries had another cause and say nothing of the next one, in milliseconds. */
 const GREATEST_SAMPLE_MS = 5000
 
 /** Estimates of when groups have a primary again. */
--- a/src/entry/leadership/silent-leases.ts
+++ b/src/entry/leadership/silent-leases.ts
@@ -11,8 +11,8 @@
 import { EXTENDED_LEASE_MS, LEASE_MARGIN_MS, PRIMARY_LEASE_MS } from '../registry/lease-times.ts'
 
 /**
- * Greatest part of the hosts that may be silent for a promoter to rely on extensions having ended: derived, less than
- * any majority that could still grant them, also when a host knows only half of the others.
+ * Greatest part of the hosts that may be silent for a promoter to rely on extensions having ended: less than any
+ * majority that could still grant them, also when a host knows only half of the others.
  */
 const SILENT_PART = 0.25
 
--- a/src/entry/leadership/stop-local-work.ts
+++ b/src/entry/leadership/stop-local-work.ts
@@ -24,13 +24,11 @@
   abortExpired: (groups: string[]) => void
 }
 
-/**
- * Time after the expiry of its lease at which a host aborts work in progress, in milliseconds: chosen, not measured.
- */
+/** Time after the expiry of its lease at which a host aborts work in progress, in milliseconds. */
 const EXPIRY_SLACK_MS = 250
-/** Time that statements in progress have to end when an epoch is closed, in milliseconds: chosen, not measured. */
+/** Time that statements in progress have to end when an epoch is closed, in milliseconds. */
 const FINISH_MS = 150
-/** Time between two looks whether work in progress has ended, in milliseconds: chosen, not measured. */
+/** Time between two looks whether work in progress has ended, in milliseconds. */
 const LOOK_MS = 10
 
 /**
--- a/src/entry/leadership/stop-notice.ts
+++ b/src/entry/leadership/stop-notice.ts
@@ -11,12 +11,12 @@
 
 /**
  * Time that a peer has to ask this host to stop working at a primary whose epoch is closed, in milliseconds; then its
- * row is written. Chosen, not measured.
+ * row is written.
  */
 const ASKED_TO_STOP_MS = 300
 /**
  * Time after which the row is written for an epoch that is still closed although a peer has asked, in milliseconds:
- * derived, twice a promotion.
+ * twice a promotion.
  */
 const ANSWER_LOST_MS = 2000
 
--- a/src/entry/leadership/suspicion.ts
+++ b/src/entry/leadership/suspicion.ts
@@ -4,7 +4,7 @@
 import type { Pools } from '../pools/index.ts'
 import { PROBE_MS } from './probe-times.ts'
 
-/** Least time between two probes of a silent upstream, in milliseconds: chosen, not measured. */
+/** Least time between two probes of a silent upstream, in milliseconds. */
 const SUSPECT_MS = 250
 
 /**
--- a/src/entry/limits/bucket-parameters.ts
+++ b/src/entry/limits/bucket-parameters.ts
@@ -23,13 +23,12 @@
 }
 
 /**
- * Parts of the tolerance that callers get; chosen, not measured. The rest is for the second or so in which hosts that
- * were cut in two have not noticed it, and for deputies, which grant a quarter of the rate.
+ * Parts of the tolerance that callers get. The rest is for the second or so in which hosts that were cut in two have
+ * not noticed it, and for deputies, which grant a quarter of the rate.
  */
 const GIVEN = { ofPart: 0.25, ofOperations: 0.5 } as const
 /**
- * Part of the tolerance in operations that each new bucket gets. Derived: two in one window stay within what callers
- * don't get.
+ * Part of the tolerance in operations that each new bucket gets. Two in one window stay within what callers don't get.
  */
 const FIRST_PART = 0.25
 
--- a/src/entry/limits/granted-metric.ts
+++ b/src/entry/limits/granted-metric.ts
@@ -1,7 +1,7 @@
 /** Which organisations the metric of granted operations names: those that were granted most. */
 import type { OwnedLimit } from './limit-owner.ts'
 
-/** Organisations that the metric names; chosen, not measured: each is a series of its own. */
+/** Organisations that the metric names: each is a series of its own. */
 const NAMED_IN_METRICS = 10
 
 /**
--- a/src/entry/limits/limit-owner.ts
+++ b/src/entry/limits/limit-owner.ts
@@ -14,14 +14,13 @@
 
 /**
  * Part of the limit that a deputy grants, and for how long a host that has just become the first grants no more either,
- * in milliseconds. Derived: lists of hosts are the same everywhere within a second, and until then some hosts ask the
- * one that owned the limit before. Measured: with the whole limit, hosts that were cut in two granted 171 operations in
- * a window of 152. Organisations use half of what the bucket grants; the rest of a second costs a twentieth of it.
+ * in milliseconds. Lists of hosts are the same everywhere within a second, and until then some hosts ask the one that
+ * owned the limit before: hosts that are cut in two would grant more than the limit allows in a window.
  */
 const DEPUTY = { part: 0.25, beginningMs: 1500 } as const
 /**
  * Time without a request after which the bucket is created anew, in milliseconds, if another host may have owned the
- * limit since; chosen, not measured.
+ * limit since.
  */
 const UNREQUESTED_MS = 1000
 
--- a/src/entry/limits/limit-questions.ts
+++ b/src/entry/limits/limit-questions.ts
@@ -15,13 +15,13 @@
 import type { GrantAnswer } from './organisation-grants.ts'
 import type { Grant } from './token-bucket.ts'
 
-/** Time that the owner of a limit has to answer, in milliseconds; chosen, not measured. */
+/** Time that the owner of a limit has to answer, in milliseconds. */
 const ANSWER_MS = 200
-/** Hosts that are asked for one grant; chosen, not measured: each silent one costs the caller {@link ANSWER_MS}. */
+/** Hosts that are asked for one grant: each silent one costs the caller {@link ANSWER_MS}. */
 const HOSTS_ASKED = 2
 /**
- * Time that a host which is asked waits for the desired state by which it is asked, in milliseconds; chosen, not
- * measured. Also the time after which operations of an unknown organisation may be asked for again.
+ * Time that a host which is asked waits for the desired state by which it is asked, in milliseconds. Also the time
+ * after which operations of an unknown organisation may be asked for again.
  */
 const REACH_VERSION_MS = 40
 
--- a/src/entry/limits/organisation-grants.ts
+++ b/src/entry/limits/organisation-grants.ts
@@ -13,22 +13,19 @@
 import type { Grant } from './token-bucket.ts'
 
 /**
- * Time for which a host asks in advance, in milliseconds, and for which what it was granted may be used; chosen, not
- * measured. Derived: a host with a hundred operations a second of one organisation asks five times a second for it, and
- * one with few asks for each.
+ * Time for which a host asks in advance, in milliseconds, and for which what it was granted may be used. A host with a
+ * hundred operations a second of one organisation asks five times a second for it, and one with few asks for each.
  */
 const PREFETCH_MS = 200
-/** Half-life of the count of recent operations, in milliseconds; chosen, not measured. */
+/** Half-life of the count of recent operations, in milliseconds. */
 const RATE_HALF_LIFE_MS = 500
 /**
- * Greatest time for which a host refuses an organisation without asking again, in milliseconds; chosen, not measured.
- * Callers that ask less than before are served again so soon; the hosts of one that asks far too much ask the owner 2.5
- * times a second each.
+ * Greatest time for which a host refuses an organisation without asking again, in milliseconds. Callers that ask less
+ * than before are served again so soon; the hosts of one that asks far too much ask the owner 2.5 times a second each.
  */
 export const REFUSED_HERE_MS = 400
 /**
- * When callers come back after no host could say what a limit leaves, in milliseconds; derived: another host is asked
- * by then.
+ * When callers come back after no host could say what a limit leaves, in milliseconds: another host is asked by then.
  */
 const NO_ANSWER_RETRY_MS = 300
 
--- a/src/entry/limits/process-pauses.ts
+++ b/src/entry/limits/process-pauses.ts
@@ -5,11 +5,11 @@
  */
 import { repeat } from '../../core/time/repeat.ts'
 
-/** Mean time between two checks of the clock, in milliseconds; chosen, not measured. */
+/** Mean time between two checks of the clock, in milliseconds. */
 const CHECK_MS = 500
 /**
- * Lateness of a check from which the process counts as having been paused, in milliseconds. Derived: other hosts skip a
- * host that has been silent for less (HOME_SILENCE_MS and HOME_ANSWER_MS, together).
+ * Lateness of a check from which the process counts as having been paused, in milliseconds. Other hosts skip a host
+ * that has been silent for less (HOME_SILENCE_MS and HOME_ANSWER_MS, together).
  */
 const PAUSED_MS = 500
 
--- a/src/entry/limits/recent-requesters.ts
+++ b/src/entry/limits/recent-requesters.ts
@@ -10,8 +10,8 @@
 
 /**
  * Time after which a host that has requested operations counts as silent, for which it is remembered, and the least
- * pause between two rounds of checks, in milliseconds; chosen, not measured. Derived: hosts of an organisation that is
- * refused ask again within half a second.
+ * pause between two rounds of checks, in milliseconds. Hosts of an organisation that is refused ask again within half a
+ * second.
  */
 const SILENT_REQUESTERS = { afterMs: 700, rememberedMs: 10_000, pauseMs: 500 } as const
 
--- a/src/entry/limits/token-bucket.ts
+++ b/src/entry/limits/token-bucket.ts
@@ -9,10 +9,7 @@
  */
 import type { BucketParameters } from './bucket-parameters.ts'
 
-/**
- * Greatest time after which callers are told to come back, in milliseconds; chosen, not measured: a limit may be raised
- * meanwhile.
- */
+/** Greatest time after which callers are told to come back, in milliseconds: a limit may be raised meanwhile. */
 const GREATEST_RETRY_MS = 2000
 
 /** What was granted. */
--- a/src/entry/pools/connection-limits.ts
+++ b/src/entry/pools/connection-limits.ts
@@ -7,19 +7,19 @@
  */
 
 /**
- * Part of the cap that homes leave free, and the least number of connections; chosen, not measured: for questions of
- * control, and for hosts that reach no home.
+ * Part of the cap that homes leave free, and the least number of connections: for questions of control, and for hosts
+ * that reach no home.
  */
 const RESERVED = { part: 0.1, least: 2 } as const
 /**
- * Part of its share that a home keeps open when idle; chosen, not measured. Connections of hosts that lose power count
- * at the upstream for some seconds; with half of them free, all hosts can be back at once.
+ * Part of its share that a home keeps open when idle. Connections of hosts that lose power count at the upstream for
+ * some seconds; with half of them free, all hosts can be back at once.
  */
 const KEPT_PART = 0.5
 /**
- * Time after its start in which a home opens no more than it keeps when idle, in milliseconds. Derived: when all hosts
- * have lost power, the connections of their former processes count at the upstreams for 3 s, and a host that opens more
- * takes it from others.
+ * Time after its start in which a home opens no more than it keeps when idle, in milliseconds. When all hosts have lost
+ * power, the connections of their former processes count at the upstreams for 3 s, and a host that opens more takes it
+ * from others.
  */
 export const MODEST_START_MS = 4000
 /** Connections of a host that is no home of the upstream, for when it reaches none. */
--- a/src/entry/pools/connection-opener.ts
+++ b/src/entry/pools/connection-opener.ts
@@ -10,14 +10,9 @@
 import { UpstreamUnreachable, type UpstreamConnection, type UpstreamPort, type UpstreamTarget } from '../ports/index.ts'
 import type { UpstreamFault } from './types.ts'
 
-/**
- * Time to connect, in milliseconds: a new connection takes 12 ms, more while the upstream's slots are taken; chosen,
- * not measured.
- */
+/** Time to connect, in milliseconds: a new connection takes 12 ms, more while the upstream's slots are taken. */
 const CONNECT_TIMEOUT_MS = 700
-/**
- * Time for which no further connection is tried after the upstream had no room, in milliseconds; chosen, not measured.
- */
+/** Time for which no further connection is tried after the upstream had no room, in milliseconds. */
 const NO_ROOM_PAUSE_MS = 150
 
 /** Options of {@link createConnectionOpener}. */
--- a/src/entry/pools/idle-connections.ts
+++ b/src/entry/pools/idle-connections.ts
@@ -10,12 +10,11 @@
 import { mismatchOf } from './align-connection.ts'
 import type { LeaseRequest, PooledConnection } from './types.ts'
 
-/** Time after which an idle connection beyond those that are kept is closed, in milliseconds; chosen, not measured. */
+/** Time after which an idle connection beyond those that are kept is closed, in milliseconds. */
 const SURPLUS_IDLE_MS = 1500
 /**
  * The same where organisations share the upstream, in milliseconds: no other one's connection can take its place, so
- * that one which comes back after some seconds would have to open it anew. Measured with 17 organisations: 686
- * connections were opened for 2,377 requests, 958 with {@link SURPLUS_IDLE_MS}.
+ * that one which comes back after some seconds would have to open it anew.
  */
 const SURPLUS_IDLE_SHARED_MS = 10_000
 
--- a/src/entry/pools/statement-queue.ts
+++ b/src/entry/pools/statement-queue.ts
@@ -16,18 +16,17 @@
 
 /**
  * Statements in progress at an upstream for each that it can run at a time: with less, a slot would be idle while an
- * answer and the next statement are on their way. Derived: one that runs and one on its way.
+ * answer and the next statement are on their way: one that runs and one on its way.
  */
 const IN_PROGRESS_PER_SLOT = 2
 /**
  * Statements that each home may have in progress at least: with one, what comes to a home waits there while another
- * home has nothing to send. Measured: on 71 hosts with six homes for three slots, 4.3% of changes were late with one,
- * 1.3% without a limit.
+ * home has nothing to send.
  */
 const LEAST_IN_PROGRESS = 2
 /**
- * Weight of a step of priority against the expected time of a statement, in milliseconds. Derived: longer than any
- * statement, so that priority goes first.
+ * Weight of a step of priority against the expected time of a statement, in milliseconds: longer than any statement, so
+ * that priority goes first.
  */
 const PRIORITY_WEIGHT_MS = 1_000_000
 
--- a/src/entry/pools/upstream-health.ts
+++ b/src/entry/pools/upstream-health.ts
@@ -11,24 +11,15 @@
 import { laterPosition, type LogPosition } from '../../positions/position.ts'
 import type { UpstreamFault } from './types.ts'
 
-/** Weight of a new latency in the running mean; chosen, not measured. */
+/** Weight of a new latency in the running mean. */
 const SAMPLE_WEIGHT = 0.2
-/** Latency that is assumed of an upstream that has not been used yet, in milliseconds; chosen, not measured. */
+/** Latency that is assumed of an upstream that has not been used yet, in milliseconds. */
 const INITIAL_LATENCY_MS = 15
-/**
- * Time in which the memory of a high latency halves while the upstream is not used, in milliseconds; chosen, not
- * measured.
- */
+/** Time in which the memory of a high latency halves while the upstream is not used, in milliseconds. */
 const LATENCY_HALF_LIFE_MS = 800
-/**
- * First and greatest time for which an upstream that failed is avoided, in milliseconds; it doubles in between; chosen,
- * not measured.
- */
+/** First and greatest time for which an upstream that failed is avoided, in milliseconds; it doubles in between. */
 const AVOID_MS = { first: 250, greatest: 2000 } as const
-/**
- * First and greatest time for which a replica that lagged is avoided, in milliseconds; it doubles in between; chosen,
- * not measured.
- */
+/** First and greatest time for which a replica that lagged is avoided, in milliseconds; it doubles in between. */
 const LAG_MS = { first: 100, greatest: 800 } as const
 
 /**
--- a/src/entry/pools/upstream-pool.ts
+++ b/src/entry/pools/upstream-pool.ts
@@ -16,7 +16,7 @@
 import { createIdleConnections } from './idle-connections.ts'
 import type { ConnectionLease, LeaseRequest, PooledConnection, PoolEvents } from './types.ts'
 
-/** Time between two looks for surplus connections, in milliseconds; chosen, not measured. */
+/** Time between two looks for surplus connections, in milliseconds. */
 const TRIM_MS = 1000
 
 /** Options of {@link createUpstreamPool}. */
--- a/src/entry/registry/change-notifications.ts
+++ b/src/entry/registry/change-notifications.ts
@@ -29,16 +29,15 @@
 }
 
 /**
- * Peers that each host notifies, chosen at random: derived. Of 2,300 hosts on which every third question hangs, fewer
- * than one in a thousand is then notified by nobody (e to the power of -8); with few hosts each notifies all others.
+ * Peers that each host notifies, chosen at random. Of 2,300 hosts on which every third question hangs, fewer than one
+ * in a thousand is then notified by nobody (e to the power of -8); with few hosts each notifies all others.
  */
 const FANOUT = 8
 /**
  * Greatest delay before peers are notified, in milliseconds: those that have notified this host meanwhile are left out.
- * Chosen, not measured.
  */
 const NOTIFY_DELAY_MS = 100
-/** Time that a peer has to acknowledge, in milliseconds, and tries: a link may be silent. Chosen, not measured. */
+/** Time that a peer has to acknowledge, in milliseconds, and tries: a link may be silent. */
 const NOTIFY_MS = 600
 const NOTIFY_TRIES = 2
 
--- a/src/entry/registry/follow-table.ts
+++ b/src/entry/registry/follow-table.ts
@@ -23,27 +23,24 @@
 
 /**
  * Time after which an empty answer to a question for changes comes, in milliseconds. Calls to the store are priced, and
- * it takes 30 s at most. A question that hangs is noticed earlier, by the notifications of peers. Chosen, not measured.
+ * it takes 30 s at most. A question that hangs is noticed earlier, by the notifications of peers.
  */
 const FOLLOW_WAIT_MS = 25_000
 /**
  * Pause after changes before the next question, in milliseconds: one answer returns changes in quick succession.
- * When 18 upstreams announced themselves one after the other, 71 hosts asked 1,349 times in three seconds, half of all
- * their calls while nothing else happened.
+ * Upstreams that announce themselves one after the other would have every host ask again after each.
  */
 export const GATHER_MS = 400
 /**
  * First and greatest pause after a failure, in milliseconds. A store that rejects a host charges for each call; two of
- * the greatest pauses fit into what a host may take to be in contact again after an outage. Chosen, not measured.
+ * the greatest pauses fit into what a host may take to be in contact again after an outage.
  */
 const RETRY_MS = { first: 150, greatest: 1200 } as const
-/**
- * Time that the own question has to return a change after a peer's notification, in milliseconds: chosen, not measured.
- */
+/** Time that the own question has to return a change after a peer's notification, in milliseconds. */
 const BEHIND_MS = 250
 /**
  * Time for which a host acts as a follower after no peer could answer it, in milliseconds: hosts that are cut off from
- * the others are so for some seconds, and would read the whole table in each turn. Chosen, not measured.
+ * the others are so for some seconds, and would read the whole table in each turn.
  */
 const ACT_AS_FOLLOWER_MS = 5000
 
--- a/src/entry/registry/host-expiry.ts
+++ b/src/entry/registry/host-expiry.ts
@@ -18,13 +18,11 @@
 import type { KnownHost } from './snapshot.ts'
 import { hostRowSchema, registryKeys, RETIRED_PROCESS, type HostRow } from './types.ts'
 
-/** Time between two questions to the next host, in milliseconds: chosen, not measured. */
+/** Time between two questions to the next host, in milliseconds. */
 const ASK_MS = 1000
-/** Time the next host has to answer, in milliseconds: chosen, not measured. */
+/** Time the next host has to answer, in milliseconds. */
 const ANSWER_MS = 600
-/**
- * Silence after which a host is retired, in milliseconds: derived, three questions, and longer than a restart takes.
- */
+/** Silence after which a host is retired, in milliseconds: three questions, and longer than a restart takes. */
 const SILENT_MS = 2500
 
 /** Options of {@link watchNextHost}. */
--- a/src/entry/registry/index.ts
+++ b/src/entry/registry/index.ts
@@ -26,9 +26,9 @@
   interface Services { registry: Registry }
 }
 
-/** Age of the snapshot beyond which any peers are asked, in milliseconds: derived, one read has failed. */
+/** Age of the snapshot beyond which any peers are asked, in milliseconds: one read has failed. */
 const ASK_ANY_AFTER_MS = 3500
-/** Time between two looks at that age, in milliseconds: chosen, not measured. */
+/** Time between two looks at that age, in milliseconds. */
 const AGE_CHECK_MS = 700
 
 registerPlugin({
--- a/src/entry/registry/nudges.ts
+++ b/src/entry/registry/nudges.ts
@@ -9,7 +9,7 @@
 import type { RegistryState } from './registry-state.ts'
 import type { SnapshotExchange } from './snapshot-exchange.ts'
 
-/** Time a peer has to acknowledge a nudge, in milliseconds: chosen, not measured. */
+/** Time a peer has to acknowledge a nudge, in milliseconds. */
 const NUDGE_MS = 600
 
 /** Options of {@link createNudges}. */
--- a/src/entry/registry/own-row.ts
+++ b/src/entry/registry/own-row.ts
@@ -11,10 +11,7 @@
 import type { Registry } from './service.ts'
 import { REGISTRY_TABLE, registryKeys, type HostRow } from './types.ts'
 
-/**
- * Time that a stop waits for this host's row to be removed, in milliseconds: chosen, not measured. Peers retire the row
- * otherwise.
- */
+/** Time that a stop waits for this host's row to be removed, in milliseconds. Peers retire the row otherwise. */
 const UNREGISTER_MS = 400
 
 /** Options of {@link createOwnRow}. */
--- a/src/entry/registry/readers.ts
+++ b/src/entry/registry/readers.ts
@@ -12,12 +12,12 @@
 import { createHash } from 'node:crypto'
 import type { KnownHost } from './snapshot.ts'
 
-/** Hosts that one reader serves: each asks it 1.3 times a second, with some hundred bytes. Chosen, not measured. */
+/** Hosts that one reader serves: each asks it 1.3 times a second, with some hundred bytes. */
 export const HOSTS_PER_READER = 25
 /**
- * Least number of hosts that follow the tables of the store: derived. Open connections may go silent for good, and a
- * question for changes hangs on one for long; when each of eight is hit with a probability of one half, one goes on in
- * 99.6% of all cases, and notifies the others.
+ * Least number of hosts that follow the tables of the store. Open connections may go silent for good, and a question
+ * for changes hangs on one for long; when each of eight is hit with a probability of one half, one goes on in 99.6% of
+ * all cases, and notifies the others.
  */
 export const LEAST_FOLLOWERS = 8
 
--- a/src/entry/registry/registry-store.ts
+++ b/src/entry/registry/registry-store.ts
@@ -13,13 +13,13 @@
 
 /**
  * Age of the last answer of the store to a host up to which it counts as one that reads for others, in milliseconds:
- * derived, two reads. What it has got from another host would be too old for the next one.
+ * two reads. What it has got from another host would be too old for the next one.
  */
 const READING_MS = 1600
 /**
  * Time that a write has to be answered, in milliseconds: a fixed part and a multiple of what the last read took. A
  * write takes twice as long as a read. Without an answer the table is read to see whether the write was applied, which
- * is quicker than to wait. Chosen, not measured.
+ * is quicker than to wait.
  */
 const WRITE_WAIT_MS = { least: 300, perRead: 5, greatest: 1500 } as const
 
--- a/src/entry/registry/snapshot-exchange.ts
+++ b/src/entry/registry/snapshot-exchange.ts
@@ -10,17 +10,16 @@
 import { createSnapshot, type KnownHost, type RegistrySnapshot } from './snapshot.ts'
 import { snapshotReplySchema, snapshotQuestionSchema, type SnapshotReply } from './types.ts'
 
-/** Time a reader has to answer, in milliseconds; then the requester asks the next one. Chosen, not measured. */
+/** Time a reader has to answer, in milliseconds; then the requester asks the next one. */
 const READER_MS = 300
 /**
  * Time for which a reader holds a question while nothing changes, in milliseconds: so all hosts learn of a change as
- * soon as their readers do. Derived: a silent reader is noticed after this and {@link READER_MS}, two of them within a
- * lease.
+ * soon as their readers do. A silent reader is noticed after this and {@link READER_MS}, two of them within a lease.
  */
 const HOLD_MS = 400
-/** Time any other peer has to answer, in milliseconds: chosen, not measured. */
+/** Time any other peer has to answer, in milliseconds. */
 const PEER_TIMEOUT_MS = 600
-/** Peers asked in one round: chosen, not measured. */
+/** Peers asked in one round. */
 const PEERS_ASKED = 3
 
 /** Options of {@link createSnapshotExchange}. */
--- a/src/entry/registry/snapshot-refresh.ts
+++ b/src/entry/registry/snapshot-refresh.ts
@@ -19,33 +19,27 @@
 
 /**
  * Time between two reads of the table by a reader, in milliseconds. What it has read just before its next turn, and a
- * host received just before its own, is less than two thirds of a lease old: derived.
+ * host received just before its own, is less than two thirds of a lease old.
  */
 export const POLL_MS = 750
-/** Pause between two questions to a reader, in milliseconds, which holds each. Chosen, not measured. */
+/** Pause between two questions to a reader, in milliseconds, which holds each. */
 const ASK_PAUSE_MS = 150
 /**
  * Age of the snapshot up to which a reader may hold the question, in milliseconds; an older one is refreshed at once.
- * Chosen, not measured.
  */
 const HELD_AGE_MS = 1000
-/**
- * Pause after no host had a young snapshot, in milliseconds: a deputy begins to read meanwhile. Chosen, not measured.
- */
+/** Pause after no host had a young snapshot, in milliseconds: a deputy begins to read meanwhile. */
 const FAILURE_PAUSE_MS = 300
-/**
- * Greatest useful age of a snapshot, in milliseconds; a host that gets an older one asks the next. Chosen, not
- * measured.
- */
+/** Greatest useful age of a snapshot, in milliseconds; a host that gets an older one asks the next. */
 const RELAYED_AGE_MS = 1900
-/** Readers that are asked in one turn: derived, each may be silent for 0.3 s, and a lease lasts for three seconds. */
+/** Readers that are asked in one turn: each may be silent for 0.3 s, and a lease lasts for three seconds. */
 const READERS_ASKED = 3
 /**
  * Least time between two reads of a host that follows no table, in milliseconds: when the store is away for all, those
- * that do notice its return. Chosen, not measured.
+ * that do notice its return.
  */
 const OWN_READ_PAUSE_MS = 2000
-/** Least time between two reads of a host that reads for others, in milliseconds: derived. */
+/** Least time between two reads of a host that reads for others, in milliseconds. */
 const READ_PAUSE_MS = POLL_MS - ASK_PAUSE_MS
 
 /** Options of {@link keepSnapshotFresh}. */
--- a/src/entry/registry/table-copy.ts
+++ b/src/entry/registry/table-copy.ts
@@ -47,7 +47,7 @@
   readSince: (since: number, timeoutMs: number) => Promise<boolean>
 }
 
-/** Removed rows that are remembered; a requester that knows less gets the whole table. Chosen, not measured. */
+/** Removed rows that are remembered; a requester that knows less gets the whole table. */
 const REMEMBERED_REMOVALS = 200
 
 /**
--- a/src/entry/registry/table-exchange.ts
+++ b/src/entry/registry/table-exchange.ts
@@ -1,7 +1,7 @@
 /**
  * Plug-in `tableRelay`: a few hosts follow the tables of the store, the others ask one of these by long poll, which
- * answers as soon as something changes. When each of 195 hosts followed each table, every change cost 195 calls, and
- * hosts that the store rejected asked it thirteen times a second each.
+ * answers as soon as something changes. If each host followed each table, every change would cost a call from each, and
+ * hosts that the store rejects would ask it again and again.
  */
 import { registerPlugin } from '../../core/kernel/index.ts'
 import { createWaiters } from '../../core/time/waiters.ts'
--- a/src/entry/requests/choose-upstream.ts
+++ b/src/entry/requests/choose-upstream.ts
@@ -3,7 +3,7 @@
  *
  * Which one? Inputs: the upstreams of the group that were not tried and are not leaving, and what this host knows of
  * each ({@link ReadCandidate}). The one with the least cost in milliseconds of expected time; of equals the first in
- * the directory. The costs below are chosen, not measured, where no figure is given.
+ * the directory.
  */
 import type { KnownHost } from '../registry/index.ts'
 import { comparePositions, type LogPosition } from '../../positions/position.ts'
@@ -17,8 +17,7 @@
 const OTHER_DOMAIN_MS = 25
 /**
  * Cost of using the primary for a read that a replica can serve, in milliseconds: its slots are needed for writes. Less
- * than a hop to another failure domain: at 40, reads of the primary's own domain went to replicas of others, and the
- * bytes between domains rose by half while no more callers were served in time.
+ * than a hop to another failure domain, or reads of the primary's own domain would go to replicas of others.
  */
 const PRIMARY_MS = 12
 /** Cost of a connection that must be opened or waited for, in milliseconds. */
--- a/src/entry/requests/index.ts
+++ b/src/entry/requests/index.ts
@@ -11,7 +11,7 @@
 import { stopSessions } from './stop-sessions.ts'
 import type { EntryContext, EntryMeasures } from './types.ts'
 
-/** Time for which a transaction may be idle while no desired state is known, in milliseconds. Chosen, not measured. */
+/** Time for which a transaction may be idle while no desired state is known, in milliseconds. */
 const UNKNOWN_IDLE_MS = 3000
 
 declare module '../../core/kernel/index.ts' {
--- a/src/entry/requests/local-executor.ts
+++ b/src/entry/requests/local-executor.ts
@@ -58,7 +58,7 @@
 /**
  * Returns the position that an upstream's log must have reached. For the primary of a lease it is the end of its log,
  * as it last reported it: one that has started again under its name holds nothing, and its row in the directory comes
- * later. 12 of 12 reads that reached it before that lacked what had been acknowledged.
+ * later. Reads that reach it before that would lack what has been acknowledged.
  */
 function requiredPosition (
   { freshness }: LocalContext, { known, after, primaryLease }: LeasedUpstream
--- a/src/entry/requests/retry-rules.ts
+++ b/src/entry/requests/retry-rules.ts
@@ -9,15 +9,15 @@
 import type { ErrorName, RequestError } from '../../core/errors/index.ts'
 import { verdictOf, type FailureKind, type StatementAnswer } from '../ports/index.ts'
 
-/** Attempts of a read, or of the beginning of a transaction. Chosen, not measured. */
+/** Attempts of a read, or of the beginning of a transaction. */
 const READ_ATTEMPTS = 6
-/** Attempts of a write whose errors say that it has certainly not run. Chosen, not measured. */
+/** Attempts of a write whose errors say that it has certainly not run. */
 const WRITE_ATTEMPTS = 6
-/** Attempts of a statement inside a transaction that the upstream did not run. Chosen, not measured. */
+/** Attempts of a statement inside a transaction that the upstream did not run. */
 const STATEMENT_ATTEMPTS = 4
 /**
- * Pause before a statement is repeated that an upstream did not run, in milliseconds; also given to callers and
- * hosts that may come back at once. Chosen, not measured.
+ * Pause before a statement is repeated that an upstream did not run, in milliseconds; also given to callers and hosts
+ * that may come back at once.
  */
 export const NOT_RUN_PAUSE_MS = 25
 
--- a/src/entry/requests/session-names.ts
+++ b/src/entry/requests/session-names.ts
@@ -2,10 +2,7 @@
 import type { CallerStatement, PreparedShape } from '../ports/index.ts'
 import type { DataWork } from './types.ts'
 
-/**
- * Values, and prepared statements, that a session may have; more is refused, so that memory stays bounded. Chosen, not
- * measured.
- */
+/** Values, and prepared statements, that a session may have; more is refused, so that memory stays bounded. */
 export const MAXIMUM_NAMES = 256
 
 /** A statement of a caller that an upstream must run. */
--- a/src/entry/requests/session.ts
+++ b/src/entry/requests/session.ts
@@ -14,7 +14,7 @@
 
 /**
  * Time that a request waits for the first desired state of a process that has just started, in milliseconds: some reads
- * of the store. After a loss of power of 71 hosts, 643 requests were told that their database is not declared.
+ * of the store. Without it callers would be told after a loss of power that their database is not declared.
  */
 const STATE_WAIT_MS = 400
 
--- a/src/entry/requests/statement-costs.ts
+++ b/src/entry/requests/statement-costs.ts
@@ -3,11 +3,11 @@
  * their running mean. It decides whose turn comes first at a busy upstream.
  */
 
-/** Weight of a new time in the running mean. Chosen, not measured. */
+/** Weight of a new time in the running mean. */
 const SAMPLE_WEIGHT = 0.05
-/** Time that is expected while none was recorded, in milliseconds. Chosen, not measured. */
+/** Time that is expected while none was recorded, in milliseconds. */
 const UNKNOWN_MS = 10
-/** Databases that are remembered, so that memory stays bounded; the oldest is dropped. Chosen, not measured. */
+/** Databases that are remembered, so that memory stays bounded; the oldest is dropped. */
 const REMEMBERED = 4096
 
 /** Expected times of statements. */
--- a/src/entry/requests/statement-executor.ts
+++ b/src/entry/requests/statement-executor.ts
@@ -9,10 +9,7 @@
 import type { TimedAnswer } from './run-statement.ts'
 import type { DataWork, RequestScope } from './types.ts'
 
-/**
- * Time that a rollback may take before the connection is closed instead, in milliseconds. Chosen, not measured: no
- * caller waits for it.
- */
+/** Time that a rollback may take before the connection is closed instead, in milliseconds. No caller waits for it. */
 export const ROLLBACK_MS = 1500
 
 /** A step of a transaction. */
--- a/src/entry/requests/stop-sessions.ts
+++ b/src/entry/requests/stop-sessions.ts
@@ -9,19 +9,16 @@
 import { pause } from '../../core/time/deadline.ts'
 import type { Session } from './session.ts'
 
-/**
- * Time after the order to stop at which idle sessions are ended, in milliseconds: the balancer has noticed by then.
- * Chosen, not measured.
- */
+/** Time after the order to stop at which idle sessions are ended, in milliseconds: the balancer has noticed by then. */
 const STOP_IDLE_MS = 2200
-/** Time before the kill at which sessions are waited for no longer, in milliseconds. Chosen, not measured. */
+/** Time before the kill at which sessions are waited for no longer, in milliseconds. */
 const STOP_RESERVE_MS = 900
 /**
  * Time without a request after which a session is ended while stopping, in milliseconds; callers send the next one
- * sooner or later. Chosen, not measured.
+ * sooner or later.
  */
 const STOP_QUIET_MS = 150
-/** Time between two checks of what is left while stopping, in milliseconds. Chosen, not measured. */
+/** Time between two checks of what is left while stopping, in milliseconds. */
 export const STOP_POLL_MS = 50
 
 /** What a session shows of itself while the process stops. */
--- a/src/entry/requests/wait-rules.ts
+++ b/src/entry/requests/wait-rules.ts
@@ -12,14 +12,11 @@
  */
 import type { KnownUpstream } from '../directory/index.ts'
 
-/**
- * Part of a request's time for which it waits for a primary, or for a connection, before it is refused. Chosen, not
- * measured.
- */
+/** Part of a request's time for which it waits for a primary, or for a connection, before it is refused. */
 export const WAIT_SHARE = 0.45
 /**
- * Part of the time that is left for an answer in time for which a request waits for a connection. Measured at an
- * overloaded primary: requests that wait longer are late, and make those behind them late too.
+ * Part of the time that is left for an answer in time for which a request waits for a connection: at an
+ * overloaded primary those that wait longer are late, and make those behind them late too.
  */
 const QUEUE_SHARE = 0.5
 /** Least time for which a request waits for a connection, in milliseconds: opening one takes 12 ms and a round trip. */
@@ -31,10 +28,7 @@
 const ANSWER_RESERVE_MS = 100
 /** Time after which callers are told to come back when there is no primary, in milliseconds: about one promotion. */
 export const RETRY_AFTER_MS = 300
-/**
- * Time of `drainMs` that is kept back, so that what is under way still arrives before its end, in milliseconds. Chosen,
- * not measured.
- */
+/** Time of `drainMs` that is kept back, so that what is under way still arrives before its end, in milliseconds. */
 const DRAIN_RESERVE_MS = 1500
 
 /**
--- a/src/explain/story.ts
+++ b/src/explain/story.ts
@@ -2,11 +2,11 @@
 import { estimateOffsets } from './clock-offsets.ts'
 import type { LogEntry } from './parse-log.ts'
 
-/** How long before a request began its story looks back, in milliseconds: chosen, not measured. */
+/** How long before a request began its story looks back, in milliseconds. */
 const LOOK_BACK_MS = 12_000
 /** How long after its end the story goes on, in milliseconds: a silent upstream is noticed within it, chosen. */
 const LOOK_ON_MS = 1500
-/** Age of an input beyond which it is reported, in milliseconds: derived, two reads of the registry have failed. */
+/** Age of an input beyond which it is reported, in milliseconds: two reads of the registry have failed. */
 const OLD_INPUT_MS = 4500
 
 /** A line of the story. */
--- a/src/mysql-proxy/callers/caller.ts
+++ b/src/mysql-proxy/callers/caller.ts
@@ -6,7 +6,7 @@
 import type { Hint } from './hint.ts'
 import type { SessionFloors } from './session-floors.ts'
 
-/** Time a statement without a declared kind may take, in milliseconds; chosen, not measured. */
+/** Time a statement without a declared kind may take, in milliseconds. */
 const DEFAULT_DEADLINE_MS = 5000
 
 /** A caller's connection. */
--- a/src/mysql-proxy/callers/index.ts
+++ b/src/mysql-proxy/callers/index.ts
@@ -26,9 +26,9 @@
   interface Services { callers: Callers }
 }
 
-/** Greatest length of a command, in bytes, whatever the group's own limit; chosen, not measured. */
+/** Greatest length of a command, in bytes, whatever the group's own limit. */
 const COMMAND_BYTES = 16_000_000
-/** Pause between two looks for callers that can be disconnected, in milliseconds; chosen, not measured. */
+/** Pause between two looks for callers that can be disconnected, in milliseconds. */
 const DRAIN_POLL_MS = 10
 
 /** A caller that is connected. */
--- a/src/mysql-proxy/configuration/configuration-store.ts
+++ b/src/mysql-proxy/configuration/configuration-store.ts
@@ -48,7 +48,7 @@
 
 /**
  * Attempts of one change: it is repeated when an answer was lost, or when a change of another group raised the count of
- * changes first. Chosen, not measured.
+ * changes first.
  */
 const ATTEMPTS = 5
 /** Digits of a revision in a sort key, so that keys sort by number; part of the stored form. */
--- a/src/mysql-proxy/configuration/follow-changes.ts
+++ b/src/mysql-proxy/configuration/follow-changes.ts
@@ -11,9 +11,9 @@
 import type { DeclarationsInForce } from './declarations-in-force.ts'
 import { changesSchema } from './types.ts'
 
-/** Time in which a peer must answer, in milliseconds; chosen, not measured. */
+/** Time in which a peer must answer, in milliseconds. */
 const PEER_TIMEOUT_MS = 1000
-/** Pause between two attempts to find declarations at start, in milliseconds; chosen, not measured. */
+/** Pause between two attempts to find declarations at start, in milliseconds. */
 const START_PAUSE_MS = 100
 /** Least part of the interval `pollMs` between two reads of the platform; up to a whole one is added at random. */
 const LEAST_INTERVAL_PART = 0.5
--- a/src/mysql-proxy/failover/fencing.ts
+++ b/src/mysql-proxy/failover/fencing.ts
@@ -8,9 +8,9 @@
 import { logEnd } from '../upstreams/status.ts'
 import type { Fenced } from './choose-successor.ts'
 
-/** Time for the fencing of a majority, in milliseconds; chosen, not measured. */
+/** Time for the fencing of a majority, in milliseconds. */
 const FENCE_TIMEOUT_MS = 500
-/** Time a planned successor has to catch up, in milliseconds; chosen, not measured. */
+/** Time a planned successor has to catch up, in milliseconds. */
 const CATCH_UP_MS = 1000
 
 /** A fence to be set. */
--- a/src/mysql-proxy/failover/index.ts
+++ b/src/mysql-proxy/failover/index.ts
@@ -20,7 +20,7 @@
   interface Services { failover: Failover }
 }
 
-/** Time between two checks of which groups are placed here, in milliseconds; chosen, not measured. */
+/** Time between two checks of which groups are placed here, in milliseconds. */
 const PLACEMENT_MS = 500
 
 registerPlugin({
--- a/src/mysql-proxy/failover/notices.ts
+++ b/src/mysql-proxy/failover/notices.ts
@@ -10,9 +10,9 @@
 import type { Observation } from './suspicion.ts'
 import { KEEPERS_PER_GROUP } from './types.ts'
 
-/** Time for the answer to a notice, in milliseconds; chosen, not measured. */
+/** Time for the answer to a notice, in milliseconds. */
 const NOTICE_TIMEOUT_MS = 500
-/** Homes that a new primary is announced to; others learn of it from their probes. Chosen, not measured. */
+/** Homes that a new primary is announced to; others learn of it from their probes. */
 const NOTIFIED_HOMES = 8
 
 /** Notices of one keeper. */
--- a/src/mysql-proxy/failover/probes.ts
+++ b/src/mysql-proxy/failover/probes.ts
@@ -4,7 +4,7 @@
  */
 import type { GroupView } from '../upstreams/group-view.ts'
 
-/** Rounds after which all upstreams are probed, not the primary alone; chosen, not measured. */
+/** Rounds after which all upstreams are probed, not the primary alone. */
 const FULL_ROUND = 5
 
 /** Probes of one group. */
--- a/src/mysql-proxy/failover/suspicion.ts
+++ b/src/mysql-proxy/failover/suspicion.ts
@@ -3,7 +3,7 @@
  * decides how many are enough.
  */
 
-/** Time for which an observation counts, in milliseconds; chosen, not measured. */
+/** Time for which an observation counts, in milliseconds. */
 const OBSERVATION_MS = 1000
 
 /** An observation of a failure. */
--- a/src/mysql-proxy/failover/types.ts
+++ b/src/mysql-proxy/failover/types.ts
@@ -2,8 +2,8 @@
 import * as z from 'zod'
 
 /**
- * Keepers that watch each group, in different failure domains where there are enough. Derived: one may fail and two
- * failure domains can still report a primary.
+ * Keepers that watch each group, in different failure domains where there are enough. One may fail and two failure
+ * domains can still report a primary.
  */
 export const KEEPERS_PER_GROUP = 3
 
--- a/src/mysql-proxy/failover/unreachable.ts
+++ b/src/mysql-proxy/failover/unreachable.ts
@@ -12,7 +12,7 @@
  */
 import { ConnectionLostError } from '../../mysql/connection-lost.ts'
 
-/** Failure domains that must report a primary. Derived: the least number that a single cut link cannot reach. */
+/** Failure domains that must report a primary: the least number that a single cut link cannot reach. */
 export const REQUIRED_DOMAINS = 2
 
 /** What is known of a primary's failures. */
--- a/src/mysql-proxy/failover/when-to-act.ts
+++ b/src/mysql-proxy/failover/when-to-act.ts
@@ -15,9 +15,9 @@
 import type { Group } from '../../core/config/index.ts'
 import { REQUIRED_DOMAINS } from './unreachable.ts'
 
-/** Full rounds of probes for which an unfinished election is left to the keeper that began it; chosen, not measured. */
+/** Full rounds of probes for which an unfinished election is left to the keeper that began it. */
 const STUCK_ROUNDS = 15
-/** Greatest random addition to the wait, as a part of it; chosen, not measured. */
+/** Greatest random addition to the wait, as a part of it. */
 const JITTER = 0.5
 
 /** What an election is decided by. */
--- a/src/mysql-proxy/language/mistake.ts
+++ b/src/mysql-proxy/language/mistake.ts
@@ -1,7 +1,7 @@
 /** The error for a wrong command: it points at the position and suggests the nearest word. */
 import { WorkswardError } from '../../core/errors/index.ts'
 
-/** Greatest edit distance, in letters, at which a word is suggested; chosen, not measured. */
+/** Greatest edit distance, in letters, at which a word is suggested. */
 const GREATEST_DISTANCE = 3
 
 /**
--- a/src/mysql-proxy/membership/heartbeats.ts
+++ b/src/mysql-proxy/membership/heartbeats.ts
@@ -10,9 +10,9 @@
 import { createSuspicion } from './suspicion.ts'
 import { heartbeatSchema, memberSchema, type Heartbeat, type Member } from './types.ts'
 
-/** Members asked in each round; chosen, not measured. */
+/** Members asked in each round. */
 const FANOUT = 2
-/** Rounds after which whole lists are exchanged with a member whose digest differs; chosen, not measured. */
+/** Rounds after which whole lists are exchanged with a member whose digest differs. */
 const EXCHANGE_EVERY = 4
 
 /** Options of {@link createHeartbeats}. */
--- a/src/mysql-proxy/membership/member-list.ts
+++ b/src/mysql-proxy/membership/member-list.ts
@@ -6,7 +6,7 @@
 
 /**
  * Time for which a process that is gone stays listed, in milliseconds, so that an old opinion does not make it live
- * again; chosen, not measured.
+ * again.
  */
 const KEEP_GONE_MS = 600_000
 
--- a/src/mysql-proxy/membership/opinions.ts
+++ b/src/mysql-proxy/membership/opinions.ts
@@ -7,9 +7,9 @@
 import { isUnrefuted, REFUTATION_MS } from './silence-rule.ts'
 import type { Heartbeat, Member } from './types.ts'
 
-/** Greatest number of changes that one heartbeat carries; chosen, not measured. */
+/** Greatest number of changes that one heartbeat carries. */
 const CHANGES_IN_HEARTBEAT = 16
-/** Heartbeats after which a change is no longer carried; chosen, not measured. */
+/** Heartbeats after which a change is no longer carried. */
 const HEARTBEATS_WITH_CHANGE = 6
 
 /** Options of {@link createOpinions}. */
--- a/src/mysql-proxy/membership/silence-rule.ts
+++ b/src/mysql-proxy/membership/silence-rule.ts
@@ -12,11 +12,11 @@
  */
 import type { Member } from './types.ts'
 
-/** Time in which a member must answer a heartbeat, in milliseconds; chosen, not measured. */
+/** Time in which a member must answer a heartbeat, in milliseconds. */
 export const HEARTBEAT_TIMEOUT_MS = 400
 /** Time in which a second member must report, in milliseconds: its own heartbeat and the way there and back. */
 export const CONFIRMATION_TIMEOUT_MS = 2 * HEARTBEAT_TIMEOUT_MS
-/** Time in which a suspect must refute before it counts as gone, in milliseconds; chosen, not measured. */
+/** Time in which a suspect must refute before it counts as gone, in milliseconds. */
 export const REFUTATION_MS = 1000
 
 const STATE_WHEN_SILENT: Record<Member['state'], Member['state'] | undefined> = {
--- a/src/mysql-proxy/membership/suspicion.ts
+++ b/src/mysql-proxy/membership/suspicion.ts
@@ -6,8 +6,7 @@
 import type { Member } from './types.ts'
 
 /**
- * Time for which a member that failed a request is tried last, in milliseconds; chosen, not measured. A new heartbeat
- * from it ends that time.
+ * Time for which a member that failed a request is tried last, in milliseconds. A new heartbeat from it ends that time.
  */
 const AVOID_MS = 500
 
--- a/src/mysql-proxy/operators/commands.ts
+++ b/src/mysql-proxy/operators/commands.ts
@@ -21,7 +21,7 @@
 import { selectRows, TABLES, type TableRow, type TableSources } from './tables.ts'
 import { requestWork, setOwnWork } from './work-state.ts'
 
-/** Time in which `explain` must find an upstream, in milliseconds; chosen, not measured. */
+/** Time in which `explain` must find an upstream, in milliseconds. */
 const EXPLAIN_DEADLINE_MS = 2000
 
 /** What commands work on. */
--- a/src/mysql-proxy/operators/consts.ts
+++ b/src/mysql-proxy/operators/consts.ts
@@ -2,6 +2,5 @@
 
 /**
  * Time in which another process must answer a request made for an operator, in milliseconds; a promotion counts too.
- * Chosen, not measured.
  */
 export const PEER_TIMEOUT_MS = 3000
--- a/src/mysql-proxy/operators/index.ts
+++ b/src/mysql-proxy/operators/index.ts
@@ -38,7 +38,7 @@
   body: string
 }
 
-/** Greatest body of a request, in bytes; chosen, not measured. */
+/** Greatest body of a request, in bytes. */
 const MAXIMUM_BODY_BYTES = 4_000_000
 const JSON_TYPE = 'application/json'
 
--- a/src/mysql-proxy/operators/tables.ts
+++ b/src/mysql-proxy/operators/tables.ts
@@ -19,7 +19,7 @@
   callers: Callers
 }
 
-/** Changes that the table `history` shows, the latest ones; chosen, not measured. */
+/** Changes that the table `history` shows, the latest ones. */
 const HISTORY_LENGTH = 200
 
 /** Reads each table. */
--- a/src/mysql-proxy/routing/begin-transaction.ts
+++ b/src/mysql-proxy/routing/begin-transaction.ts
@@ -10,11 +10,11 @@
 import type { HomeReply } from './types.ts'
 import { mayRepeatBegin } from './what-is-repeated.ts'
 
-/** Pause before a begin is repeated, in milliseconds, in which a new primary may be announced; chosen, not measured. */
+/** Pause before a begin is repeated, in milliseconds, in which a new primary may be announced. */
 const BEGIN_RETRY_MS = 20
-/** A begin is repeated while this many pauses are left, so that one fits in with time to run; chosen, not measured. */
+/** A begin is repeated while this many pauses are left, so that one fits in with time to run. */
 const PAUSES_LEFT = 2
-/** Priority of a begin in the queue for connections; chosen, not measured. */
+/** Priority of a begin in the queue for connections. */
 const TRANSACTION_PRIORITY = 5
 
 /**
--- a/src/mysql-proxy/routing/commit-transaction.ts
+++ b/src/mysql-proxy/routing/commit-transaction.ts
@@ -24,7 +24,7 @@
   table: TransactionTable
 }
 
-/** How a commit is acknowledged and queued while its outcome is settled; the figures are chosen, not measured. */
+/** How a commit is acknowledged and queued while its outcome is settled. */
 export const COMMIT_KIND: Kind = {
   access: 'write',
   acknowledgement: 'replicated',
--- a/src/mysql-proxy/routing/evidence-reports.ts
+++ b/src/mysql-proxy/routing/evidence-reports.ts
@@ -7,7 +7,7 @@
 import { KEEPERS_PER_GROUP } from '../failover/types.ts'
 import type { Membership } from '../membership/index.ts'
 
-/** Time for the answer to a report, in milliseconds; chosen, not measured. */
+/** Time for the answer to a report, in milliseconds. */
 const REPORT_TIMEOUT_MS = 500
 
 /** Options of {@link createEvidenceReports}. */
--- a/src/mysql-proxy/routing/group-home.ts
+++ b/src/mysql-proxy/routing/group-home.ts
@@ -51,9 +51,9 @@
   close: () => void
 }
 
-/** Time a status question may take, in milliseconds; chosen, not measured. */
+/** Time a status question may take, in milliseconds. */
 const STATUS_TIMEOUT_MS = 250
-/** Time between two probes of the upstreams while requests are in progress, in milliseconds; chosen, not measured. */
+/** Time between two probes of the upstreams while requests are in progress, in milliseconds. */
 const WATCH_MS = 100
 
 /**
--- a/src/mysql-proxy/routing/home-reads.ts
+++ b/src/mysql-proxy/routing/home-reads.ts
@@ -13,7 +13,7 @@
 import type { ExecuteRequest, ExplainRequest, HomeReply } from './types.ts'
 import { isConnectionLost } from './what-is-repeated.ts'
 
-/** Pause before a read is repeated, in milliseconds; chosen, not measured. */
+/** Pause before a read is repeated, in milliseconds. */
 const RETRY_PAUSE_MS = 5
 
 /** Options of {@link createHomeReads}. */
--- a/src/mysql-proxy/routing/home-requests.ts
+++ b/src/mysql-proxy/routing/home-requests.ts
@@ -45,12 +45,9 @@
   home: string
 }
 
-/**
- * Added to a request's time when another process answers it, so that its verdict arrives, in milliseconds; chosen, not
- * measured.
- */
+/** Added to a request's time when another process answers it, so that its verdict arrives, in milliseconds. */
 const ANSWER_GRACE_MS = 250
-/** Time after which a caller should come back when a group has no home, in milliseconds; chosen, not measured. */
+/** Time after which a caller should come back when a group has no home, in milliseconds. */
 const RETRY_AFTER_MS = 100
 
 /**
--- a/src/mysql-proxy/routing/placed-homes.ts
+++ b/src/mysql-proxy/routing/placed-homes.ts
@@ -8,9 +8,9 @@
 import type { Configuration } from '../configuration/index.ts'
 import type { GroupHome } from './group-home.ts'
 
-/** Time between two checks for groups that are no longer placed here, in milliseconds; chosen, not measured. */
+/** Time between two checks for groups that are no longer placed here, in milliseconds. */
 const RELEASE_MS = 1000
-/** Pause between two checks whether everything in flight is done, in milliseconds; chosen, not measured. */
+/** Pause between two checks whether everything in flight is done, in milliseconds. */
 const DRAIN_POLL_MS = 10
 
 /** Options of {@link createPlacedHomes}. */
--- a/src/mysql-proxy/routing/primary-work.ts
+++ b/src/mysql-proxy/routing/primary-work.ts
@@ -24,7 +24,7 @@
   deadline: Deadline
 }
 
-/** Time after which a caller should come back after a refusal, in milliseconds; chosen, not measured. */
+/** Time after which a caller should come back after a refusal, in milliseconds. */
 const RETRY_AFTER_MS = 100
 
 /**
--- a/src/mysql-proxy/routing/read-route.ts
+++ b/src/mysql-proxy/routing/read-route.ts
@@ -45,9 +45,9 @@
   reason: string
 }
 
-/** Upstreams that hold what a replica shows. Derived: itself and its primary. */
+/** Upstreams that hold what a replica shows: itself and its primary. */
 const HOLDERS_OF_REPLICA_DATA = 2
-/** Time after which a caller should come back after a refusal, in milliseconds; chosen, not measured. */
+/** Time after which a caller should come back after a refusal, in milliseconds. */
 const RETRY_AFTER_MS = 100
 
 /**
--- a/src/mysql-proxy/routing/settle.ts
+++ b/src/mysql-proxy/routing/settle.ts
@@ -24,7 +24,7 @@
 import type { HomeReply } from './types.ts'
 import { isReadOnlyRefusal } from './what-is-repeated.ts'
 
-/** Pause before another try, in milliseconds; chosen, not measured. */
+/** Pause before another try, in milliseconds. */
 const RETRY_PAUSE_MS = 10
 
 /**
--- a/src/mysql-proxy/routing/where-reads-run.ts
+++ b/src/mysql-proxy/routing/where-reads-run.ts
@@ -15,11 +15,11 @@
  */
 import { meetsFloor, type LogPosition, type SeenUpstream, type SessionFloor } from '../../positions/position.ts'
 
-/** Part of the time left that a read may wait for a replica; chosen, not measured. */
+/** Part of the time left that a read may wait for a replica. */
 const WAIT_SHARE = 0.5
-/** Ages are measured again after the accepted age divided by this; chosen, not measured. */
+/** Ages are measured again after the accepted age divided by this. */
 const REFRESHES_PER_AGE = 4
-/** Least and greatest time between two measurements of ages, in milliseconds; chosen, not measured. */
+/** Least and greatest time between two measurements of ages, in milliseconds. */
 const SHORTEST_REFRESH_MS = 20
 const LONGEST_REFRESH_MS = 250
 
--- a/src/mysql-proxy/routing/write-route.ts
+++ b/src/mysql-proxy/routing/write-route.ts
@@ -36,11 +36,9 @@
   spendRetry: () => boolean
 }
 
-/**
- * Time after which a caller should come back while a group changes its primary, in milliseconds; chosen, not measured.
- */
+/** Time after which a caller should come back while a group changes its primary, in milliseconds. */
 const SUPERSEDED_RETRY_MS = 250
-/** Pause before another try, in milliseconds; chosen, not measured. */
+/** Pause before another try, in milliseconds. */
 const RETRY_PAUSE_MS = 10
 
 /**
--- a/src/mysql-proxy/storage/index.ts
+++ b/src/mysql-proxy/storage/index.ts
@@ -61,7 +61,7 @@
   }
 }
 
-/** Greatest number of connections to one service; chosen, not measured. */
+/** Greatest number of connections to one service. */
 const MAXIMUM_SOCKETS = 4
 
 /** Opens connections through the dialer of the process, as all others. */
--- a/src/mysql-proxy/storage/table-client.ts
+++ b/src/mysql-proxy/storage/table-client.ts
@@ -5,7 +5,7 @@
 import { callPlatform } from './call-platform.ts'
 import type { ConditionalRow, PlatformTable, TableRow } from './types.ts'
 
-/** Greatest number of rows in one page of a listing; chosen, not measured. */
+/** Greatest number of rows in one page of a listing. */
 const PAGE_ROWS = 500
 
 /**
--- a/src/mysql-proxy/upstreams/admission.ts
+++ b/src/mysql-proxy/upstreams/admission.ts
@@ -10,15 +10,15 @@
  * - A refused caller should come back when the queue, with its request, is expected to be done.
  */
 
-/** Longest time after which a caller should come back, in milliseconds; chosen, not measured. */
+/** Longest time after which a caller should come back, in milliseconds. */
 const MAXIMUM_RETRY_AFTER_MS = 1000
 /** Least time after which a caller should come back, in milliseconds. */
 const MINIMUM_RETRY_AFTER_MS = 1
-/** Latency assumed before one is measured, in milliseconds; chosen, not measured. */
+/** Latency assumed before one is measured, in milliseconds. */
 const FIRST_GUESS_MS = 1
-/** Part of its time that a request may expect to queue; the rest is for running it. Chosen, not measured. */
+/** Part of its time that a request may expect to queue; the rest is for running it. */
 const QUEUEING_SHARE = 0.5
-/** Times the mean latency that must be left when a request starts; chosen, not measured. */
+/** Times the mean latency that must be left when a request starts. */
 const TIME_TO_RUN = 2
 
 /** How fast a queue moves. */
--- a/src/mysql-proxy/upstreams/client-set.ts
+++ b/src/mysql-proxy/upstreams/client-set.ts
@@ -8,7 +8,7 @@
 import { isTooManyConnections } from '../../mysql/connection-lost.ts'
 import { createConnectionShare } from './connection-share.ts'
 
-/** Time to open a connection, in milliseconds; chosen, not measured. */
+/** Time to open a connection, in milliseconds. */
 const CONNECT_TIMEOUT_MS = 1000
 
 /** Options of {@link createClientSet}. */
--- a/src/mysql-proxy/upstreams/concurrency-limit.ts
+++ b/src/mysql-proxy/upstreams/concurrency-limit.ts
@@ -3,7 +3,7 @@
  * about as long as the fastest recent ones, it grows; when they take longer, they queue at the upstream and it shrinks.
  */
 
-/** Weight of a new sample in the running mean; chosen, not measured, like the other figures here. */
+/** Weight of a new sample in the running mean. */
 const SAMPLE_WEIGHT = 0.1
 /** Statements whose mean is one candidate for the fastest latency; a single one may be a stroke of luck. */
 const BATCH_SAMPLES = 8
--- a/src/mysql-proxy/upstreams/connection-share.ts
+++ b/src/mysql-proxy/upstreams/connection-share.ts
@@ -3,7 +3,7 @@
  * more again after each {@link REGROW_MS}. Owns the share in force.
  */
 
-/** Time after which a share that was refused grows again by one, in milliseconds; chosen, not measured. */
+/** Time after which a share that was refused grows again by one, in milliseconds. */
 const REGROW_MS = 2000
 
 /** A share of an upstream's connections. */
--- a/src/mysql-proxy/upstreams/data-age.ts
+++ b/src/mysql-proxy/upstreams/data-age.ts
@@ -4,7 +4,7 @@
  */
 import { comparePositions, meetsFloor, type LogPosition } from '../../positions/position.ts'
 
-/** Probes of the primary that are kept; chosen, not measured. */
+/** Probes of the primary that are kept. */
 const REMEMBERED_PROBES = 128
 
 /** A probe of the primary. */
--- a/src/mysql-proxy/upstreams/group-view.ts
+++ b/src/mysql-proxy/upstreams/group-view.ts
@@ -17,7 +17,7 @@
 
 export type { GroupViewOptions, Leadership, UpstreamView } from './group-view-types.ts'
 
-/** Time after which a caller should come back while no primary is known, in milliseconds; chosen, not measured. */
+/** Time after which a caller should come back while no primary is known, in milliseconds. */
 const NO_PRIMARY_RETRY_MS = 250
 
 /** A process's view of a group. */
--- a/src/mysql-proxy/upstreams/primary-search.ts
+++ b/src/mysql-proxy/upstreams/primary-search.ts
@@ -4,13 +4,11 @@
  */
 import { pause, type Deadline } from '../../core/time/deadline.ts'
 
-/** Pause between two questions to all upstreams, in milliseconds; chosen, not measured. */
+/** Pause between two questions to all upstreams, in milliseconds. */
 const SEARCH_PAUSE_MS = 15
-/** The same once the group has been without a primary for long, in milliseconds; chosen, not measured. */
+/** The same once the group has been without a primary for long, in milliseconds. */
 const LONG_SEARCH_PAUSE_MS = 150
-/**
- * Questions after which a group counts as long without a primary; with the pause, after 2.25 s; chosen, not measured.
- */
+/** Questions after which a group counts as long without a primary; with the pause, after 2.25 s. */
 const QUICK_QUESTIONS = 150
 
 /** Options of {@link createPrimarySearch}. */
--- a/src/mysql-proxy/upstreams/status-channel.ts
+++ b/src/mysql-proxy/upstreams/status-channel.ts
@@ -73,9 +73,9 @@
   status: UpstreamStatus
 }
 
-/** Time one wait for a change may last, in milliseconds; chosen, not measured. */
+/** Time one wait for a change may last, in milliseconds. */
 const WAIT_MS = 1000
-/** Pause before a failed wait is repeated, in milliseconds; chosen, not measured. */
+/** Pause before a failed wait is repeated, in milliseconds. */
 const WAIT_RETRY_MS = 20
 
 /**
--- a/src/mysql/authentication.ts
+++ b/src/mysql/authentication.ts
@@ -12,7 +12,7 @@
 /** Status flag: autocommit. */
 const AUTOCOMMIT = 2
 const SERVER_VERSION = '8.0.36-worksward'
-/** Time a client may take for the handshake, in milliseconds; chosen, not measured. */
+/** Time a client may take for the handshake, in milliseconds. */
 const HANDSHAKE_TIMEOUT_MS = 5000
 
 /** Options of {@link greetClient}. */
--- a/src/mysql/client.ts
+++ b/src/mysql/client.ts
@@ -46,7 +46,7 @@
   onClose: (listener: () => void) => void
 }
 
-/** Greatest number of statements that stay prepared on a connection; chosen, not measured. */
+/** Greatest number of statements that stay prepared on a connection. */
 const MAXIMUM_PREPARED_STATEMENTS = 200
 
 /**
--- a/src/mysql/prepared-statements.ts
+++ b/src/mysql/prepared-statements.ts
@@ -3,7 +3,7 @@
 import { countPlaceholders } from './statement-lexer.ts'
 import type { Statement } from './types.ts'
 
-/** Greatest number of prepared statements of a connection; chosen, not measured. */
+/** Greatest number of prepared statements of a connection. */
 const MAXIMUM_PREPARED_STATEMENTS = 1000
 
 /** A prepared statement. */
--- a/src/placement/upstream-homes.ts
+++ b/src/placement/upstream-homes.ts
@@ -14,7 +14,7 @@
 
 /**
  * Least number of connections that a home has of an upstream's cap. A statement or a transaction takes one; with fewer
- * a home, some homes wait for one while those of others are idle. Chosen, not measured.
+ * a home, some homes wait for one while those of others are idle.
  */
 const CONNECTIONS_PER_HOME = 8
 /**
@@ -24,7 +24,7 @@
  * more makes up for a home that is gone.
  */
 const SPARE_HOMES = 1
-/** Least number of homes of an upstream. Derived: the loss of one leaves another. */
+/** Least number of homes of an upstream: the loss of one leaves another. */
 const LEAST_HOMES = 2
 
 /** A host that can be a home. */
@@ -41,7 +41,7 @@
   slots: number
 }
 
-/** Scores that are cached; beyond that they are computed anew; chosen, not measured. */
+/** Scores that are cached; beyond that they are computed anew. */
 const CACHED_SCORES = 20_000
 const scores = new Map<string, string>()
 
