Take a refusal for want of room as an answer of the upstream

What callers saw: a primary that was slow and had all its connections in use was replaced, and open transactions there were lost.

Cause: a statement without an answer for 300 ms has its upstream probed, and a probe that was refused for want of room marked it as unreachable, as if its process did not run. Connections for statements told the two apart already; the probe did not.

Now the refusal counts as an answer. Why it holds: it is one, from the upstream's own process; a process that does not run, another upstream at its address and silence are told apart as before.

--- a/src/entry/pools/upstream-questions.ts
+++ b/src/entry/pools/upstream-questions.ts
@@ -6,6 +6,7 @@
 import type { Logger } from '../../core/logger/index.ts'
 import { TIMED_OUT, within } from '../../core/time/deadline.ts'
 import type { KnownUpstream } from '../directory/index.ts'
+import { faultOf } from './connection-opener.ts'
 import type { UpstreamConnection, UpstreamPort, UpstreamReport } from '../ports/index.ts'
 import type { UpstreamHealth } from './upstream-health.ts'
 
@@ -72,7 +73,8 @@
     }
   } catch (thrown) {
     logger.log('info', 'upstream.no-report', { upstream, group, reason: describeThrown(thrown) })
-    health.failed('refused')
+    // One that has no room for the question is there: a primary must not be replaced for having much to do.
+    faultOf(thrown) === undefined ? health.answered() : health.failed('refused')
     return undefined
   }
 }
