Keep the bound of 15.6 s for all hosts when many are silent

In the test, nine hosts with four silent, two of the four were still waited for when 20 s of play were over; now none is waited for beyond 15.6 s and a second.

Three comments lose a paraphrase.

--- a/src/entry/leadership/close-epoch.ts
+++ b/src/entry/leadership/close-epoch.ts
@@ -41,8 +41,10 @@
   const progress: ClosingProgress = { hosts: others.length + 1, silent: others.length, lastStoppedAt: closedAt }
   await Promise.all(others.map(async (host) => {
     const because = await awaitHost(host, options, progress)
-    // One that stops when few are left changes nothing for the others: their leases have not been extended since.
-    progress.lastStoppedAt = areFewSilent(progress) ? progress.lastStoppedAt : performance.now()
+    // One that stops when few are left changes nothing for the others: their leases have not been extended since. Nor
+    // does one whose lease has expired by the greatest age of a confirmation: those of all the others have as well.
+    const changesNothing = because === 'lease-expired' || areFewSilent(progress)
+    progress.lastStoppedAt = changesNothing ? progress.lastStoppedAt : performance.now()
     progress.silent--
     logger.log('info', 'leadership.host-closed', {
       group, epoch, peer: host.name, because, waitedMs: Math.round(performance.now() - closedAt)
--- a/src/entry/registry/table-answers.ts
+++ b/src/entry/registry/table-answers.ts
@@ -3,9 +3,9 @@
  *
  * - Inputs: the copy of the table here, whether the store answers this host's questions for it, the age of its registry
  *   (milliseconds), and the version that the other host knows.
- * - Rule: changes are always told. That nothing is new is told only while the store answers this host, after the
+ * - Rule: changes are always returned. That nothing is new is said only while the store answers this host, after the
  *   question was held for {@link TABLE_HOLD_MS}; otherwise the host refuses at once, and another one is asked.
- * - Why: two hosts that the store rejects would tell each other for good that nothing is new.
+ * - Why: two hosts that the store rejects would assure each other for good that nothing is new.
  */
 import type { TableAnswer, TableQuestion } from './table-messages.ts'
 import type { TableChanges, TableCopy } from './table-copy.ts'
--- a/src/entry/registry/table-questions.ts
+++ b/src/entry/registry/table-questions.ts
@@ -4,7 +4,7 @@
  * - Inputs: the hosts that follow the tables, in the order in which this host asks them; which of them failed lately;
  *   the version that an answer must be as of.
  * - Rule: those that failed lately come last. The first answer that is as of the version counts. {@link
- *   FOLLOWERS_WAITED_FOR} may leave the question unanswered; those that refuse at once are passed over.
+ *   FOLLOWERS_WAITED_FOR} may leave the question unanswered; those that refuse at once are skipped.
  * - Why: what another host has reported is known somewhere; a host that the store rejects must find one that has it.
  */
 import { describeThrown } from '../../core/errors/index.ts'
--- a/test/entry/process/failover-time.test.ts
+++ b/test/entry/process/failover-time.test.ts
@@ -132,6 +132,28 @@
     expect(waited['h3 lease-expired']! < PRIMARY_LEASE_MS + LEASE_MARGIN_MS + 1000).toEqual(true)
   })
 
+  it('waits for none of many silent leases beyond the greatest age of a confirmation', async () => {
+    for (const host of ['h4', 'h5', 'h6', 'h7', 'h8', 'h9']) {
+      await suite.world.startHost(host)
+    }
+    await suite.clock.tickAsync(3000)
+    const silent = ['h3', 'h4', 'h5', 'h6']
+    const waited: Array<[string, number]> = []
+    suite.world.logger = {
+      log: (_level, event, fields) => {
+        if (event === 'leadership.host-closed' && silent.includes(String(fields?.['peer']))) {
+          waited.push([String(fields?.['because']), Number(fields?.['waitedMs'])])
+        }
+      }
+    }
+    await gapAfter(() => {
+      silent.forEach(powerOff)
+      crashPrimary()
+    }, ['h1', 'h2', 'h7', 'h8', 'h9'])
+    expect(waited.length).toEqual(silent.length)
+    expect(waited.filter(([, waitedMs]) => waitedMs > EXTENDED_LEASE_MS + LEASE_MARGIN_MS + 1000)).toEqual([])
+  })
+
   it('goes on without the store while a majority of the hosts hear each other', async () => {
     for (const host of ['h4', 'h5']) {
       await suite.world.startHost(host)
