Log what tells the causes of a second primary apart

Which host still works at a closed primary, and why, could not be told from the logs: an order's outcome, the stop of a host, the peers that extended a lease and answers after the lease had ended left no line.

No decision changes.

--- a/src/entry/leadership/extensions.ts
+++ b/src/entry/leadership/extensions.ts
@@ -64,9 +64,13 @@
     const askedAt = performance.now()
     const others = registry.peers()
     let grants = 1
+    const grantedBy: string[] = []
     await Promise.all(others.map(async (peer) => {
       const granted = await requestGrant(peer)
-      grants += granted ? 1 : 0
+      if (granted) {
+        grants++
+        grantedBy.push(peer.name)
+      }
       if (isMajority(grants, others.length + 1)) {
         primaryLeases.recordExtension(askedAt)
       }
@@ -76,6 +80,7 @@
       wasExtended = isExtended
       logger.log(isExtended ? 'info' : 'warn', isExtended ? 'leadership.extended' : 'leadership.not-extended', {
         grants,
+        by: grantedBy.join(' '),
         hosts: others.length + 1,
         confirmedAgeMs: Math.round(registry.confirmedAgeMs()),
         leaseMs: PRIMARY_LEASE_MS
--- a/src/entry/leadership/index.ts
+++ b/src/entry/leadership/index.ts
@@ -14,6 +14,7 @@
 import { createLocalWorkStop } from './stop-local-work.ts'
 import { createStopNotice } from './stop-notice.ts'
 import { createSuspectProbe } from './suspicion.ts'
+import { logTransitions } from './transition-log.ts'
 import { closedEpochSchema } from './types.ts'
 
 export type { PrimaryLease } from './types.ts'
@@ -81,6 +82,7 @@
       groups().forEach(recordIfReachable)
     }, (thrown) => logger.log('error', 'leadership.watch-failed', { reason: describeThrown(thrown) }))
     const stopExtending = createExtensions({ registry, peers, primaryLeases, logger })
+    logTransitions({ registry, directory, primaryLeases, groups, logger })
     const recordRowChange = createRowRecorder(registry, recoveryEstimates)
     registry.onChange(() => {
       groups().forEach(recordRowChange)
--- a/src/entry/leadership/promote.ts
+++ b/src/entry/leadership/promote.ts
@@ -97,8 +97,13 @@
     group, upstream: name, fence: held.fence, position: formatPosition(report.received)
   })
   options.promotionLease.recordOrder()
+  const orderedAt = performance.now()
+  const logOutcome = (outcome: OrderOutcome): void => logger.log('info', 'failover.ordered', {
+    group, upstream: name, fence: held.fence, outcome, tookMs: Math.round(performance.now() - orderedAt)
+  })
   try {
     const outcome = await promotion.promote({ group, upstream: name, holder: registry.self.name, fence: held.fence })
+    logOutcome(outcome)
     if (outcome === 'not-running') {
       logger.log('warn', 'failover.not-running', { group, upstream: name })
     }
@@ -106,6 +111,7 @@
   } catch (thrown) {
     // The order may have succeeded, which the upstream's own report will show.
     logger.log('warn', 'failover.answer-lost', { group, step: 'promote', reason: describeThrown(thrown) })
+    logOutcome('answer-lost')
     return 'answer-lost'
   }
 }
--- a/src/entry/leadership/stop-local-work.ts
+++ b/src/entry/leadership/stop-local-work.ts
@@ -64,13 +64,21 @@
       primaryLeases.closeEpoch(group, epoch)
       const { row } = registry.current.group(group)
       const primary = row === undefined ? undefined : directory.get(row.primary)
-      if (row === undefined || primary === undefined || row.epoch > epoch) {
+      const listed = primary !== undefined
+      if (row === undefined || !listed || row.epoch > epoch) {
+        logger.log('info', 'leadership.stopped', { group, epoch, upstream: row?.primary, listed })
         return
       }
-      const until = performance.now() + FINISH_TIMEOUT_MS
-      while (pools.of(primary).pool.inUse > 0 && performance.now() < until) {
+      const { pool } = pools.of(primary)
+      const startedAt = performance.now()
+      const inUse = pool.inUse
+      while (pools.of(primary).pool.inUse > 0 && performance.now() < startedAt + FINISH_TIMEOUT_MS) {
         await pause(POLL_INTERVAL_MS)
       }
+      const waitedMs = Math.round(performance.now() - startedAt)
+      logger.log('info', 'leadership.stopped', {
+        group, epoch, upstream: row.primary, listed, inUse, aborted: pool.inUse, waitedMs
+      })
       abortAtPrimary(row.primary, 'the epoch was closed')
     },
     abortExpired: (groups) => {
--- a/src/entry/requests/local-executor.ts
+++ b/src/entry/requests/local-executor.ts
@@ -14,7 +14,7 @@
 const OPEN_TRANSACTION_PRIORITY = -1
 
 /** Services that a local executor needs. */
-type LocalContext = Pick<EntryContext, 'leadership' | 'freshness' | 'metrics'>
+type LocalContext = Pick<EntryContext, 'leadership' | 'freshness' | 'metrics' | 'logger'>
 
 /** A leased connection to an upstream, and the conditions under which statements may be sent on it. */
 interface LeasedUpstream {
@@ -115,6 +115,19 @@
   return needsLease && !isLeaseValid(context, target.group, primaryLease) ? 'the primary has changed' : undefined
 }
 
+/** Adds the epoch of the lease to an answer; logs an answer that came after the lease had ended. */
+function addEpoch (context: LocalContext, leased: LeasedUpstream, timed: TimedAnswer): TimedAnswer {
+  const { target: { group, upstream }, primaryLease } = leased
+  if (primaryLease !== undefined && !isLeaseValid(context, group, primaryLease)) {
+    const { epoch } = primaryLease
+    const outcome = timed.answer.failure?.kind ?? 'done'
+    context.logger.log('info', 'leadership.answer-after-lease', {
+      group, upstream, epoch, outcome, ranMs: Math.round(timed.ranMs)
+    })
+  }
+  return { ...timed, epoch: primaryLease?.epoch }
+}
+
 /**
  * Creates an executor on a connection of this host.
  *
@@ -123,11 +136,11 @@
  * @returns the executor
  */
 export function createLocalExecutor (context: LocalContext, leased: LeasedUpstream): LocalExecutor {
-  const { target, resources, lease, releaseSlot, after, primaryLease } = leased
+  const { target, resources, lease, releaseSlot, after } = leased
   let onlyReads = false
   const optionsOf = (scope: RequestScope, mayAbandon: boolean): RunOptions =>
     runOptionsOf(context, leased, scope, mayAbandon)
-  const withEpoch = (timed: TimedAnswer): TimedAnswer => ({ ...timed, epoch: primaryLease?.epoch })
+  const withEpoch = (timed: TimedAnswer): TimedAnswer => addEpoch(context, leased, timed)
   const runStep = async (scope: RequestScope, step: TransactionStep): Promise<TimedAnswer> => {
     const options = optionsOf(scope, false)
     const timed = step.type === 'statement'
--- a/src/entry/requests/primary-access.ts
+++ b/src/entry/requests/primary-access.ts
@@ -16,7 +16,7 @@
 
 /** Services needed to reach a primary. */
 export type PrimaryContext = Pick<
-  EntryContext, 'leadership' | 'directory' | 'homes' | 'pools' | 'freshness' | 'metrics' | 'drainMs'
+  EntryContext, 'leadership' | 'directory' | 'homes' | 'pools' | 'freshness' | 'metrics' | 'drainMs' | 'logger'
 >
 
 /** Result of an attempt that found no usable primary; retrying shortly may succeed. */
