Show that hosts beyond a cut that refuses connections work on at the old primary

Callers of four of eight hosts had writes acknowledged at the old primary and read from it after another upstream was promoted. The cut between the hosts rejects connections, which the failover takes for proof that the hosts beyond it do not run.

--- /dev/null
+++ b/test/entry/process/refusing-cut.test.ts
@@ -0,0 +1,52 @@
+import { describe, it } from 'node:test'
+import { expect } from 'earl'
+import { checkOnePrimary, checkStaleReads, collectEvidence, type Operation } from '../../fixtures/fleet/history.ts'
+import { setUpWorld } from '../../fixtures/fleet/set-up.ts'
+
+/** Hosts that lose the primary, and hosts beyond the cut that lose the store and still reach the primary. */
+const NEAR = ['h1', 'h2', 'h3', 'h4']
+const BEYOND = ['h5', 'h6', 'h7', 'h8']
+/** Longer than a failover that waits for the longest lease, in milliseconds. */
+const CUT_MS = 20_000
+/** Interval between two operations, in milliseconds. */
+const SEND_INTERVAL_MS = 20
+
+describe('a cut between hosts that refuses connections', () => {
+  const suite = setUpWorld([...NEAR, ...BEYOND])
+
+  const beginCut = (): void => {
+    const { world } = suite
+    world.cutRefuses = true
+    BEYOND.forEach((host) => {
+      world.beyondCut.add(host)
+      world.store.cutOff.add(host)
+    })
+    NEAR.forEach((host) => world.upstreams.all.get('g-a')!.cutOff.add(host))
+  }
+  /** Reads and writes on both sides in turn. */
+  const sendRequests = async (durationMs: number): Promise<Operation[]> => {
+    const operations: Operation[] = []
+    const send = async (host: string, type: Operation['type']): Promise<void> => {
+      const startedAt = performance.now()
+      const caller = suite.world.connect(host, 'money')
+      const { id, ...answer } = type === 'read' ? await caller.read() : await caller.write()
+      const endedAt = performance.now()
+      operations.push({ id, type, session: 0, group: 'g', maximumAgeMs: 0, ownWrites: false, startedAt, endedAt, answer })
+    }
+    for (let turn = 0; turn * SEND_INTERVAL_MS < durationMs; turn++) {
+      const side = turn % 2 === 0 ? NEAR : BEYOND
+      void send(side[(turn >> 2) % side.length]!, turn % 4 < 2 ? 'write' : 'read')
+      await suite.clock.tickAsync(SEND_INTERVAL_MS)
+    }
+    await suite.clock.tickAsync(1000)
+    return operations
+  }
+
+  it('lets no host acknowledge writes or serve reads at the old primary after a promotion', async () => {
+    beginCut()
+    const evidence = collectEvidence(await sendRequests(CUT_MS), suite.world.upstreams)
+    expect(evidence.promotions.length).toEqual(1)
+    expect({ writes: checkOnePrimary(evidence).length, reads: checkStaleReads(evidence).length })
+      .toEqual({ writes: 0, reads: 0 })
+  })
+})
