Wait for the leases of hosts that refuse connections before a promotion

Callers of hosts beyond a cut that rejects connections had writes acknowledged at the old primary after another upstream was promoted, and read from it. The closing of an epoch took a refused connection for proof that the host does not run; a firewall on the way refuses as well, and the host works on under its lease.

A refused host is asked again, at most each 300 ms since a refusal returns at once, until other evidence comes or its lease has expired, as a silent one is. The failover of a primary together with the process of a host now waits for that host's lease.

--- a/src/entry/leadership/close-epoch.ts
+++ b/src/entry/leadership/close-epoch.ts
@@ -1,20 +1,19 @@
 /**
  * Waits until no host uses the primary of a closed epoch, so that another upstream can be promoted. A host counts as
- * stopped if it acknowledges the request, refuses connections, was restarted or has retired, if its row says so or is
- * gone, or if its leases have expired (`silent-leases.ts`).
+ * stopped if it acknowledges the request, was restarted or has retired, if its row says so or is gone, or if its leases
+ * have expired (`silent-leases.ts`). A refused connection proves nothing: a firewall on the way refuses as well, while
+ * the host works on.
  */
 import { describeThrown } from '../../core/errors/index.ts'
 import type { Logger } from '../../core/logger/index.ts'
 import { pause } from '../../core/time/deadline.ts'
 import type { Peers } from '../../peers/index.ts'
-import { isConnectionRefused } from '../../peers/refusal.ts'
 import type { KnownHost, Registry } from '../registry/index.ts'
 import { HOST_REQUEST_TIMEOUT_MS } from './probe-times.ts'
 import { areFewSilent, silentLeasesExpireAt, type ClosingProgress } from './silent-leases.ts'
 
 /** Evidence that a host has stopped using the primary. */
-type StopEvidence =
-  'acknowledged' | 'published' | 'not-running' | 'restarted' | 'unregistered' | 'lease-expired' | 'retired'
+type StopEvidence = 'acknowledged' | 'published' | 'restarted' | 'unregistered' | 'lease-expired' | 'retired'
 
 /** Options of {@link awaitHostsStopped}. */
 interface ClosingOptions {
@@ -29,6 +28,8 @@
 
 /** Pause between two requests to a silent host, in milliseconds. */
 const RETRY_MS = 100
+/** Minimum time from one request to the next, in milliseconds, since a refused request returns at once. */
+const REQUEST_INTERVAL_MS = 300
 
 /**
  * Waits until no host uses the primary of an epoch.
@@ -74,16 +75,14 @@
     if (performance.now() >= silentLeasesExpireAt(progress, closedAt)) {
       return 'lease-expired'
     }
+    const askedAt = performance.now()
     try {
       await peers.requestOrDisconnect(host, 'close-group', { group, epoch }, HOST_REQUEST_TIMEOUT_MS)
       return 'acknowledged'
     } catch (thrown) {
-      if (isConnectionRefused(thrown)) {
-        return 'not-running'
-      }
       logger.log('debug', 'leadership.host-silent', { group, epoch, peer: host.name, reason: describeThrown(thrown) })
       await registry.refresh()
-      await pause(RETRY_MS)
+      await pause(Math.max(RETRY_MS, askedAt + REQUEST_INTERVAL_MS - performance.now()))
     }
   }
 }
--- a/test/entry/process/refusing-cut.test.ts
+++ b/test/entry/process/refusing-cut.test.ts
@@ -1,7 +1,9 @@
-import { describe, it } from 'node:test'
+import { afterEach, beforeEach, describe, it } from 'node:test'
 import { expect } from 'earl'
 import { checkOnePrimary, checkStaleReads, collectEvidence, type Operation } from '../../fixtures/fleet/history.ts'
-import { setUpWorld } from '../../fixtures/fleet/set-up.ts'
+import { setUpWorld, type SuiteWorld } from '../../fixtures/fleet/set-up.ts'
+import type { World } from '../../fixtures/fleet/world.ts'
+import { seedRandom } from '../../fixtures/seed-random.ts'
 
 /** Hosts that lose the primary, and hosts beyond the cut that lose the store and still reach the primary. */
 const NEAR = ['h1', 'h2', 'h3', 'h4']
@@ -11,20 +13,24 @@
 /** Interval between two operations, in milliseconds. */
 const SEND_INTERVAL_MS = 20
 
-describe('a cut between hosts that refuses connections', () => {
-  const suite = setUpWorld([...NEAR, ...BEYOND])
+/** Cuts hosts off from all others and from the store. */
+function cutOff (world: World, beyond: string[]): void {
+  world.cutRefuses = true
+  beyond.forEach((host) => {
+    world.beyondCut.add(host)
+    world.store.cutOff.add(host)
+  })
+}
 
-  const beginCut = (): void => {
-    const { world } = suite
-    world.cutRefuses = true
-    BEYOND.forEach((host) => {
-      world.beyondCut.add(host)
-      world.store.cutOff.add(host)
-    })
-    NEAR.forEach((host) => world.upstreams.all.get('g-a')!.cutOff.add(host))
-  }
-  /** Reads and writes on both sides in turn. */
-  const sendRequests = async (durationMs: number): Promise<Operation[]> => {
+function losePrimary (world: World, hosts: string[]): void {
+  hosts.forEach((host) => world.upstreams.all.get('g-a')!.cutOff.add(host))
+}
+
+/** Creates the function that reads and writes at the hosts on both sides in turn. */
+function createLoad (
+  suite: SuiteWorld, near: string[], beyond: string[]
+): (durationMs: number) => Promise<Operation[]> {
+  return async (durationMs) => {
     const operations: Operation[] = []
     const send = async (host: string, type: Operation['type']): Promise<void> => {
       const startedAt = performance.now()
@@ -34,16 +40,27 @@
       operations.push({ id, type, session: 0, group: 'g', maximumAgeMs: 0, ownWrites: false, startedAt, endedAt, answer })
     }
     for (let turn = 0; turn * SEND_INTERVAL_MS < durationMs; turn++) {
-      const side = turn % 2 === 0 ? NEAR : BEYOND
+      const side = turn % 2 === 0 ? near : beyond
       void send(side[(turn >> 2) % side.length]!, turn % 4 < 2 ? 'write' : 'read')
       await suite.clock.tickAsync(SEND_INTERVAL_MS)
     }
     await suite.clock.tickAsync(1000)
     return operations
   }
+}
+
+const SEED = 1
+let restoreRandom: () => void
+beforeEach(() => { restoreRandom = seedRandom(SEED) })
+afterEach(() => restoreRandom())
+
+describe('a cut between hosts that refuses connections', () => {
+  const suite = setUpWorld([...NEAR, ...BEYOND])
+  const sendRequests = createLoad(suite, NEAR, BEYOND)
 
   it('lets no host acknowledge writes or serve reads at the old primary after a promotion', async () => {
-    beginCut()
+    cutOff(suite.world, BEYOND)
+    losePrimary(suite.world, NEAR)
     const evidence = collectEvidence(await sendRequests(CUT_MS), suite.world.upstreams)
     expect(evidence.promotions.length).toEqual(1)
     expect({ writes: checkOnePrimary(evidence).length, reads: checkStaleReads(evidence).length })
