Retire hosts that refuse connections with the longest lease

A majority beyond a cut that refuses connections extends its leases without the store. The other side retired these hosts with leases that ended at once, so a failover waited for none of them: callers beyond the cut had writes acknowledged at the old primary after the promotion, and read from it.

A refused host is now retired like a silent one, until the longest lease has expired. Its only effect that depended on the refusal is gone, so registry.host-retired loses the field 'refused'.

--- a/src/core/logger/events.ts
+++ b/src/core/logger/events.ts
@@ -85,7 +85,7 @@
   'read.retried': { level: 'info', fields: 'id, group, upstream, home, reason, attempts, floor', when: 'a read is retried at another upstream' },
   'read.upstream-unavailable': { level: 'info', fields: 'id, group, upstream, reason', when: 'no connection was available for a read' },
   'registry.host-removed': { level: 'info', fields: 'peer, removed', when: 'the row of a retired host was removed' },
-  'registry.host-retired': { level: 'warn', fields: 'peer, process, refused, written', when: 'a host that stopped answering was retired; its leases expire' },
+  'registry.host-retired': { level: 'warn', fields: 'peer, process, written', when: 'a host that stopped answering was retired; its leases expire' },
   'registry.leaving': { level: 'info', fields: 'written', when: 'this process recorded in its row that it is stopping' },
   'registry.leaving-not-published': { level: 'warn', fields: 'reason', when: 'this process could not record in its row that it is stopping' },
   'registry.peer-silent': { level: 'debug', fields: 'peer, reason', when: 'a peer did not answer a question about the registry' },
--- a/src/entry/registry/host-expiry.ts
+++ b/src/entry/registry/host-expiry.ts
@@ -1,13 +1,12 @@
 /**
  * Retires hosts that stop answering, so that failovers need not wait for them. Each host probes only the next one in
- * the order of names. The leases of a retired host expire at once if it refused the connection, and after the longest
- * lease otherwise; then its row is removed. A host that is still alive registers again.
+ * the order of names. The row of a retired host is removed once its longest lease has expired. A host that is still
+ * alive registers again.
  */
 import { describeThrown } from '../../core/errors/index.ts'
 import type { Logger } from '../../core/logger/index.ts'
 import { repeat } from '../../core/time/repeat.ts'
 import type { Peers } from '../../peers/index.ts'
-import { isConnectionRefused } from '../../peers/refusal.ts'
 import type { Registry } from './service.ts'
 import type { KnownHost } from './snapshot.ts'
 import { hostRowSchema, registryKeys, RETIRED_PROCESS, type HostRow } from './types.ts'
@@ -42,15 +41,15 @@
     const others = registry.peers().sort((left, right) => left.name < right.name ? -1 : 1)
     return others.find(({ name }) => name > registry.self.name) ?? others[0]
   }
-  const retire = async (host: KnownHost, refused: boolean): Promise<void> => {
+  const retire = async (host: KnownHost): Promise<void> => {
     const { name, version } = host
-    const retiredUntilMs = refused ? registry.storeNowAtLeastMs() : registry.storeNowAtMostMs() + options.leaseMs
+    const retiredUntilMs = registry.storeNowAtMostMs() + options.leaseMs
     const row: HostRow = { ...hostRowSchema.parse(host), process: RETIRED_PROCESS, retiredUntilMs }
     const key = registryKeys.host(name)
     const written = await registry.write({
       expected: [{ key, version }], put: [{ key, value: JSON.stringify(row) }]
     })
-    logger.log('warn', 'registry.host-retired', { peer: name, process: host.process, refused, written })
+    logger.log('warn', 'registry.host-retired', { peer: name, process: host.process, written })
   }
   const probe = async (): Promise<void> => {
     const host = nextHost()
@@ -67,7 +66,7 @@
       unanswered = { name: host.name, process: host.process, since }
       logger.log('debug', 'registry.peer-silent', { peer: host.name, reason: describeThrown(thrown) })
       if (performance.now() - since > RETIRE_AFTER_MS) {
-        await retire(host, isConnectionRefused(thrown))
+        await retire(host)
       }
     }
   }
--- a/test/entry/process/refusing-cut.test.ts
+++ b/test/entry/process/refusing-cut.test.ts
@@ -10,6 +10,8 @@
 const BEYOND = ['h5', 'h6', 'h7', 'h8']
 /** Longer than a failover that waits for the longest lease, in milliseconds. */
 const CUT_MS = 20_000
+/** Time within which hosts retire three others, one after the other, in milliseconds. */
+const RETIRED_MS = 11_500
 /** Interval between two operations, in milliseconds. */
 const SEND_INTERVAL_MS = 20
 
@@ -67,3 +69,19 @@
       .toEqual({ writes: 0, reads: 0 })
   })
 })
+
+describe('a cut between two and three hosts that refuses connections', () => {
+  const suite = setUpWorld(['h1', 'h2', 'h3', 'h4', 'h5'])
+  const sendRequests = createLoad(suite, ['h1', 'h2'], ['h3', 'h4', 'h5'])
+
+  it('leaves the leases of retired hosts their time, which the majority extends without the store', async () => {
+    cutOff(suite.world, ['h3', 'h4', 'h5'])
+    const before = await sendRequests(RETIRED_MS)
+    losePrimary(suite.world, ['h1', 'h2'])
+    const operations = [...before, ...await sendRequests(CUT_MS)]
+    const evidence = collectEvidence(operations, suite.world.upstreams)
+    expect(evidence.promotions.length).toEqual(1)
+    expect({ writes: checkOnePrimary(evidence).length, reads: checkStaleReads(evidence).length })
+      .toEqual({ writes: 0, reads: 0 })
+  })
+})
