Count peers that refuse connections as silent when a primary seems lost

Two of five hosts that lost the primary closed its epoch while the three others, beyond a cut that refuses connections, served callers at it: peers that refuse counted neither as reaching the primary nor as silent, so two losses against nothing decided.

They count as silent now, until they are retired.

--- a/src/entry/leadership/reach-questions.ts
+++ b/src/entry/leadership/reach-questions.ts
@@ -6,7 +6,6 @@
 import type { Homes } from '../homes/index.ts'
 import type { Peers } from '../../peers/index.ts'
 import type { Pools } from '../pools/index.ts'
-import { isConnectionRefused } from '../../peers/refusal.ts'
 import type { KnownHost, Registry } from '../registry/index.ts'
 import { PROBE_TIMEOUT_MS } from './probe-times.ts'
 import { countAnswers, shouldReplacePrimary, type ReachAnswer } from './reach.ts'
@@ -60,7 +59,7 @@
       return reached ? 'reached' : 'lost'
     } catch (thrown) {
       logger.log('debug', 'leadership.peer-silent', { peer: peer.name, reason: describeThrown(thrown) })
-      return isConnectionRefused(thrown) ? 'not-running' : 'silent'
+      return 'silent'
     }
   }
   peers.handle('reach', async (body) => ({ reached: await canReach(reachRequestSchema.parse(body).upstream) }))
--- a/src/entry/leadership/reach.ts
+++ b/src/entry/leadership/reach.ts
@@ -1,11 +1,12 @@
 /**
  * Decides from the answers of hosts whether a primary should be replaced: at least as many hosts must have lost it as
  * reach it, and at least as many as are silent. A silent host may still be using the primary, and the failover would
- * have to wait for its lease to expire.
+ * have to wait for its lease to expire. A host that refuses connections counts as silent, since a firewall on the way
+ * may refuse them.
  */
 
-/** Answer of one host: `not-running` if no process listens there, `silent` if no answer came. */
-export type ReachAnswer = 'reached' | 'lost' | 'silent' | 'not-running'
+/** Answer of one host; `silent` if no answer came. */
+export type ReachAnswer = 'reached' | 'lost' | 'silent'
 
 /** Number of hosts by answer; pending answers count as silent. */
 type ReachCounts = Record<ReachAnswer, number>
@@ -27,7 +28,7 @@
  * @returns the counts at that time
  */
 export async function countAnswers (answers: Array<Promise<ReachAnswer>>): Promise<ReachCounts> {
-  const counts: ReachCounts = { reached: 0, lost: 0, silent: answers.length, 'not-running': 0 }
+  const counts: ReachCounts = { reached: 0, lost: 0, silent: answers.length }
   await new Promise<void>((resolve) => {
     let pending = answers.length
     for (const pendingAnswer of answers) {
--- a/test/entry/process/refusing-cut.test.ts
+++ b/test/entry/process/refusing-cut.test.ts
@@ -1,5 +1,6 @@
 import { afterEach, beforeEach, describe, it } from 'node:test'
 import { expect } from 'earl'
+import { groupRowSchema, REGISTRY_TABLE, registryKeys } from '../../../src/entry/registry/index.ts'
 import { checkOnePrimary, checkStaleReads, collectEvidence, type Operation } from '../../fixtures/fleet/history.ts'
 import { setUpWorld, type SuiteWorld } from '../../fixtures/fleet/set-up.ts'
 import type { World } from '../../fixtures/fleet/world.ts'
@@ -74,6 +75,17 @@
   const suite = setUpWorld(['h1', 'h2', 'h3', 'h4', 'h5'])
   const sendRequests = createLoad(suite, ['h1', 'h2'], ['h3', 'h4', 'h5'])
 
+  it('keeps a primary that only the minority cannot reach', async () => {
+    cutOff(suite.world, ['h3', 'h4', 'h5'])
+    losePrimary(suite.world, ['h1', 'h2'])
+    // Shorter than it takes to retire a host.
+    await sendRequests(1200)
+    expect((await suite.settle(suite.world.connect('h4', 'money').write(), 100)).failure).toEqual(undefined)
+    const row = suite.world.store.tables.get(REGISTRY_TABLE)?.get(registryKeys.group('g'))
+    expect(groupRowSchema.parse(JSON.parse(row!.value)).state).toEqual('open')
+    expect(suite.world.upstreams.promotions).toEqual([])
+  })
+
   it('leaves the leases of retired hosts their time, which the majority extends without the store', async () => {
     cutOff(suite.world, ['h3', 'h4', 'h5'])
     const before = await sendRequests(RETIRED_MS)
