Name the epochs that are over by the group's row in grants

Callers saw writes acknowledged by the old primary after another upstream had been promoted. A grant of an extension listed the epochs closed in the memory of the granting process, and groups whose row is closed now. A host that was restarted after the failover lists nothing for the epoch before that of the open row, so a majority of restarted hosts revived the lease of a host that the store turns away, on the epoch that is over, within 15 s of its last confirmation.

Evidence: test/entry/process/extensions.test.ts, "ends although the peers were restarted after its epoch was closed", failed before with 60 writes: "r44 was acknowledged by g-a although g-b was primary".

The form of the frame is unchanged.

--- a/src/entry/leadership/extensions.ts
+++ b/src/entry/leadership/extensions.ts
@@ -1,8 +1,9 @@
 /**
  * Extends this host's leases on primaries without the store, and grants extensions to peers, so that an outage of the
  * store does not stop all work at primaries. A majority of the live hosts, including this one, must grant an extension.
- * It is dated to the request, and `primary-leases.ts` limits how long extensions last. A grant lists the epochs closed
- * on the granting host, which this host then closes as well.
+ * It is dated to the request, and `primary-leases.ts` limits how long extensions last. A grant lists, for each group
+ * that the granting host knows, the newest epoch in which the primary may not be used, and this host then closes it. A
+ * host that was restarted knows it from the group's row.
  */
 import { describeThrown } from '../../core/errors/index.ts'
 import type { Logger } from '../../core/logger/index.ts'
@@ -31,7 +32,7 @@
 interface ExtensionOptions {
   registry: Pick<Registry, 'self' | 'current' | 'peers' | 'confirmedAgeMs'>
   peers: Pick<Peers, 'requestOrDisconnect' | 'handle'>
-  primaryLeases: Pick<PrimaryLeases, 'closeEpoch' | 'closedEpochs' | 'recordExtension'>
+  primaryLeases: Pick<PrimaryLeases, 'closeEpoch' | 'endedEpochs' | 'recordExtension'>
   logger: Logger
 }
 
@@ -47,7 +48,7 @@
   peers.handle('extend', async (body): Promise<Grant> => {
     const { host, process } = extendRequestSchema.parse(body)
     const liveHost = registry.current.liveHosts.find(({ name }) => name === host)
-    return { granted: liveHost?.process === process, closed: primaryLeases.closedEpochs() }
+    return { granted: liveHost?.process === process, closed: primaryLeases.endedEpochs() }
   })
   const requestGrant = async (peer: KnownHost): Promise<boolean> => {
     try {
--- a/src/entry/leadership/primary-leases.ts
+++ b/src/entry/leadership/primary-leases.ts
@@ -19,6 +19,8 @@
   ageMs: () => number
   /** Epochs known to this host as closed. */
   closedEpochs: () => ClosedEpoch[]
+  /** Newest epoch of each group in which no host may use the primary: closed on this host, or over by its row. */
+  endedEpochs: () => ClosedEpoch[]
   /** Gives up the lease on a group's primary in an epoch and all earlier ones. */
   closeEpoch: (group: string, epoch: number) => void
   /** Waits until this host holds a lease, or the timeout passes. */
@@ -48,6 +50,7 @@
   }
   const waiters = createWaiters()
 
+  const closedHere = (): ClosedEpoch[] => [...closedEpochs].map(([group, epoch]) => ({ group, epoch }))
   const primaryOf = (group: string): PrimaryLease | undefined => {
     const { row } = registry.current.group(group)
     const closed = row === undefined || row.state !== 'open' || row.epoch <= (closedEpochs.get(group) ?? 0)
@@ -58,9 +61,11 @@
     leaseOf,
     ageMs,
     recordExtension: (askedAt) => { extendedAt = Math.max(extendedAt, askedAt) },
-    closedEpochs: () => {
-      const known = [...closedEpochs].map(([group, epoch]) => ({ group, epoch }))
-      return [...known, ...registry.current.closedGroups]
+    closedEpochs: () => [...closedHere(), ...registry.current.closedGroups],
+    endedEpochs: () => {
+      const ended = new Map(registry.current.endedEpochs.map(({ group, epoch }) => [group, epoch]))
+      closedHere().forEach(({ group, epoch }) => ended.set(group, Math.max(epoch, ended.get(group) ?? 0)))
+      return [...ended].map(([group, epoch]) => ({ group, epoch }))
     },
     closeEpoch: (group, epoch) => { closedEpochs.set(group, Math.max(epoch, closedEpochs.get(group) ?? 0)) },
     waitForLease: async (group, timeoutMs) => await waiters.until(() => leaseOf(group), timeoutMs),
--- a/src/entry/leadership/types.ts
+++ b/src/entry/leadership/types.ts
@@ -25,7 +25,7 @@
 /** Answer to the request `extend`. */
 export const grantSchema = z.object({
   granted: z.boolean(),
-  /** Epochs known to the granting host as closed. */
+  /** Newest epoch of each group in which, as the granting host knows, no host may use the primary. */
   closed: z.array(closedEpochSchema)
 })
 
--- a/src/entry/registry/snapshot.ts
+++ b/src/entry/registry/snapshot.ts
@@ -28,6 +28,8 @@
   group: (name: string) => Versioned<GroupRow>
   /** Groups whose primary may not be used, with the closed epoch. */
   readonly closedGroups: Array<{ group: string, epoch: number }>
+  /** Newest epoch of each group that is over: that of a closed row, or the one before that of an open row. */
+  readonly endedEpochs: Array<{ group: string, epoch: number }>
   readonly promotionLease: Versioned<PromotionLeaseRow>
 }
 
@@ -92,6 +94,8 @@
       : { row: schema.parse(JSON.parse(row.value)), version: row.version }
   }
   const groups = new Map<string, Versioned<GroupRow>>()
+  const groupRows = rows.filter(({ key }) => key.startsWith(GROUP_PREFIX)).map(({ key, value }) =>
+    ({ group: key.slice(GROUP_PREFIX.length), row: groupRowSchema.parse(JSON.parse(value)) }))
   return {
     version,
     askedAt,
@@ -103,10 +107,10 @@
       groups.set(name, cached)
       return cached
     },
-    closedGroups: rows.filter(({ key }) => key.startsWith(GROUP_PREFIX)).flatMap(({ key, value }) => {
-      const { state, epoch } = groupRowSchema.parse(JSON.parse(value))
-      return state === 'closed' ? [{ group: key.slice(GROUP_PREFIX.length), epoch }] : []
-    }),
+    closedGroups: groupRows.filter(({ row }) => row.state === 'closed')
+      .map(({ group, row }) => ({ group, epoch: row.epoch })),
+    endedEpochs: groupRows.map(({ group, row }) => ({ group, epoch: row.state === 'closed' ? row.epoch : row.epoch - 1 }))
+      .filter(({ epoch }) => epoch > 0),
     promotionLease: decode(registryKeys.promotionLease, promotionLeaseRowSchema)
   }
 }
--- /dev/null
+++ b/test/entry/process/extensions.test.ts
@@ -0,0 +1,73 @@
+import { afterEach, beforeEach, describe, it } from 'node:test'
+import { expect } from 'earl'
+import { collectEvidence, checks, type Operation } from '../../fixtures/fleet/history.ts'
+import { setUpWorld } from '../../fixtures/fleet/set-up.ts'
+import { seedRandom } from '../../fixtures/seed-random.ts'
+
+/** Interval between two writes at a host, in milliseconds. */
+const WRITE_INTERVAL_MS = 100
+const SEED = 2
+
+describe('a lease that peers extend', () => {
+  let restoreRandom: () => void
+  beforeEach(() => { restoreRandom = seedRandom(SEED) })
+  const suite = setUpWorld(['h1'])
+  afterEach(() => restoreRandom())
+
+  const startHosts = async (hosts: string[]): Promise<void> => {
+    for (const host of hosts) {
+      await suite.world.startHost(host)
+    }
+  }
+  const cutOffFromStore = (hosts: string[]): void => hosts.forEach((host) => suite.world.store.cutOff.add(host))
+  const cutPrimaryFrom = (hosts: string[]): void =>
+    hosts.forEach((host) => suite.world.upstreams.all.get('g-a')!.cutOff.add(host))
+
+  /** Writes at a host for a while; returns the writes at the old primary after the promotion of another one. */
+  const writeAt = async (host: string, ms: number): Promise<string[]> => {
+    const operations: Operation[] = []
+    const write = async (): Promise<void> => {
+      const startedAt = performance.now()
+      const { id, ...answer } = await suite.world.connect(host, 'money').write()
+      const endedAt = performance.now()
+      operations.push({
+        id, type: 'write', session: 1, group: 'g', maximumAgeMs: 0, ownWrites: false, startedAt, endedAt, answer
+      })
+    }
+    for (let elapsed = 0; elapsed < ms; elapsed += WRITE_INTERVAL_MS) {
+      void write()
+      await suite.clock.tickAsync(WRITE_INTERVAL_MS)
+    }
+    await suite.clock.tickAsync(2000)
+    return checks.checkOnePrimary(collectEvidence(operations, suite.world.upstreams))
+  }
+
+  const restart = async (hosts: string[]): Promise<void> => {
+    for (const host of hosts) {
+      await suite.world.kill(host)
+      await suite.world.startHost(host)
+    }
+  }
+
+  // Guards against peers that were restarted after a failover and extend a lease on the epoch before it.
+  it('ends although the peers were restarted after its epoch was closed', async () => {
+    const { world, clock } = suite
+    const others = ['h2', 'h3', 'h4', 'h5', 'h6', 'h7', 'h8']
+    await startHosts(others)
+    await clock.tickAsync(20_000)
+    world.silent.add('h1')
+    cutOffFromStore(['h1'])
+    cutPrimaryFrom(others)
+    // The neighbour of h1 is restarted in between, so that it does not retire h1.
+    setTimeout(() => { void restart(['h8']) }, 3500)
+    await writeAt('h2', 4000)
+    expect(world.upstreams.promotions.length).toEqual(1)
+    await restart(others)
+    await clock.tickAsync(100)
+    world.silent.delete('h1')
+    world.lostTypes.add('registry-snapshot')
+    const found = await writeAt('h1', 6000)
+    expect(world.store.tables.get('worksward')!.get('host/h1')!.value.includes('retired')).toEqual(false)
+    expect(found).toEqual([])
+  })
+})
