Report a write as in doubt while an earlier home may still run it

Callers of the MySQL proxy saw TransactionLost with the verdict not-run ("it can no longer commit"), and the write took effect afterwards; a caller that then sent it again under a new key had it run twice.

Cause: when the link to a home breaks, a keyed write is sent to the next home. That home may give its own attempt up by a tombstone, and its error counted as final for every home. But the first home goes on, finds a tombstone of attempt 1 and takes the key over with attempt 2. Only a commit and its settlement have a single attempt, so only theirs is final.

Mend: which errors are final depends on the request's type; for a statement only KeyReused is, and TransactionLost after a home that may have run it is reported as may-have-run.

--- a/src/mysql-proxy/routing/home-requests.ts
+++ b/src/mysql-proxy/routing/home-requests.ts
@@ -102,7 +102,7 @@
         try {
           return { reply: await sendToMember(member, { ...request, deadlineMs: leftMs }), home: member.host }
         } catch (thrown) {
-          failure = mayHaveRun ? withUnknownOutcome(thrown) : thrown
+          failure = mayHaveRun ? withUnknownOutcome(thrown, request.type) : thrown
           if (!mayTryAnotherHome(thrown, request)) {
             throw failure
           }
--- a/src/mysql-proxy/routing/what-is-repeated.ts
+++ b/src/mysql-proxy/routing/what-is-repeated.ts
@@ -22,8 +22,15 @@
 /** Errors after which a retried write may succeed. */
 const TRANSIENT_WRITE_ERRORS: readonly string[] = ['ConnectionLost', 'TransactionLost', 'NotAcknowledged']
 
-/** Errors that follow from the record of a request key, so that every home would return them. */
-const FINAL_ERRORS: readonly string[] = ['TransactionLost', 'KeyReused']
+/**
+ * Errors that follow from the record of a request key, so that every home would return them, by request type. The
+ * tombstone of a statement is not final: an earlier home may still take the key over with a later attempt. That of a
+ * commit is, because a commit has only one attempt.
+ */
+const FINAL_ERRORS: Partial<Record<HomeRequest['type'], readonly string[]>> = {
+  execute: ['KeyReused'],
+  settle: ['TransactionLost', 'KeyReused']
+}
 
 /**
  * Returns whether an upstream refused a statement because it is read-only, as a fenced primary is.
@@ -114,9 +121,10 @@
  * Errors that follow from the record of the request key keep their verdict.
  *
  * @param error - failure at the later home
+ * @param type - type of the request
  * @returns the failure to report
  */
-export function withUnknownOutcome (error: unknown): unknown {
-  const isFinal = error instanceof RequestError && FINAL_ERRORS.includes(error.entry)
+export function withUnknownOutcome (error: unknown, type: HomeRequest['type']): unknown {
+  const isFinal = error instanceof RequestError && FINAL_ERRORS[type]?.includes(error.entry) === true
   return isFinal ? error : toRequestError(error, 'may-have-run', true)
 }
