End a stopping host's leases before its row is removed

Callers saw writes acknowledged at a primary by a host that no failover waited for any more: a host that stops removes its row, which counts as proof that it has stopped, and went on at primaries until its last sessions were closed, up to 0.4 s later when the store's answer was slow or lost. A promotion that takes effect in that time makes two primaries.

--- a/src/entry/registry/registry-state.ts
+++ b/src/entry/registry/registry-state.ts
@@ -12,6 +12,8 @@
   readonly current: RegistrySnapshot
   /** Age of the last confirmation that this process is registered, in milliseconds, counted from the request. */
   confirmedAgeMs: () => number
+  /** Counts this process as no longer registered from now on, so that it holds no lease. */
+  endRegistration: () => void
   /** This host's row, written by any of its processes; undefined if there is none. */
   ownHost: () => KnownHost | undefined
   /** Other hosts that are registered and not retired. */
@@ -32,10 +34,12 @@
   const listeners: Array<() => void> = []
   let current = EMPTY_SNAPSHOT
   let confirmedAt = -Infinity
+  let hasEnded = false
 
   return {
     get current () { return current },
-    confirmedAgeMs: () => performance.now() - confirmedAt,
+    confirmedAgeMs: () => hasEnded ? Infinity : performance.now() - confirmedAt,
+    endRegistration: () => { hasEnded = true },
     ownHost: () => current.hosts.find(({ name }) => name === self.name),
     otherHosts: () => current.liveHosts.filter(({ name }) => name !== self.name),
     accept: (snapshot) => {
