Track every use of a primary, so that a closing stops what runs there

Cause: closeEpoch and abortExpired looked the primary up in the directory by the name in the row. Where the entry had lapsed, where the pool had been dropped and made anew, or where the row named the next epoch already, the host acknowledged the closing (or let its lease expire) and neither waited for nor aborted what it had sent.

Why it works: an executor whose statements need the lease registers its connection by group and epoch when it is created, and the end of the connection's lease ends the registration. A closing finds its uses there, those of older epochs too; it waits for running statements only, aborts every use, and then acknowledges. An expiry aborts the uses of all groups, and a row that names a newer epoch those of the epochs before. Reads at a known position need no lease, so they are neither waited for nor aborted, and a write never passes as one.

--- a/src/entry/leadership/index.ts
+++ b/src/entry/leadership/index.ts
@@ -10,6 +10,7 @@
 import { createExtensions } from './extensions.ts'
 import { createGroupWatch } from './group-watch.ts'
 import { createPrimaryLeases, type PrimaryLeases } from './primary-leases.ts'
+import { createPrimaryUses, type PrimaryUses } from './primary-uses.ts'
 import { createRecoveryEstimates, type RecoveryEstimates } from './recovery-estimates.ts'
 import { createLocalWorkStop } from './stop-local-work.ts'
 import { createStopNotice } from './stop-notice.ts'
@@ -25,6 +26,8 @@
   primaryOf: (group: string) => string | undefined
   /** Reports that an upstream has not answered for long, so that it is probed. */
   suspect: (upstream: string) => void
+  /** Tracks a use of a primary under a lease, which is aborted when the lease ends. */
+  trackUse: PrimaryUses['track']
 }
 
 declare module '../../core/kernel/index.ts' {
@@ -45,8 +48,9 @@
     const peers = context.use('peers')
     const desiredState = context.use('desiredState')
     const primaryLeases = createPrimaryLeases(registry)
+    const primaryUses = createPrimaryUses({ primaryLeases, logger })
     const recoveryEstimates = createRecoveryEstimates()
-    const localWork = createLocalWorkStop({ registry, directory, pools, primaryLeases, logger })
+    const localWork = createLocalWorkStop({ registry, directory, primaryLeases, primaryUses, logger })
     const stopNotice = createStopNotice({ registry, localWork, logger })
     const closeLocally = async (group: string, epoch: number): Promise<void> => {
       stopNotice.recordNotified(group, epoch)
@@ -77,7 +81,7 @@
       }
     }
     const stopWatching = repeat(WATCH_INTERVAL_MS, async () => {
-      localWork.abortExpired(groups())
+      localWork.abortExpired()
       groups().forEach(watch.assess)
       groups().forEach(recordIfReachable)
     }, (thrown) => logger.log('error', 'leadership.watch-failed', { reason: describeThrown(thrown) }))
@@ -85,6 +89,7 @@
     logTransitions({ registry, directory, primaryLeases, groups, logger })
     const recordRowChange = createRowRecorder(registry, recoveryEstimates)
     registry.onChange(() => {
+      groups().forEach(localWork.abortPassed)
       groups().forEach(recordRowChange)
       primaryLeases.notify()
     })
@@ -98,7 +103,8 @@
         recordReachable: recoveryEstimates.recordReachable,
         expectedRecoveryMs: recoveryEstimates.expectedRecoveryMs,
         primaryOf: (group) => registry.current.group(group).row?.primary,
-        suspect: createSuspectProbe(directory, pools)
+        suspect: createSuspectProbe(directory, pools),
+        trackUse: primaryUses.track
       },
       dump: () => ({
         groups: Object.fromEntries(groups().map((group) => [group, registry.current.group(group).row])),
--- a/src/entry/leadership/stop-local-work.ts
+++ b/src/entry/leadership/stop-local-work.ts
@@ -1,54 +1,51 @@
-/** Stops the work of this host at a primary when its epoch is closed or the lease has expired. */
+/** Stops the work of this host at a primary when its epoch is closed or passed, or when the lease has expired. */
 import type { Logger } from '../../core/logger/index.ts'
 import { pause } from '../../core/time/deadline.ts'
 import type { Directory } from '../directory/index.ts'
-import type { Pools } from '../pools/index.ts'
 import { PRIMARY_LEASE_MS } from '../registry/lease-times.ts'
 import type { Registry } from '../registry/index.ts'
 import type { PrimaryLeases } from './primary-leases.ts'
+import { usesUpTo, type PrimaryUses } from './primary-uses.ts'
 
 /** Options of {@link createLocalWorkStop}. */
 interface LocalWorkStopOptions {
   registry: Pick<Registry, 'current' | 'confirmedAgeMs'>
   directory: Pick<Directory, 'get'>
-  pools: Pick<Pools, 'of'>
   primaryLeases: Pick<PrimaryLeases, 'closeEpoch' | 'ageMs'>
+  primaryUses: Pick<PrimaryUses, 'count' | 'abort'>
   logger: Logger
 }
 
 /** Operations that stop the work of this host at primaries. */
 export interface LocalWorkStop {
-  /** Gives up the lease on an epoch's primary; statements in progress have {@link FINISH_TIMEOUT_MS} to finish. */
+  /**
+   * Gives up the lease on an epoch's primary. Statements in progress in this epoch and earlier ones have
+   * {@link FINISH_TIMEOUT_MS} to finish; then every use is aborted. Nothing is in progress there afterwards.
+   */
   closeEpoch: (group: string, epoch: number) => Promise<void>
-  /** Aborts statements in progress at the primaries of groups if the leases have expired. */
-  abortExpired: (groups: string[]) => void
+  /** Aborts all uses of primaries if the leases have expired. */
+  abortExpired: () => void
+  /** Aborts the uses of a group's primaries in epochs before that of its row. */
+  abortPassed: (group: string) => void
 }
 
 /** Time between the expiry of the leases and the abort of statements in progress, in milliseconds. */
 const EXPIRY_GRACE_MS = 250
 /** Time for statements in progress to finish when an epoch is closed, in milliseconds. */
 const FINISH_TIMEOUT_MS = 150
-/** Interval at which connections in use are checked while statements finish, in milliseconds. */
+/** Interval at which statements in progress are checked while they finish, in milliseconds. */
 const POLL_INTERVAL_MS = 10
 
 /**
  * Creates the operations that stop local work.
  *
- * @param options - the leases and the connections
+ * @param options - the leases and the uses of primaries
  * @returns the operations
  */
 export function createLocalWorkStop (options: LocalWorkStopOptions): LocalWorkStop {
-  const { registry, directory, pools, primaryLeases, logger } = options
+  const { registry, directory, primaryLeases, primaryUses, logger } = options
   let expired = false
 
-  const abortAtPrimary = (name: string, reason: string): void => {
-    const primary = directory.get(name)
-    const pool = primary === undefined ? undefined : pools.of(primary).pool
-    if (pool !== undefined && pool.inUse > 0) {
-      logger.log('warn', 'leadership.aborted', { upstream: name, inUse: pool.inUse, reason })
-      pool.abortInUse()
-    }
-  }
   const recordExpiry = (ageMs: number): void => {
     const isExpired = ageMs > PRIMARY_LEASE_MS
     if (isExpired === expired || !Number.isFinite(ageMs)) {
@@ -62,36 +59,36 @@
   return {
     closeEpoch: async (group, epoch) => {
       primaryLeases.closeEpoch(group, epoch)
-      const { row } = registry.current.group(group)
-      const primary = row === undefined ? undefined : directory.get(row.primary)
-      const listed = primary !== undefined
-      if (row === undefined || !listed || row.epoch > epoch) {
-        logger.log('info', 'leadership.stopped', { group, epoch, upstream: row?.primary, listed })
-        return
-      }
-      const { pool } = pools.of(primary)
+      const ofEpoch = usesUpTo(group, epoch)
       const startedAt = performance.now()
-      const inUse = pool.inUse
-      while (pools.of(primary).pool.inUse > 0 && performance.now() < startedAt + FINISH_TIMEOUT_MS) {
+      const inUse = primaryUses.count(ofEpoch)
+      const isRunning = (): boolean => primaryUses.count((use) => use.running > 0 && ofEpoch(use)) > 0
+      while (isRunning() && performance.now() < startedAt + FINISH_TIMEOUT_MS) {
         await pause(POLL_INTERVAL_MS)
       }
-      const waitedMs = Math.round(performance.now() - startedAt)
+      const aborted = primaryUses.abort(ofEpoch, 'the epoch was closed')
+      const { row } = registry.current.group(group)
       logger.log('info', 'leadership.stopped', {
-        group, epoch, upstream: row.primary, listed, inUse, aborted: pool.inUse, waitedMs
+        group,
+        epoch,
+        upstream: row?.primary,
+        listed: row !== undefined && directory.get(row.primary) !== undefined,
+        inUse,
+        aborted,
+        waitedMs: Math.round(performance.now() - startedAt)
       })
-      abortAtPrimary(row.primary, 'the epoch was closed')
     },
-    abortExpired: (groups) => {
+    abortExpired: () => {
       const ageMs = primaryLeases.ageMs()
       recordExpiry(ageMs)
-      if (ageMs <= PRIMARY_LEASE_MS + EXPIRY_GRACE_MS) {
-        return
+      if (ageMs > PRIMARY_LEASE_MS + EXPIRY_GRACE_MS) {
+        primaryUses.abort(() => true, 'the lease has expired')
       }
-      for (const group of groups) {
-        const { row } = registry.current.group(group)
-        if (row !== undefined) {
-          abortAtPrimary(row.primary, 'the lease has expired')
-        }
+    },
+    abortPassed: (group) => {
+      const { row } = registry.current.group(group)
+      if (row !== undefined) {
+        primaryUses.abort(usesUpTo(group, row.epoch - 1), 'a newer epoch is known')
       }
     }
   }
--- a/src/entry/pools/connection-lease.ts
+++ b/src/entry/pools/connection-lease.ts
@@ -14,8 +14,6 @@
   readonly inUse: ReadonlySet<PooledConnection>
   /** Leases a connection. Only the first call of `release` or `discard` has an effect. */
   lease: (pooled: PooledConnection) => ConnectionLease
-  /** Closes all leased connections. The leases remain until their holders release or discard them. */
-  abort: () => void
 }
 
 /**
@@ -29,11 +27,13 @@
 
   const lease = (pooled: PooledConnection): ConnectionLease => {
     inUse.add(pooled)
+    const endListeners: Array<() => void> = []
     let done = false
     const finish = (): boolean => {
       const first = !done
       done = true
       inUse.delete(pooled)
+      endListeners.splice(0).forEach((listener) => listener())
       return first
     }
     return Object.assign(Object.create(pooled) as ConnectionLease, {
@@ -47,15 +47,9 @@
           pooled.connection.close()
           onDiscard()
         }
-      }
+      },
+      onEnd: (listener: () => void) => { endListeners.push(listener) }
     })
   }
-  return {
-    inUse,
-    lease,
-    abort: () => {
-      const all = [...inUse]
-      all.forEach(({ connection }) => connection.close())
-    }
-  }
+  return { inUse, lease }
 }
--- a/src/entry/pools/types.ts
+++ b/src/entry/pools/types.ts
@@ -19,6 +19,8 @@
   release: () => void
   /** Closes the connection, for when the state of its session is unknown. */
   discard: () => void
+  /** Adds a listener that is called when the connection is released or discarded. */
+  onEnd: (listener: () => void) => void
 }
 
 /** Requirements for a connection. */
--- a/src/entry/pools/upstream-pool.ts
+++ b/src/entry/pools/upstream-pool.ts
@@ -42,8 +42,6 @@
    * @throws RequestError with verdict `not-run` if the pool is closed, the upstream fails or the wait times out
    */
   acquire: (request: LeaseRequest) => Promise<ConnectionLease>
-  /** Closes all leased connections. */
-  abortInUse: () => void
   /** Rejects new and waiting requests; leased connections are closed when they are returned. */
   close: () => void
 }
@@ -125,7 +123,6 @@
       serveWaiters()
       return await wait.result
     },
-    abortInUse: leases.abort,
     close: () => {
       closed = true
       clearInterval(trimTimer)
--- a/src/entry/requests/local-executor.ts
+++ b/src/entry/requests/local-executor.ts
@@ -6,6 +6,7 @@
 import type { ConnectionLease, UpstreamResources } from '../pools/index.ts'
 import type { UpstreamCommand } from '../ports/index.ts'
 import type { LogPosition } from '../../positions/position.ts'
+import { createPrimaryRights, type PrimaryRights } from './primary-rights.ts'
 import { runCommand, runStatement, type RunOptions, type TimedAnswer } from './run-statement.ts'
 import { ROLLBACK_MS, type BeginResult, type StatementExecutor, type TransactionStep } from './statement-executor.ts'
 import type { EntryContext, RequestScope } from './types.ts'
@@ -71,10 +72,6 @@
   return proofs.epoch === primaryLease.epoch ? proofs.newest : undefined
 }
 
-function maySend (context: LocalContext, { target, after, primaryLease }: LeasedUpstream): boolean {
-  return after !== undefined || (primaryLease !== undefined && isLeaseValid(context, target.group, primaryLease))
-}
-
 function runOptionsOf (
   { leadership, metrics }: LocalContext, { target, resources, lease }: LeasedUpstream, scope: RequestScope,
   mayAbandon: boolean
@@ -106,13 +103,13 @@
  * Returns the reason why a transaction cannot continue here, if any. A read-only transaction at a known position needs
  * no lease, so it survives a change of the primary.
  */
-function findBrokenReason (context: LocalContext, leased: LeasedUpstream, onlyReads: boolean): string | undefined {
-  const { target, lease, after, primaryLease } = leased
+function findBrokenReason (
+  { lease }: LeasedUpstream, rights: PrimaryRights, onlyReads: boolean
+): string | undefined {
   if (lease.connection.closed) {
     return 'its connection was lost'
   }
-  const needsLease = primaryLease !== undefined && !(onlyReads && after !== undefined)
-  return needsLease && !isLeaseValid(context, target.group, primaryLease) ? 'the primary has changed' : undefined
+  return rights.maySend(onlyReads) ? undefined : 'the primary has changed'
 }
 
 /** Adds the epoch of the lease to an answer; logs an answer that came after the lease had ended. */
@@ -137,15 +134,15 @@
  */
 export function createLocalExecutor (context: LocalContext, leased: LeasedUpstream): LocalExecutor {
   const { target, resources, lease, releaseSlot, after } = leased
+  const rights = createPrimaryRights(context, leased)
   let onlyReads = false
-  const optionsOf = (scope: RequestScope, mayAbandon: boolean): RunOptions =>
-    runOptionsOf(context, leased, scope, mayAbandon)
+  const optionsOf = (scope: RequestScope, mayAbandon: boolean) => runOptionsOf(context, leased, scope, mayAbandon)
   const withEpoch = (timed: TimedAnswer): TimedAnswer => addEpoch(context, leased, timed)
   const runStep = async (scope: RequestScope, step: TransactionStep): Promise<TimedAnswer> => {
     const options = optionsOf(scope, false)
-    const timed = step.type === 'statement'
+    const timed = await rights.whileRunning(async () => step.type === 'statement'
       ? await runStatement(step.statement, scope.values, undefined, options)
-      : await runCommand(step, options)
+      : await runCommand(step, options))
     return withEpoch(timed)
   }
   const runFirst = async (
@@ -163,7 +160,7 @@
       type: 'begin', readOnly: readOnly && after !== undefined, after: requiredPosition(context, leased)
     }
     try {
-      const begun = withEpoch(await runCommand(command, optionsOf(scope, true)))
+      const begun = withEpoch(await rights.whileRunning(async () => await runCommand(command, optionsOf(scope, true))))
       if (begun.answer.failure !== undefined) {
         lease.release()
         return { beginAnswer: begun }
@@ -179,7 +176,7 @@
     const freeSlot = await resources.queue.enter({ priority: OPEN_TRANSACTION_PRIORITY, costMs: scope.costMs, waitMs })
     try {
       // The lease may have expired while the step waited in the queue.
-      const reason = findBrokenReason(context, leased, onlyReads)
+      const reason = findBrokenReason(leased, rights, onlyReads)
       if (reason !== undefined) {
         throw new RequestError('not-run', 'TransactionLost', { reason })
       }
@@ -192,13 +189,13 @@
     target,
     resources,
     after,
-    get brokenBecause () { return findBrokenReason(context, leased, onlyReads) },
+    get brokenBecause () { return findBrokenReason(leased, rights, onlyReads) },
     runSingle: async (scope, statement, mayAbandon) => {
       const position = statement.access === 'read' ? requiredPosition(context, leased) : undefined
       const options = optionsOf(scope, mayAbandon)
-      const timed = await runStatement(
-        statement, scope.values, position, options, () => maySend(context, leased)
-      ).finally(releaseSlot)
+      const maySend = (): boolean => rights.maySend(statement.access === 'read')
+      const timed = await rights.whileRunning(async () =>
+        await runStatement(statement, scope.values, position, options, maySend)).finally(releaseSlot)
       lease.release()
       return withEpoch(timed)
     },
@@ -208,7 +205,8 @@
     discard: lease.discard,
     rollBack: async () => await rollBackOn(lease),
     queryLogEnd: async (scope) => {
-      const timed = await runCommand({ type: 'begin', readOnly: false }, optionsOf(scope, true)).finally(releaseSlot)
+      const timed = await rights.whileRunning(async () =>
+        await runCommand({ type: 'begin', readOnly: false }, optionsOf(scope, true))).finally(releaseSlot)
       void rollBackOn(lease)
       return withEpoch(timed)
     }
