Count the success of a write only while the lease covers its answer

Cause: the lease was checked before a command was sent and not when its answer came. Only the abort stood between, a timer that runs each 100 ms, 250 ms after the expiry; a process that thaws handles its sockets first.

Why it works: the executor takes each answer as part of the tracked use. The reported success of a write, or of the commit of a transaction that wrote, counts only if the use has not been aborted, as every use is before a closing is acknowledged and when the row names a newer epoch, and if the lease has not expired by more than EXPIRY_GRACE_MS, less than the margin that promoters wait. Otherwise the caller is told in doubt. Reads sent under a valid lease stay valid, and so do refusals, which claim no effect.

--- a/src/core/logger/events.ts
+++ b/src/core/logger/events.ts
@@ -45,7 +45,7 @@
   'home.slow': { level: 'info', fields: 'peer, silentMs', when: 'a home of an upstream answers slowly; it is skipped until it answers, and requests that can run elsewhere are moved' },
   'home.transaction-ended': { level: 'info', fields: 'id, reason', when: 'a home ended a transaction that another host had forwarded' },
   'leadership.aborted': { level: 'warn', fields: 'upstream, inUse, reason', when: 'connections that this host used at a primary under a lease were closed; `inUse` tells how many' },
-  'leadership.answer-after-lease': { level: 'info', fields: 'group, upstream, epoch, outcome, ranMs', when: 'a primary answered a statement after the lease under which it was sent had ended' },
+  'leadership.answer-after-lease': { level: 'info', fields: 'group, upstream, epoch, outcome, accepted, ranMs', when: 'a primary answered a statement after the lease under which it was sent had ended; `accepted` tells whether the answer counts' },
   'leadership.closing': { level: 'info', fields: 'group, epoch, confirmedAgeMs', when: 'a peer asks this host to stop using a primary' },
   'leadership.epoch-passed': { level: 'info', fields: 'group, epoch, upstream, newEpoch, closedHere, leaseAgeMs', when: 'the row of a group shows a newer epoch; `closedHere` tells whether this host had stopped using the primary of the previous one' },
   'leadership.extended': { level: 'info', fields: 'grants, by, hosts, confirmedAgeMs, leaseMs', when: 'peers extended the leases of this host while the store does not answer it' },
--- a/src/entry/leadership/index.ts
+++ b/src/entry/leadership/index.ts
@@ -89,7 +89,7 @@
     logTransitions({ registry, directory, primaryLeases, groups, logger })
     const recordRowChange = createRowRecorder(registry, recoveryEstimates)
     registry.onChange(() => {
-      groups().forEach(localWork.abortPassed)
+      localWork.abortPassed()
       groups().forEach(recordRowChange)
       primaryLeases.notify()
     })
--- a/src/entry/leadership/primary-uses.ts
+++ b/src/entry/leadership/primary-uses.ts
@@ -3,13 +3,25 @@
  * released or discarded. A stop of local work finds its uses here, so it depends on neither the directory nor the row.
  */
 import type { Logger } from '../../core/logger/index.ts'
+import { PRIMARY_LEASE_MS } from '../registry/lease-times.ts'
 import type { PrimaryLeases } from './primary-leases.ts'
 import type { PrimaryLease } from './types.ts'
 
+/**
+ * Time after the expiry of the leases for which answers still count, in milliseconds; after it every use is aborted.
+ * Shorter than LEASE_MARGIN_MS, for which promoters wait longer.
+ */
+export const EXPIRY_GRACE_MS = 250
+
 /** Use of a primary by one statement or transaction. */
 export interface PrimaryUse {
   /** Whether a command may be sent now; ask in the same tick in which it is sent. */
   readonly maySend: boolean
+  /**
+   * Whether no other upstream can have been promoted before now: the use was not aborted, as every use is before a
+   * closing is acknowledged, and the lease has not expired by more than {@link EXPIRY_GRACE_MS}.
+   */
+  readonly isCovered: boolean
   /** Counts the use as running until the command has finished. */
   whileRunning: <Result>(command: () => Promise<Result>) => Promise<Result>
   /** Ends the use. */
@@ -66,7 +78,7 @@
  * @returns a record without uses
  */
 export function createPrimaryUses (
-  { primaryLeases, logger }: { primaryLeases: Pick<PrimaryLeases, 'leaseOf'>, logger: Logger }
+  { primaryLeases, logger }: { primaryLeases: Pick<PrimaryLeases, 'leaseOf' | 'ageMs'>, logger: Logger }
 ): PrimaryUses {
   const tracked = new Set<TrackedUse>()
   const select = (selection: Selection): TrackedUse[] => [...tracked].filter(selection)
@@ -78,6 +90,7 @@
       tracked.add(use)
       return {
         get maySend () { return tracked.has(use) && primaryLeases.leaseOf(group)?.epoch === lease.epoch },
+        get isCovered () { return tracked.has(use) && primaryLeases.ageMs() <= PRIMARY_LEASE_MS + EXPIRY_GRACE_MS },
         whileRunning: async (command) => {
           use.running++
           try {
--- a/src/entry/leadership/stop-local-work.ts
+++ b/src/entry/leadership/stop-local-work.ts
@@ -5,7 +5,7 @@
 import { PRIMARY_LEASE_MS } from '../registry/lease-times.ts'
 import type { Registry } from '../registry/index.ts'
 import type { PrimaryLeases } from './primary-leases.ts'
-import { usesUpTo, type PrimaryUses } from './primary-uses.ts'
+import { EXPIRY_GRACE_MS, usesUpTo, type PrimaryUses } from './primary-uses.ts'
 
 /** Options of {@link createLocalWorkStop}. */
 interface LocalWorkStopOptions {
@@ -25,12 +25,10 @@
   closeEpoch: (group: string, epoch: number) => Promise<void>
   /** Aborts all uses of primaries if the leases have expired. */
   abortExpired: () => void
-  /** Aborts the uses of a group's primaries in epochs before that of its row. */
-  abortPassed: (group: string) => void
+  /** Aborts the uses of primaries in epochs before those of their groups' rows. */
+  abortPassed: () => void
 }
 
-/** Time between the expiry of the leases and the abort of statements in progress, in milliseconds. */
-const EXPIRY_GRACE_MS = 250
 /** Time for statements in progress to finish when an epoch is closed, in milliseconds. */
 const FINISH_TIMEOUT_MS = 150
 /** Interval at which statements in progress are checked while they finish, in milliseconds. */
@@ -85,11 +83,9 @@
         primaryUses.abort(() => true, 'the lease has expired')
       }
     },
-    abortPassed: (group) => {
-      const { row } = registry.current.group(group)
-      if (row !== undefined) {
-        primaryUses.abort(usesUpTo(group, row.epoch - 1), 'a newer epoch is known')
-      }
+    abortPassed: () => {
+      primaryUses.abort(
+        ({ group, lease }) => (registry.current.group(group).row?.epoch ?? 0) > lease.epoch, 'a newer epoch is known')
     }
   }
 }
--- /dev/null
+++ b/src/entry/requests/leased-commands.ts
@@ -0,0 +1,151 @@
+/** Runs the commands of an executor on its leased connection, and decides which answers count. */
+import { RequestError } from '../../core/errors/index.ts'
+import type { KnownUpstream } from '../directory/index.ts'
+import type { PrimaryLease } from '../leadership/index.ts'
+import type { ConnectionLease, UpstreamResources } from '../pools/index.ts'
+import type { LogPosition } from '../../positions/position.ts'
+import type { PrimaryRights } from './primary-rights.ts'
+import { runCommand, runStatement, type RunOptions, type TimedAnswer } from './run-statement.ts'
+import type { TransactionStep } from './statement-executor.ts'
+import type { ExecutableStatement, EntryContext, RequestScope } from './types.ts'
+
+/** Services that the commands need. */
+export type LocalContext = Pick<EntryContext, 'leadership' | 'freshness' | 'metrics' | 'logger'>
+
+/** A leased connection to an upstream, and the conditions under which statements may be sent on it. */
+export interface LeasedUpstream {
+  target: KnownUpstream
+  resources: UpstreamResources
+  lease: ConnectionLease
+  /** Position that the upstream's log must have reached; undefined if the statements require the primary. */
+  after?: LogPosition
+  /** Lease of this host on the primary; undefined at a replica. */
+  primaryLease?: PrimaryLease
+}
+
+/** Commands on a leased connection; each is a use of the primary and may end the connection's lease on failure. */
+interface LeasedCommands {
+  /** Begins a transaction. */
+  begin: (scope: RequestScope, readOnly: boolean) => Promise<TimedAnswer>
+  /** Runs a step of the open transaction. */
+  step: (scope: RequestScope, step: TransactionStep) => Promise<TimedAnswer>
+  /** Runs a single statement. */
+  single: (scope: RequestScope, statement: ExecutableStatement, mayAbandon: boolean) => Promise<TimedAnswer>
+  /** Begins a transaction that proves the end of the primary's log. */
+  logEnd: (scope: RequestScope) => Promise<TimedAnswer>
+}
+
+/**
+ * Reports whether a lease on a primary is still valid.
+ *
+ * @param context - services of the entry process
+ * @param group - the group
+ * @param primaryLease - the lease to check
+ * @returns true if this host still holds a lease of the same epoch
+ */
+export function isLeaseValid (
+  { leadership }: Pick<EntryContext, 'leadership'>, group: string, primaryLease: PrimaryLease
+): boolean {
+  return leadership.leaseOf(group)?.epoch === primaryLease.epoch
+}
+
+/**
+ * Returns the position that an upstream's log must have reached. At the primary it is the last position known for the
+ * lease's epoch. This rejects a primary that has restarted empty before its directory row is updated; reads there would
+ * miss acknowledged writes.
+ */
+function requiredPosition (
+  { freshness }: LocalContext, { target, after, primaryLease }: LeasedUpstream
+): LogPosition | undefined {
+  if (after !== undefined || primaryLease === undefined) {
+    return after
+  }
+  const proofs = freshness.of(target.group)
+  return proofs.epoch === primaryLease.epoch ? proofs.newest : undefined
+}
+
+function runOptionsOf (
+  { leadership, metrics }: LocalContext, { target, resources, lease }: LeasedUpstream, scope: RequestScope,
+  mayAbandon: boolean
+): RunOptions {
+  return {
+    resources,
+    lease,
+    deadline: scope.deadline,
+    onFinished: metrics.upstream,
+    onSilence: () => {
+      leadership.suspect(target.upstream)
+      return mayAbandon && resources.health.unreachableSince !== undefined
+    }
+  }
+}
+
+/**
+ * Takes an answer: adds the epoch of the lease, and logs an answer that came after the lease had ended. A reported
+ * success of a write counts only while the lease covers it; a read stays valid, since commits at a successor come only
+ * after the lease under which the read was sent has ended.
+ */
+function takeAnswer (
+  context: LocalContext, leased: LeasedUpstream, rights: PrimaryRights, timed: TimedAnswer, hasWritten: boolean
+): TimedAnswer {
+  const { target: { group, upstream }, primaryLease } = leased
+  const { failure } = timed.answer
+  const accepted = !hasWritten || failure !== undefined || rights.coversWrite
+  if (primaryLease !== undefined && !isLeaseValid(context, group, primaryLease)) {
+    const outcome = failure?.kind ?? 'done'
+    context.logger.log('info', 'leadership.answer-after-lease', {
+      group, upstream, epoch: primaryLease.epoch, outcome, accepted, ranMs: Math.round(timed.ranMs)
+    })
+  }
+  if (!accepted) {
+    const reason = 'its answer came after the lease on the primary had ended'
+    throw new RequestError('may-have-run', 'ConnectionLost', { upstream, reason })
+  }
+  return { ...timed, epoch: primaryLease?.epoch }
+}
+
+/**
+ * Creates the commands on a connection.
+ *
+ * @param context - services of the entry process
+ * @param leased - the connection
+ * @param rights - what may be sent on it
+ * @returns the commands
+ */
+export function createLeasedCommands (
+  context: LocalContext, leased: LeasedUpstream, rights: PrimaryRights
+): LeasedCommands {
+  let wrote = false
+  const optionsOf = (scope: RequestScope, mayAbandon: boolean): RunOptions =>
+    runOptionsOf(context, leased, scope, mayAbandon)
+  /** Runs a command as a use of the primary, and takes its answer before the use counts as finished. */
+  const run = async (command: () => Promise<TimedAnswer>, hasWritten = false): Promise<TimedAnswer> =>
+    await rights.whileRunning(async () => takeAnswer(context, leased, rights, await command(), hasWritten))
+
+  return {
+    begin: async (scope, readOnly) => {
+      const after = requiredPosition(context, leased)
+      const isAnywhere = readOnly && leased.after !== undefined
+      return await run(async () =>
+        await runCommand({ type: 'begin', readOnly: isAnywhere, after }, optionsOf(scope, true)))
+    },
+    step: async (scope, step) => {
+      const options = optionsOf(scope, false)
+      if (step.type === 'commit') {
+        return await run(async () => await runCommand(step, options), wrote)
+      }
+      // A write in a transaction has no lasting effect before the commit.
+      wrote ||= step.statement.access === 'write'
+      return await run(async () => await runStatement(step.statement, scope.values, undefined, options))
+    },
+    single: async (scope, statement, mayAbandon) => {
+      const isRead = statement.access === 'read'
+      const after = isRead ? requiredPosition(context, leased) : undefined
+      const options = optionsOf(scope, mayAbandon)
+      const maySend = (): boolean => rights.maySend(isRead)
+      return await run(async () => await runStatement(statement, scope.values, after, options, maySend), !isRead)
+    },
+    logEnd: async (scope) =>
+      await run(async () => await runCommand({ type: 'begin', readOnly: false }, optionsOf(scope, true)))
+  }
+}
--- a/src/entry/requests/primary-rights.ts
+++ b/src/entry/requests/primary-rights.ts
@@ -26,6 +26,8 @@
    * @param isRead - whether it only reads
    */
   maySend: (isRead: boolean) => boolean
+  /** Whether the success of a write that is reported now came while no other upstream could be the primary. */
+  readonly coversWrite: boolean
   /** Marks the use of the primary as running until the command has finished. */
   whileRunning: <Result>(command: () => Promise<Result>) => Promise<Result>
 }
@@ -44,10 +46,15 @@
   if (readsAnywhere || primaryLease === undefined) {
     return {
       maySend: (isRead) => isRead && readsAnywhere,
+      coversWrite: false,
       whileRunning: async (command) => await command()
     }
   }
   const use = leadership.trackUse({ group, lease: primaryLease, abort: () => lease.connection.close() })
   lease.onEnd(use.end)
-  return { maySend: () => use.maySend, whileRunning: use.whileRunning }
+  return {
+    maySend: () => use.maySend,
+    get coversWrite () { return use.isCovered },
+    whileRunning: use.whileRunning
+  }
 }
--- a/test/entry/leadership/stop-local-work.test.ts
+++ b/test/entry/leadership/stop-local-work.test.ts
@@ -1,6 +1,6 @@
 import { deepEqual, equal } from 'node:assert/strict'
 import { afterEach, beforeEach, describe, it } from 'node:test'
-import fakeTimers, { type Clock } from '@sinonjs/fake-timers'
+import fakeTimers, { type Clock, type FakeMethod } from '@sinonjs/fake-timers'
 import type { Logger } from '../../../src/core/logger/index.ts'
 import { pause } from '../../../src/core/time/deadline.ts'
 import { createPrimaryLeases } from '../../../src/entry/leadership/primary-leases.ts'
@@ -9,12 +9,14 @@
 import { PRIMARY_LEASE_MS } from '../../../src/entry/registry/lease-times.ts'
 import type { Registry } from '../../../src/entry/registry/index.ts'
 
+/** What the paused clock replaces; the reports of the test runner need the rest. */
+const TIMERS: FakeMethod[] = ['performance', 'setTimeout', 'clearTimeout', 'setInterval', 'clearInterval']
 /** Time after which the aborts for an expired lease have been made, in milliseconds. */
 const ABORTED_AFTER_MS = PRIMARY_LEASE_MS + 300
 
 describe('the stop of local work at a primary', () => {
   let clock: Clock
-  beforeEach(() => { clock = fakeTimers.install() })
+  beforeEach(() => { clock = fakeTimers.install({ toFake: TIMERS }) })
   afterEach(() => { clock.uninstall() })
 
   /** Creates the stop at a host that knows no upstream, and whose row names an open epoch. */
@@ -78,11 +80,11 @@
   it('aborts what was sent in an epoch that the row has passed', () => {
     const { row, stop, use, aborted } = setUp(1)
     use('old', 'g', 1)
-    stop.abortPassed('g')
+    stop.abortPassed()
     deepEqual(aborted, [])
     row.epoch = 2
     use('new', 'g', 2)
-    stop.abortPassed('g')
+    stop.abortPassed()
     deepEqual(aborted, ['old'])
   })
 
