Date a proof of position by the lease held when the statement was sent

What callers saw: stale bounded reads at a host that had no proof of the new epoch yet (STALE).

Cause: an answer got the epoch of the lease with which its executor had been acquired. A read-only transaction at a known position goes on at the old primary after a change, and each of its answers proved, dated now, that everything acknowledged before is at or before the old primary's end; so did a read for which session values were set until the lease had ended.

Why it works: runCommand asks `admit` in the tick in which it sends. It refuses what needs the lease when the lease is gone, and returns the epoch only if this host holds the lease then. So a proof is dated to a time at which no other upstream could have acknowledged anything. A home decides for what it sends for other hosts; these date the proof to their own, earlier sending.

--- a/src/entry/requests/leased-commands.ts
+++ b/src/entry/requests/leased-commands.ts
@@ -23,6 +23,8 @@
   primaryLease?: PrimaryLease
 }
 
+const PRIMARY_CHANGED = 'the primary has changed'
+
 /** Commands on a leased connection; each is a use of the primary and may end the connection's lease on failure. */
 interface LeasedCommands {
   /** Begins a transaction. */
@@ -33,20 +35,11 @@
   single: (scope: RequestScope, statement: ExecutableStatement, mayAbandon: boolean) => Promise<TimedAnswer>
   /** Begins a transaction that proves the end of the primary's log. */
   logEnd: (scope: RequestScope) => Promise<TimedAnswer>
-}
-
-/**
- * Reports whether a lease on a primary is still valid.
- *
- * @param context - services of the entry process
- * @param group - the group
- * @param primaryLease - the lease to check
- * @returns true if this host still holds a lease of the same epoch
- */
-export function isLeaseValid (
-  { leadership }: Pick<EntryContext, 'leadership'>, group: string, primaryLease: PrimaryLease
-): boolean {
-  return leadership.leaseOf(group)?.epoch === primaryLease.epoch
+  /**
+   * Reason why the open transaction cannot continue, if any. A read-only transaction at a known position needs no
+   * lease, so it survives a change of the primary.
+   */
+  readonly brokenBecause: string | undefined
 }
 
 /**
@@ -67,7 +60,7 @@
 function runOptionsOf (
   { leadership, metrics }: LocalContext, { target, resources, lease }: LeasedUpstream, scope: RequestScope,
   mayAbandon: boolean
-): RunOptions {
+): Omit<RunOptions, 'admit'> {
   return {
     resources,
     lease,
@@ -81,27 +74,37 @@
 }
 
 /**
- * Takes an answer: adds the epoch of the lease, and logs an answer that came after the lease had ended. A reported
- * success of a write counts only while the lease covers it; a read stays valid, since commits at a successor come only
- * after the lease under which the read was sent has ended.
+ * Takes an answer, and logs it if it came after the lease had ended. A reported success of a write counts only while
+ * the lease covers it; a read stays valid, since commits at a successor come only after the lease under which the read
+ * was sent has ended.
  */
 function takeAnswer (
-  context: LocalContext, leased: LeasedUpstream, rights: PrimaryRights, timed: TimedAnswer, hasWritten: boolean
+  { logger }: LocalContext, { target: { group, upstream } }: LeasedUpstream, rights: PrimaryRights, timed: TimedAnswer,
+  hasWritten: boolean
 ): TimedAnswer {
-  const { target: { group, upstream }, primaryLease } = leased
-  const { failure } = timed.answer
+  const { answer: { failure }, epoch, ranMs } = timed
   const accepted = !hasWritten || failure !== undefined || rights.coversWrite
-  if (primaryLease !== undefined && !isLeaseValid(context, group, primaryLease)) {
+  if (epoch !== undefined && epoch !== rights.epoch) {
     const outcome = failure?.kind ?? 'done'
-    context.logger.log('info', 'leadership.answer-after-lease', {
-      group, upstream, epoch: primaryLease.epoch, outcome, accepted, ranMs: Math.round(timed.ranMs)
+    logger.log('info', 'leadership.answer-after-lease', {
+      group, upstream, epoch, outcome, accepted, ranMs: Math.round(ranMs)
     })
   }
   if (!accepted) {
     const reason = 'its answer came after the lease on the primary had ended'
     throw new RequestError('may-have-run', 'ConnectionLost', { upstream, reason })
   }
-  return { ...timed, epoch: primaryLease?.epoch }
+  return timed
+}
+
+/** Releases the connection, on which nothing was sent, and creates the error. */
+function refuseNew ({ lease, target: { upstream } }: LeasedUpstream): RequestError {
+  lease.release()
+  return new RequestError('not-run', 'ConnectionLost', { upstream, reason: PRIMARY_CHANGED })
+}
+
+function transactionBroken (): RequestError {
+  return new RequestError('not-run', 'TransactionLost', { reason: PRIMARY_CHANGED })
 }
 
 /**
@@ -115,9 +118,21 @@
 export function createLeasedCommands (
   context: LocalContext, leased: LeasedUpstream, rights: PrimaryRights
 ): LeasedCommands {
+  let onlyReads = false
   let wrote = false
-  const optionsOf = (scope: RequestScope, mayAbandon: boolean): RunOptions =>
-    runOptionsOf(context, leased, scope, mayAbandon)
+  /** Creates the options of a command; `refuse` creates the error if it may not be sent any more. */
+  const optionsOf = (
+    scope: RequestScope, mayAbandon: boolean, isRead: boolean, refuse: () => RequestError
+  ): RunOptions => ({
+    ...runOptionsOf(context, leased, scope, mayAbandon),
+    admit: () => {
+      if (!rights.maySend(isRead)) {
+        throw refuse()
+      }
+      return rights.epoch
+    }
+  })
+  const refuseToBegin = (): RequestError => refuseNew(leased)
   /** Runs a command as a use of the primary, and takes its answer before the use counts as finished. */
   const run = async (command: () => Promise<TimedAnswer>, hasWritten = false): Promise<TimedAnswer> =>
     await rights.whileRunning(async () => takeAnswer(context, leased, rights, await command(), hasWritten))
@@ -126,11 +141,12 @@
     begin: async (scope, readOnly) => {
       const after = requiredPosition(context, leased)
       const isAnywhere = readOnly && leased.after !== undefined
-      return await run(async () =>
-        await runCommand({ type: 'begin', readOnly: isAnywhere, after }, optionsOf(scope, true)))
+      onlyReads = readOnly
+      const options = optionsOf(scope, true, readOnly, refuseToBegin)
+      return await run(async () => await runCommand({ type: 'begin', readOnly: isAnywhere, after }, options))
     },
     step: async (scope, step) => {
-      const options = optionsOf(scope, false)
+      const options = optionsOf(scope, false, onlyReads, transactionBroken)
       if (step.type === 'commit') {
         return await run(async () => await runCommand(step, options), wrote)
       }
@@ -141,11 +157,18 @@
     single: async (scope, statement, mayAbandon) => {
       const isRead = statement.access === 'read'
       const after = isRead ? requiredPosition(context, leased) : undefined
-      const options = optionsOf(scope, mayAbandon)
-      const maySend = (): boolean => rights.maySend(isRead)
-      return await run(async () => await runStatement(statement, scope.values, after, options, maySend), !isRead)
+      const options = optionsOf(scope, mayAbandon, isRead, refuseToBegin)
+      return await run(async () => await runStatement(statement, scope.values, after, options), !isRead)
+    },
+    logEnd: async (scope) => {
+      const options = optionsOf(scope, true, false, refuseToBegin)
+      return await run(async () => await runCommand({ type: 'begin', readOnly: false }, options))
     },
-    logEnd: async (scope) =>
-      await run(async () => await runCommand({ type: 'begin', readOnly: false }, optionsOf(scope, true)))
+    get brokenBecause () {
+      if (leased.lease.connection.closed) {
+        return 'its connection was lost'
+      }
+      return rights.maySend(onlyReads) ? undefined : PRIMARY_CHANGED
+    }
   }
 }
--- a/src/entry/requests/local-executor.ts
+++ b/src/entry/requests/local-executor.ts
@@ -3,7 +3,7 @@
 import { TIMED_OUT, withTimeout } from '../../core/time/deadline.ts'
 import type { ConnectionLease } from '../pools/index.ts'
 import { createLeasedCommands, type LeasedUpstream, type LocalContext } from './leased-commands.ts'
-import { createPrimaryRights, type PrimaryRights } from './primary-rights.ts'
+import { createPrimaryRights } from './primary-rights.ts'
 import type { TimedAnswer } from './run-statement.ts'
 import { ROLLBACK_MS, type BeginResult, type StatementExecutor, type TransactionStep } from './statement-executor.ts'
 import type { RequestScope } from './types.ts'
@@ -41,17 +41,6 @@
   }
 }
 
-/**
- * Returns the reason why a transaction cannot continue here, if any. A read-only transaction at a known position needs
- * no lease, so it survives a change of the primary.
- */
-function findBrokenReason (lease: ConnectionLease, rights: PrimaryRights, onlyReads: boolean): string | undefined {
-  if (lease.connection.closed) {
-    return 'its connection was lost'
-  }
-  return rights.maySend(onlyReads) ? undefined : 'the primary has changed'
-}
-
 /**
  * Creates an executor on a connection of this host.
  *
@@ -61,9 +50,7 @@
  */
 export function createLocalExecutor (context: LocalContext, acquired: AcquiredUpstream): LocalExecutor {
   const { target, resources, lease, releaseSlot, after } = acquired
-  const rights = createPrimaryRights(context, acquired)
-  const commands = createLeasedCommands(context, acquired, rights)
-  let onlyReads = false
+  const commands = createLeasedCommands(context, acquired, createPrimaryRights(context, acquired))
 
   const runFirst = async (
     beginAnswer: TimedAnswer, scope: RequestScope, step: TransactionStep
@@ -75,7 +62,6 @@
     }
   }
   const begin = async (scope: RequestScope, readOnly: boolean, step: TransactionStep): Promise<BeginResult> => {
-    onlyReads = readOnly
     try {
       const begun = await commands.begin(scope, readOnly)
       if (begun.answer.failure !== undefined) {
@@ -92,8 +78,7 @@
     const waitMs = scope.deadline.leftMs
     const freeSlot = await resources.queue.enter({ priority: OPEN_TRANSACTION_PRIORITY, costMs: scope.costMs, waitMs })
     try {
-      // The lease may have expired while the step waited in the queue.
-      const reason = findBrokenReason(lease, rights, onlyReads)
+      const reason = commands.brokenBecause
       if (reason !== undefined) {
         throw new RequestError('not-run', 'TransactionLost', { reason })
       }
@@ -106,7 +91,7 @@
     target,
     resources,
     after,
-    get brokenBecause () { return findBrokenReason(lease, rights, onlyReads) },
+    get brokenBecause () { return commands.brokenBecause },
     runSingle: async (scope, statement, mayAbandon) => {
       try {
         return await commands.single(scope, statement, mayAbandon)
--- a/src/entry/requests/primary-rights.ts
+++ b/src/entry/requests/primary-rights.ts
@@ -26,12 +26,28 @@
    * @param isRead - whether it only reads
    */
   maySend: (isRead: boolean) => boolean
+  /** Epoch for which this host holds the lease on the upstream now; undefined without a lease. */
+  readonly epoch: number | undefined
   /** Whether the success of a write that is reported now came while no other upstream could be the primary. */
   readonly coversWrite: boolean
   /** Marks the use of the primary as running until the command has finished. */
   whileRunning: <Result>(command: () => Promise<Result>) => Promise<Result>
 }
 
+/**
+ * Reports whether a lease on a primary is still valid.
+ *
+ * @param context - services of the entry process
+ * @param group - the group
+ * @param primaryLease - the lease to check
+ * @returns true if this host still holds a lease of the same epoch
+ */
+export function isLeaseValid (
+  { leadership }: Pick<EntryContext, 'leadership'>, group: string, primaryLease: PrimaryLease
+): boolean {
+  return leadership.leaseOf(group)?.epoch === primaryLease.epoch
+}
+
 /**
  * Creates the rights of an executor.
  *
@@ -43,9 +59,12 @@
   { leadership }: Pick<EntryContext, 'leadership'>, { target: { group }, lease, after, primaryLease }: RightsOptions
 ): PrimaryRights {
   const readsAnywhere = after !== undefined
+  const heldEpoch = (): number | undefined =>
+    primaryLease !== undefined && isLeaseValid({ leadership }, group, primaryLease) ? primaryLease.epoch : undefined
   if (readsAnywhere || primaryLease === undefined) {
     return {
       maySend: (isRead) => isRead && readsAnywhere,
+      get epoch () { return heldEpoch() },
       coversWrite: false,
       whileRunning: async (command) => await command()
     }
@@ -54,6 +73,7 @@
   lease.onEnd(use.end)
   return {
     maySend: () => use.maySend,
+    get epoch () { return heldEpoch() },
     get coversWrite () { return use.isCovered },
     whileRunning: use.whileRunning
   }
--- a/src/entry/requests/run-statement.ts
+++ b/src/entry/requests/run-statement.ts
@@ -22,6 +22,13 @@
   resources: UpstreamResources
   lease: ConnectionLease
   deadline: Deadline
+  /**
+   * Called in the same tick in which the command is sent.
+   *
+   * @returns the epoch in which the answer proves the position of the primary's log; undefined if it proves none
+   * @throws RequestError with verdict `not-run` if the command must not be sent
+   */
+  admit: () => number | undefined
   /** Called with the outcome and the time at the upstream. */
   onFinished: (outcome: string, durationMs: number) => void
   /** Called while the upstream has answered nothing since the statement was sent; returns true to abandon it. */
@@ -35,7 +42,7 @@
   sentAt: number
   /** Time that the upstream took, in milliseconds; 0 if unknown. */
   ranMs: number
-  /** Epoch in which the upstream answered as the primary; undefined if it did not have to be the primary. */
+  /** Epoch for which this host held the lease on the upstream when it sent the statement; undefined without a lease. */
   epoch?: number
 }
 
@@ -45,11 +52,12 @@
  * @param command - the command
  * @param options - connection, deadline and callbacks
  * @returns the answer
- * @throws RequestError `ConnectionLost` or `DeadlineExceeded`; the lease has been discarded
+ * @throws RequestError `ConnectionLost` or `DeadlineExceeded`; the lease has been discarded. Also what `admit` throws.
  */
 export async function runCommand (command: UpstreamCommand, options: RunOptions): Promise<TimedAnswer> {
   const { resources, lease, deadline } = options
   const sentAt = performance.now()
+  const epoch = options.admit()
   let giveUp = (): void => {}
   const givenUp = new Promise<never>((_resolve, reject) => {
     giveUp = () => reject(new RequestError('may-have-run', 'ConnectionLost', {
@@ -69,7 +77,7 @@
     const ranMs = performance.now() - sentAt
     resources.health.recordLatency(ranMs)
     options.onFinished(answer.failure?.kind ?? 'done', ranMs)
-    return { answer, sentAt, ranMs }
+    return { answer, sentAt, ranMs, epoch }
   } catch (thrown) {
     lease.discard()
     options.onFinished('lost', performance.now() - sentAt)
@@ -87,13 +95,13 @@
  * @param values - the session's values
  * @param after - position that the upstream's log must have reached
  * @param options - connection, deadline and callbacks
- * @param maySend - checked right before the statement is sent
  * @returns the answer
- * @throws RequestError with verdict `not-run` if the statement was not sent; the lease has been released or discarded
+ * @throws RequestError with verdict `not-run` if the statement was not sent; the lease has been discarded unless
+ * `admit` has thrown
  */
 export async function runStatement (
   statement: ExecutableStatement, values: ReadonlyMap<string, string>, after: LogPosition | undefined,
-  options: RunOptions, maySend: () => boolean = () => true
+  options: RunOptions
 ): Promise<TimedAnswer> {
   const { lease, deadline } = options
   let name = ''
@@ -106,11 +114,6 @@
     lease.discard()
     throw toRequestError(thrown, 'not-run', true)
   }
-  if (!maySend()) {
-    lease.release()
-    const group = options.resources.pool.target.group
-    throw new RequestError('not-run', 'NoUpstream', { group, reason: 'the primary has changed', retryAfterMs: 0 })
-  }
   const result = await runCommand(commandOf(statement, name, after), options)
   if (result.answer.failure?.kind === 'unknown-statement') {
     lease.prepared.clear()
