Keep an epoch closed while an order to promote another upstream may take effect

Callers saw writes acknowledged by a primary after another one had been promoted, and reads that lacked them.

Cause: a promoter that got no answer, or saw no effect for 2.5 s, ordered the next upstream and opened the epoch with it. The first order could still be carried out, and then another upstream led in a newer term. Nothing told a host that continued a failover which orders had been given.

An order is now recorded in the group's row before it is sent, in one transaction with the renewal of the promotion lease, under the versions of both rows: a host that has lost either can't record and so can't order. The epoch opens only when no order for another upstream may take effect any more. Meanwhile the upstreams that were ordered are watched and the newest term leads. If one of them doesn't report in the end, the leader is demoted and promoted to one more term, which is the newest since all other orders have passed. A usual failover takes one more write of the store.

--- a/src/entry/leadership/choose-successor.ts
+++ b/src/entry/leadership/choose-successor.ts
@@ -1,7 +1,8 @@
 /**
  * Chooses the upstream of a group to promote. Upstreams that stay rank before the old primary, and the old primary
- * before draining ones; ties go to the furthest log position, then to the first name. An upstream that has not reached
- * the closed term is excluded for {@link OUTDATED_WAIT_MS}, because promoting it would lose the writes of that term.
+ * before draining ones; ties go to the furthest log position, then to an upstream whose order to promote may still take
+ * effect, then to the first name. An upstream that has not reached the closed term is excluded for
+ * {@link OUTDATED_WAIT_MS}, because promoting it would lose the writes of that term.
  */
 import { comparePositions } from '../../positions/position.ts'
 import type { KnownUpstream } from '../directory/index.ts'
@@ -18,25 +19,37 @@
   report: UpstreamReport
 }
 
+/** The closed epoch. */
+interface ClosedPrimary {
+  oldPrimary: string
+  /** Newest term of the epoch. */
+  term: number
+  /** Time since it was closed, in milliseconds. */
+  closedMs: number
+  /** Upstreams with an order to promote that may still take effect. */
+  ordered?: ReadonlySet<string>
+}
+
 /**
  * Returns the candidates that may be promoted, best first.
  *
  * @param candidates - upstreams that answered, and their reports
- * @param closed - primary and newest term of the closed epoch, and the time since it was closed, in milliseconds
+ * @param closed - the closed epoch
  * @returns the eligible candidates in the order in which to try them
  */
 export function chooseSuccessors (
-  candidates: Candidate[], { oldPrimary, term, closedMs }: { oldPrimary: string, term: number, closedMs: number }
+  candidates: Candidate[], { oldPrimary, term, closedMs, ordered = new Set() }: ClosedPrimary
 ): Candidate[] {
   const includeOutdated = closedMs >= OUTDATED_WAIT_MS
-  return rank(candidates.filter(({ report }) => includeOutdated || report.term >= term), oldPrimary)
+  return rank(candidates.filter(({ report }) => includeOutdated || report.term >= term), oldPrimary, ordered)
 }
 
-function rank (candidates: Candidate[], oldPrimary: string): Candidate[] {
+function rank (candidates: Candidate[], oldPrimary: string, ordered: ReadonlySet<string>): Candidate[] {
   const weight = ({ upstream }: Candidate): number =>
     (upstream.draining ? 2 : 0) + (upstream.upstream === oldPrimary ? 1 : 0)
   return [...candidates].sort((left, right) => weight(left) - weight(right) ||
     comparePositions(right.report.received, left.report.received) ||
+    Number(ordered.has(right.upstream.upstream)) - Number(ordered.has(left.upstream.upstream)) ||
     (left.upstream.upstream < right.upstream.upstream ? -1 : 1))
 }
 
--- a/src/entry/leadership/failover.ts
+++ b/src/entry/leadership/failover.ts
@@ -7,19 +7,20 @@
 import { describeThrown } from '../../core/errors/index.ts'
 import { pause } from '../../core/time/deadline.ts'
 import { repeat } from '../../core/time/repeat.ts'
-import type { Directory, KnownUpstream } from '../directory/index.ts'
+import type { KnownUpstream } from '../directory/index.ts'
 import type { Peers } from '../../peers/index.ts'
-import type { Pools } from '../pools/index.ts'
 import type { UpstreamReport } from '../ports/index.ts'
 import { registryKeys, type GroupRow } from '../registry/index.ts'
 import { comparePositions, formatPosition, type LogPosition } from '../../positions/position.ts'
 import { awaitHostsStopped } from './close-epoch.ts'
 import type { Candidate } from './choose-successor.ts'
+import type { PromoteOptions } from './order-promotion.ts'
+import { pendingOrders } from './pending-orders.ts'
 import { PROBE_TIMEOUT_MS, SUCCESSOR_POLL_INTERVAL_MS } from './probe-times.ts'
-import { promoteSuccessor, type PromoteOptions } from './promote.ts'
+import { promoteSuccessor, type Promoted } from './promote.ts'
 import type { FailoverReason } from './types.ts'
 
-/** Interval at which the promotion lease is renewed while waiting for hosts, in milliseconds. */
+/** Interval at which the promotion lease is renewed during a failover, in milliseconds. */
 const LEASE_RENEWAL_INTERVAL_MS = 1500
 /** Time for a successor to catch up with a demoted primary, in milliseconds. */
 const CATCH_UP_TIMEOUT_MS = 1000
@@ -33,8 +34,6 @@
   closedSince?: number
   /** Stops the work of this host at the primary of an epoch. */
   closeLocally: (epoch: number) => Promise<void>
-  directory: Pick<Directory, 'get' | 'ofGroup'>
-  pools: Pick<Pools, 'probe' | 'demote'>
   peers: Peers
 }
 
@@ -58,22 +57,32 @@
   if (closedAt === undefined) {
     return undefined
   }
-  const { epoch, primary } = before.row
-  const oldPrimary = options.directory.get(primary)
   // A failed renewal is logged by the lease; the next renewal or the order detects that the lease is lost.
   const stopRenewing = repeat(LEASE_RENEWAL_INTERVAL_MS, async () => { await options.promotionLease.acquire() })
+  try {
+    const reports = await awaitOldPrimaryUnused(options, before.row, closedAt)
+    const closed = { ...before.row, succession: failoverId }
+    const successor = await promoteSuccessor(options, reports, closed, closedAt)
+    return successor === undefined ? undefined : await openEpoch(options, successor, failoverId)
+  } finally {
+    stopRenewing()
+  }
+}
+
+/** Waits until no host uses the old primary, which is demoted if it can be reached, and returns the other reports. */
+async function awaitOldPrimaryUnused (
+  options: FailoverOptions, { epoch, primary }: GroupRow, closedAt: number
+): Promise<Candidate[]> {
   const closed = Promise.all([options.closeLocally(epoch), awaitHostsStopped({ ...options, epoch, closedAt })])
   // Once no host uses an unreachable primary, its demotion is not waited for: the probe would only time out.
-  const isUnreachable = reason === 'unreachable'
-  const demotion = demoteOldPrimary(options, oldPrimary)
+  const isUnreachable = options.reason === 'unreachable'
+  const demotion = demoteOldPrimary(options, options.directory.get(primary))
   const [demoted, reports] = await Promise.all([
     isUnreachable ? Promise.race([demotion, closed.then(() => undefined)]) : demotion,
     probeAll(options, isUnreachable ? primary : undefined),
     closed
-  ]).finally(stopRenewing)
-  const caughtUp = demoted === undefined ? reports : await awaitCatchUp(options, demoted.received, primary)
-  const successor = await promoteSuccessor(options, caughtUp, { ...before.row, succession: failoverId }, closedAt)
-  return successor === undefined ? undefined : await openEpoch(options, successor, failoverId)
+  ])
+  return demoted === undefined ? reports : await awaitCatchUp(options, demoted.received, primary)
 }
 
 /**
@@ -84,8 +93,11 @@
   options: FailoverOptions, row: GroupRow, version: number, failoverId: string
 ): Promise<number | undefined> {
   const { registry, knownTerm, closedSince } = options
+  // What was ordered before the epoch was opened matters only while it may still take effect.
+  const orders = row.state === 'open' ? pendingOrders(row.orders, registry.storeNowAtLeastMs()) : row.orders
+  const term = Math.max(row.term, knownTerm)
   const written = await writeRow(options, version, 'close', {
-    ...row, state: 'closed', term: Math.max(row.term, knownTerm), writtenBy: registry.self.name, succession: failoverId
+    ...row, state: 'closed', term, writtenBy: registry.self.name, succession: failoverId, orders
   })
   if (written?.state !== 'closed' || written.succession !== failoverId) {
     return undefined
@@ -153,12 +165,12 @@
 }
 
 async function openEpoch (
-  options: FailoverOptions, { upstream, report }: Candidate, failoverId: string
+  options: FailoverOptions, { upstream, report, orders }: Promoted, failoverId: string
 ): Promise<string | undefined> {
   const { group, registry, logger } = options
   await registry.refresh()
   const { row, version } = registry.current.group(group)
-  if (row?.succession !== failoverId) {
+  if (row?.succession !== failoverId || orders.pendingExcept(upstream.upstream)) {
     return undefined
   }
   const written = await writeRow(options, version, 'open', {
@@ -168,7 +180,8 @@
     state: 'open',
     term: report.term,
     writtenBy: registry.self.name,
-    succession: ''
+    succession: '',
+    orders: orders.remaining()
   })
   registry.requestPeerRefresh()
   logger.log('info', 'failover.done', { group, upstream: written?.primary, epoch: written?.epoch, term: written?.term })
--- a/src/entry/registry/types.ts
+++ b/src/entry/registry/types.ts
@@ -35,7 +35,12 @@
   term: z.number().int(),
   writtenBy: z.string(),
   /** Identity of the failover that wrote the row last; empty in an open row. */
-  succession: z.string()
+  succession: z.string(),
+  /**
+   * Upstreams with orders to promote that may still take effect, and the latest time for that on the store's clock, in
+   * milliseconds. A closed row keeps passed ones, too. Absent without orders.
+   */
+  orders: z.record(z.string(), z.number()).optional()
 })
 
 /** Lease that permits its holder to promote upstreams. */
--- a/test/entry/leadership/choose-successor.test.ts
+++ b/test/entry/leadership/choose-successor.test.ts
@@ -30,6 +30,14 @@
     expect(rankedNames(candidates)).toEqual(['a', 'old', 'd'])
   })
 
+  it('prefers an upstream with a pending order among equal log positions only', () => {
+    const rank = (candidates: Candidate[]): string[] =>
+      chooseSuccessors(candidates, { oldPrimary: 'old', term: 2, closedMs: 0, ordered: new Set(['b']) })
+        .map(({ upstream }) => upstream.upstream)
+    expect(rank([candidate('a'), candidate('b')])).toEqual(['b', 'a'])
+    expect(rank([candidate('a', { position: 11 }), candidate('b')])).toEqual(['a', 'b'])
+  })
+
   it('excludes upstreams that have not reached the closed term for ten seconds', () => {
     const candidates = [candidate('a', { term: 1 }), candidate('b')]
     expect(rankedNames(candidates, 9999)).toEqual(['b'])
