Keep the promotion lease of a holder that has ordered until it expires

Two hosts could order promotions within one lease: a lower fencing token could reach the platform, which may not check it, after a higher one.

Cause: the lease was handed on at once when its holder's connection was refused, when a peer had retired the holder, when its row was gone or when another process had registered there. A cut forges the first, and an order may be under way in all of them.

The lease's row now tells until when an order recorded under it may be on its way, and no other host acquires the lease before. Without an order it is still handed on at once: the former holder's record fails on the version of the row.

--- a/src/entry/leadership/promotion-lease.ts
+++ b/src/entry/leadership/promotion-lease.ts
@@ -2,8 +2,8 @@
  * Holds the lease without which a host must not order promotions, so that one host promotes at a time. Every new holder
  * raises the fencing token, but the platform may not check it, so no order may be sent after the lease has passed on:
  * an order is recorded in the group's row together with the renewal of the lease, under the versions of both rows. The
- * lease passes on when it has expired, or earlier if its holder's process has ended. After an order it is kept until it
- * expires.
+ * lease passes on when it has expired, or earlier if its holder's process has ended and no recorded order can be on its
+ * way. After an order it is kept until it expires.
  */
 import { describeThrown } from '../../core/errors/index.ts'
 import type { Logger } from '../../core/logger/index.ts'
@@ -135,7 +135,11 @@
   }
 }
 
-/** Whether another process holds the lease, according to the last snapshot and a request to the holder. */
+/**
+ * Whether another process holds the lease, according to the last snapshot and a request to the holder. A holder that
+ * seems to have ended may still run, and an order of an ended one may be on its way: only a holder without a recorded
+ * order is passed over, since its next record fails on the version of the row.
+ */
 async function isHeldElsewhere (options: PromotionLeaseOptions): Promise<boolean> {
   const { registry } = options
   const { row } = registry.current.promotionLease
@@ -143,7 +147,7 @@
   if (row === undefined || row.process === registry.self.process || now >= row.expiresMs) {
     return false
   }
-  return !await hasHolderEnded(row, options)
+  return now < (row.orderedUntilMs ?? -Infinity) || !await hasHolderEnded(row, options)
 }
 
 /** Returns the group's row with an order recorded; undefined if another failover has taken the group over. */
@@ -168,7 +172,7 @@
     return undefined
   }
   const { row, version } = registry.current.promotionLease
-  const next = nextLease(registry)
+  const next = nextLease(registry, order !== undefined)
   const record = order && recordOf(order, registry, next.expiresMs)
   if (order !== undefined && record === undefined) {
     return undefined
@@ -210,14 +214,16 @@
 }
 
 /** Returns the row of the lease with this host as its holder. */
-function nextLease (registry: Registry): PromotionLeaseRow {
+function nextLease (registry: Registry, ordering: boolean): PromotionLeaseRow {
   const { row } = registry.current.promotionLease
   const own = row?.process === registry.self.process ? row : undefined
   const expiresMs = registry.storeNowAtLeastMs() + PROMOTION_LEASE_MS
+  const orderedUntilMs = ordering ? expiresMs : own?.orderedUntilMs
   return {
     holder: registry.self.name,
     process: registry.self.process,
     fence: own?.fence ?? (row?.fence ?? 0) + 1,
-    expiresMs
+    expiresMs,
+    ...orderedUntilMs !== undefined && { orderedUntilMs }
   }
 }
--- a/src/entry/registry/types.ts
+++ b/src/entry/registry/types.ts
@@ -50,7 +50,12 @@
   /** Fencing token, incremented with each change of the holder. */
   fence: z.number().int(),
   /** Expiry on the store's clock, in milliseconds. */
-  expiresMs: z.number()
+  expiresMs: z.number(),
+  /**
+   * Expiry of the lease at the time of its holder's last order to promote, on the store's clock, in milliseconds: until
+   * then the order may be on its way. Absent if the holder has ordered nothing.
+   */
+  orderedUntilMs: z.number().optional()
 })
 
 export type HostRow = z.infer<typeof hostRowSchema>
--- a/test/entry/process/late-orders.test.ts
+++ b/test/entry/process/late-orders.test.ts
@@ -1,5 +1,6 @@
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
+import { PROMOTION_LEASE_MS } from '../../../src/entry/leadership/promotion-lease.ts'
 import {
   checkKeptOnce, checkOnePrimary, checkStaleReads, collectEvidence, type Operation
 } from '../../fixtures/fleet/history.ts'
@@ -9,6 +10,8 @@
 const STEP_MS = 50
 /** Duration of a run; longer than any order may take to be carried out, with a failover before and after. */
 const RUN_MS = 16_000
+/** Maximum time from recording an order until it arrives, in milliseconds. */
+const LATENCY_MS = 100
 
 describe('an order to promote that is carried out after its sender has given it up', () => {
   const suite = setUpWorld(HOSTS)
@@ -76,4 +79,22 @@
     expect(await play()).toEqual([])
     expect(suite.world.arrivedOrders.map((order) => order.upstream)).toEqual(['g-b', 'g-c'])
   })
+
+  it('makes no second primary if its sender refuses connections', async () => {
+    suite.world.orderFates.push({ answered: false, carriedOutAfterMs: 2500 })
+    onFirstOrder((host, ordered) => {
+      HOSTS.filter((name) => name !== host).forEach((name) => upstream(ordered).cutOff.add(name))
+      suite.world.store.cutOff.add(host)
+      suite.world.hosts.get(host)!.running = false
+      setTimeout(() => {
+        suite.world.store.cutOff.delete(host)
+        suite.world.hosts.get(host)!.running = true
+        upstream(ordered).cutOff.clear()
+      }, 8000)
+    })
+    expect(await play()).toEqual([])
+    const [first] = suite.world.arrivedOrders
+    const second = suite.world.arrivedOrders.find(({ holder }) => holder !== first?.holder)
+    expect(second!.at - first!.at > PROMOTION_LEASE_MS - LATENCY_MS).toEqual(true)
+  })
 })
