Give no order to promote after the leadership plug-in is closed

A process that was stopping could order a promotion after its host's row was gone and its plug-in closed, beside the host that had taken the failover over.

Cause: closing stopped the watch of groups, but not a failover in progress.

The promotion lease of a closed plug-in can't be acquired and permits no order.

--- a/src/entry/leadership/act-on-need.ts
+++ b/src/entry/leadership/act-on-need.ts
@@ -20,10 +20,11 @@
  *
  * @param context - the services
  * @param closeLocally - stops the work of this host at the primary of an epoch
+ * @param isClosed - whether this process gives no more orders, because it stops
  * @returns the handler of a group's observed need
  */
 export function createNeedHandler (
-  context: PluginContext, closeLocally: (group: string, epoch: number) => Promise<void>
+  context: PluginContext, closeLocally: (group: string, epoch: number) => Promise<void>, isClosed: () => boolean
 ): (group: string, observed: ObservedNeed) => Promise<void> {
   const { logger } = context
   const { promotion } = context.use('ports')
@@ -33,7 +34,7 @@
   const peers = context.use('peers')
   const freshness = context.use('freshness')
   const count = context.use('metrics').registerCounter('worksward_successions', 'Successions run here, by reason and outcome')
-  const promotionLease = createPromotionLease({ registry, peers, logger })
+  const promotionLease = createPromotionLease({ registry, peers, logger, isClosed })
   const reachability = createReachabilityCheck({
     registry, directory, pools, homes: context.use('homes'), peers, logger
   })
--- a/src/entry/leadership/index.ts
+++ b/src/entry/leadership/index.ts
@@ -52,9 +52,9 @@
       stopNotice.recordNotified(group, epoch)
       await localWork.closeEpoch(group, epoch)
     }
-    const watch = createGroupWatch({
-      registry, directory, pools, homes: context.use('homes'), logger, act: createNeedHandler(context, closeLocally)
-    })
+    let isClosed = false
+    const act = createNeedHandler(context, closeLocally, () => isClosed)
+    const watch = createGroupWatch({ registry, directory, pools, homes: context.use('homes'), logger, act })
     const groups = (): string[] => [...desiredState.current?.connectionCaps.keys() ?? []]
     context.use('metrics').registerGauge('worksward_confirmed_age_milliseconds', 'Age of the confirmation by the store', () =>
       ({ age: Number.isFinite(registry.confirmedAgeMs()) ? registry.confirmedAgeMs() : -1 }))
@@ -106,6 +106,7 @@
         confirmedAgeMs: Math.round(registry.confirmedAgeMs())
       }),
       close: () => {
+        isClosed = true
         stopWatching()
         stopExtending()
       }
--- a/src/entry/leadership/promotion-lease.ts
+++ b/src/entry/leadership/promotion-lease.ts
@@ -41,6 +41,8 @@
   registry: Registry
   peers: Pick<Peers, 'requestOrDisconnect'>
   logger: Logger
+  /** Whether this process gives no more orders, because it stops. */
+  isClosed?: () => boolean
 }
 
 /** Access of this host to the promotion lease. */
@@ -63,15 +65,16 @@
  * @returns the operations on the lease
  */
 export function createPromotionLease (options: PromotionLeaseOptions): PromotionLease {
+  const { isClosed = () => false } = options
   const takeTurn = createTurns()
   let acquiring: Promise<HeldPromotionLease | undefined> | undefined
   let orderedAt = -Infinity
   let releasedAt = -Infinity
   const acquireOnce = async (order?: IntendedOrder): Promise<HeldPromotionLease | undefined> => {
     const acquiredAt = performance.now()
-    const held = await acquireLease(options, order)
+    const held = isClosed() ? undefined : await acquireLease(options, order)
     // Another group may release the lease between its acquisition and the order.
-    return held && { ...held, mayOrder: () => releasedAt < acquiredAt && held.mayOrder() }
+    return held && { ...held, mayOrder: () => !isClosed() && releasedAt < acquiredAt && held.mayOrder() }
   }
   return {
     acquire: async () => {
--- a/test/entry/process/late-orders.test.ts
+++ b/test/entry/process/late-orders.test.ts
@@ -18,11 +18,11 @@
   const upstream = (name: string) => suite.world.upstreams.all.get(name)!
 
   /** Calls a function for the first order, with the host that gives it and the upstream that it names. */
-  const onFirstOrder = (react: (host: string, ordered: string) => void): void => {
+  const onFirstOrder = (react: (host: string, ordered: string) => void, event = 'failover.promoting'): void => {
     let seen = false
     suite.world.logger = {
       log: (_level, logged, fields) => {
-        if (logged === 'failover.promoting' && !seen) {
+        if (logged === event && !seen) {
           seen = true
           react(String(fields?.['host']), String(fields?.['upstream']))
         }
@@ -97,4 +97,14 @@
     const second = suite.world.arrivedOrders.find(({ holder }) => holder !== first?.holder)
     expect(second!.at - first!.at > PROMOTION_LEASE_MS - LATENCY_MS).toEqual(true)
   })
+
+  it('is not sent once its sender has stopped', async () => {
+    let stopped = 'nobody'
+    onFirstOrder((host) => {
+      stopped = host
+      void suite.world.kill(host)
+    }, 'failover.old-primary')
+    expect(await play()).toEqual([])
+    expect(suite.world.arrivedOrders.filter(({ holder }) => holder === stopped)).toEqual([])
+  })
 })
