--- a/src/core/logger/events.ts
+++ b/src/core/logger/events.ts
@@ -28,7 +28,7 @@
   'failover.no-successor': { level: 'warn', fields: 'group, candidates, fit', when: 'no upstream could be promoted' },
   'failover.not-running': { level: 'warn', fields: 'group, upstream', when: 'the platform reports that an upstream is not running' },
   'failover.order-pending': { level: 'info', fields: 'group, upstream, ordered, pending', when: 'an upstream leads, and an order to promote another one may take effect or may have done so; the epoch stays closed until that is settled' },
-  'failover.ordered': { level: 'info', fields: 'group, upstream, fence, outcome, tookMs', when: 'an order to promote was answered, or its answer was lost; without an answer it may still take effect' },
+  'failover.ordered': { level: 'info', fields: 'group, upstream, fence, outcome, tookMs', when: 'an order to promote was answered, was withheld because the lease had passed, or its answer was lost; without an answer it may still take effect' },
   'failover.old-primary': { level: 'info', fields: 'group, upstream, term, stopped, role, position', when: 'the old primary was asked to step down' },
   'failover.promoting': { level: 'info', fields: 'group, upstream, fence, position', when: 'a promotion is requested' },
   'failover.started': { level: 'warn', fields: 'group, reason, primary, epoch, term, registryVersion', when: 'a keeper or an entry process starts a failover' },
--- a/src/entry/leadership/order-promotion.ts
+++ b/src/entry/leadership/order-promotion.ts
@@ -39,7 +39,7 @@
 }
 
 /** Outcome of an order to promote; `not-ordered` if the lease or the failover was lost before. */
-type OrderOutcome = 'accepted' | 'not-running' | 'not-ordered' | 'answer-lost'
+type OrderOutcome = 'accepted' | 'not-running' | 'withheld' | 'not-ordered' | 'answer-lost'
 
 /** Outcomes after which the upstream may become the primary. */
 const MAY_TAKE_EFFECT: ReadonlySet<OrderOutcome> = new Set(['accepted', 'answer-lost'])
@@ -104,7 +104,7 @@
     group, upstream, fence, outcome, tookMs: Math.round(performance.now() - orderedAt)
   })
   try {
-    const outcome = await promotion.promote({ group, upstream, holder: registry.self.name, fence })
+    const outcome = await promotion.promote({ group, upstream, holder: registry.self.name, fence }, mayOrder)
     logOutcome(outcome)
     if (outcome === 'not-running') {
       logger.log('warn', 'failover.not-running', { group, upstream })
--- a/src/entry/ports/types.ts
+++ b/src/entry/ports/types.ts
@@ -229,8 +229,8 @@
   decode: (value: string) => DesiredState
 }
 
-/** Outcome of a promotion order; `not-running` if the upstream does not run. */
-type PromotionOutcome = 'accepted' | 'not-running'
+/** Outcome of a promotion order; `not-running` if the upstream does not run, `withheld` if the order was not sent. */
+type PromotionOutcome = 'accepted' | 'not-running' | 'withheld'
 
 /** Promotes upstreams to primary. */
 export interface PromotionPort {
@@ -238,10 +238,13 @@
    * Orders a promotion.
    *
    * @param order - group, upstream, the host that orders it, and the fencing token of its lease
+   * @param mayStillOrder - whether the order may still be sent, checked right before; always if omitted
    * @returns the outcome
    * @throws WorkswardError `PlatformUnavailable`; the order may have been accepted
    */
-  promote: (order: { group: string, upstream: string, holder: string, fence: number }) => Promise<PromotionOutcome>
+  promote: (
+    order: { group: string, upstream: string, holder: string, fence: number }, mayStillOrder?: () => boolean
+  ) => Promise<PromotionOutcome>
 }
 
 /** All ports; service of the plug-in `ports`. */
--- a/test/entry/process/late-orders.test.ts
+++ b/test/entry/process/late-orders.test.ts
@@ -98,6 +98,18 @@
     expect(second!.at - first!.at > PROMOTION_LEASE_MS - LATENCY_MS).toEqual(true)
   })
 
+  it('is not sent if the lease passes while its sender connects', async () => {
+    suite.world.orderFates.push({ answered: true, carriedOutAfterMs: 0, connectMs: 7000 })
+    let sender = 'nobody'
+    onFirstOrder((host) => {
+      sender = host
+      suite.world.store.cutOff.add(host)
+      suite.world.silent.add(host)
+    })
+    await play()
+    expect(suite.world.arrivedOrders.filter(({ holder }) => holder === sender)).toEqual([])
+  })
+
   it('is not sent once its sender has stopped', async () => {
     let stopped = 'nobody'
     onFirstOrder((host) => {
