Serve no read from a superseded MySQL primary beyond the accepted age

Callers of a proxy that reached only a superseded primary (or that and a replica of it) got old rows without limit: a read of a kind with maximumAgeMs 0, and one with 1000 a second after a write had been acknowledged by the new primary.

Cause: a primary's status counted as proof of being current. A replica's age counted from a probe of the old primary, and a read at the primary only waited until a majority held its log end, which is remembered and so was true at once.

Ages count from that moment at the latest, a read at the primary needs such a proof within its age for the term it read in and asks a majority otherwise, while its statement runs, and a new leadership drops the ages that the former one gave. No question is added while statuses come within the age; a read of age 0 at the primary asks a majority each time.

--- a/src/mysql-proxy/routing/read-route.ts
+++ b/src/mysql-proxy/routing/read-route.ts
@@ -11,6 +11,7 @@
 import type { GroupView } from '../upstreams/group-view.ts'
 import { useManualCommit } from '../upstreams/manual-commit.ts'
 import { laterPosition, meetsFloor, type LogPosition, type SessionFloor } from '../../positions/position.ts'
+import { leadershipProvenAt } from '../upstreams/leadership-proof.ts'
 import { logEnd } from '../upstreams/status.ts'
 import { runAndCommit } from './commit.ts'
 import { findReadIndex, resolveFloor } from './session-floor.ts'
@@ -94,9 +95,14 @@
   return await choosePrimary(options, 'no replica meets floor and age in time')
 }
 
+/** Age of a replica's data, in milliseconds. What the primary showed counts only while its term is proven. */
+function dataAgeMs (view: GroupView, replica: string): number {
+  return Math.max(view.age.ageMs(replica), performance.now() - leadershipProvenAt(view, view.leadership.term))
+}
+
 function eligibleReplicas ({ view, floor, kind }: Pick<ResolvedRead, 'view' | 'floor' | 'kind'>): string[] {
   return view.replicaNames.filter((name) => {
-    const state = { isAvailable: view.isAvailable(name), end: view.lastKnownLogEnd(name), ageMs: view.age.ageMs(name) }
+    const state = { isAvailable: view.isAvailable(name), end: view.lastKnownLogEnd(name), ageMs: dataAgeMs(view, name) }
     return isEligible(state, floor, kind.maximumAgeMs)
   })
 }
@@ -131,9 +137,9 @@
   const waits = candidates.map(async (name) => {
     const { channel } = view.upstreams.get(name)!
     const reachedStatus = await channel.waitUntil((status) => meetsFloor(logEnd(status), floor), catchUpDeadline)
-    const isTooOld = (): boolean => view.age.ageMs(name) > kind.maximumAgeMs
+    const isTooOld = (): boolean => dataAgeMs(view, name) > kind.maximumAgeMs
     if (reachedStatus !== undefined && isTooOld()) {
-      await view.usablePrimary?.channel.fetchStatus()
+      await Promise.all([view.usablePrimary?.channel.fetchStatus(), view.queryMajority(catchUpDeadline)])
       const target = view.lastKnownLogEnd(view.leadership.primary)
       await channel.waitUntil((status) => meetsFloor(logEnd(status), target), catchUpDeadline)
     }
@@ -168,23 +174,40 @@
   return { ...reply, floor: await confirmOnMajority(options, view.leadership.primary, logEnd(status)) }
 }
 
-/** Runs a read on the primary, and waits until a majority holds the data, so that a failover can't discard it. */
+/**
+ * Runs a read on the primary, and waits until a majority holds the data, so that a failover can't discard it. Rejects
+ * the answer of a primary that may have been superseded for longer than the accepted age.
+ */
 async function readPrimary (options: ResolvedRead, upstream: string): Promise<HomeReply> {
-  const { statement, deadline } = options
-  const { answer, status } = await runOnUpstream(options, upstream, async (client) =>
+  const { view, kind, statement, deadline } = options
+  const since = performance.now() - kind.maximumAgeMs
+  const running = runOnUpstream(options, upstream, async (client) =>
     await runAndCommit(client, statement, undefined, deadline, 'not-run'))
+  const [{ answer, status }] = await Promise.all([running, renewLeadershipProof(options, since)])
+  if (leadershipProvenAt(view, logEnd(status).term) < since) {
+    throw supersededError(view)
+  }
   return { answer, upstream, fromReplica: false, floor: await confirmOnMajority(options, upstream, logEnd(status)) }
 }
 
+/** Asks a majority whether it accepts the term of the primary, unless that has been proven since a time. */
+async function renewLeadershipProof ({ view, deadline }: ResolvedRead, since: number): Promise<void> {
+  if (leadershipProvenAt(view, view.leadership.term) < since) {
+    await view.queryMajority(deadline)
+  }
+}
+
+function supersededError ({ name }: GroupView): RequestError {
+  return new RequestError('not-run', 'NoUpstream', {
+    group: name, reason: 'the primary was superseded, or its replicas do not follow', retryAfterMs: RETRY_AFTER_MS
+  })
+}
+
 async function confirmOnMajority (
   { view, deadline, floor }: ResolvedRead, source: string, position: LogPosition
 ): Promise<SessionFloor> {
   if (!meetsFloor(position, floor) || !await view.waitForMajority(position, source, deadline)) {
-    throw new RequestError('not-run', 'NoUpstream', {
-      group: view.name,
-      reason: 'the primary was superseded, or its replicas do not follow',
-      retryAfterMs: RETRY_AFTER_MS
-    })
+    throw supersededError(view)
   }
   return { ...laterPosition(position, floor), seenOn: [] }
 }
--- a/src/mysql-proxy/upstreams/data-age.ts
+++ b/src/mysql-proxy/upstreams/data-age.ts
@@ -27,6 +27,8 @@
    * @returns the age in milliseconds; Infinity when the replica has not reached any probed position
    */
   ageMs: (replica: string) => number
+  /** Forgets the probes and ages, which prove nothing once another primary leads. */
+  clear: () => void
   /** When the latest probe of the primary was sent; -Infinity before the first one. */
   readonly newestProbeAt: number
 }
@@ -66,6 +68,10 @@
       ends.set(replica, end)
       updateAge(replica)
     },
+    clear: () => {
+      probes.length = 0
+      currentAsOf.clear()
+    },
     ageMs: (replica) => performance.now() - (currentAsOf.get(replica) ?? -Infinity)
   }
 }
--- a/src/mysql-proxy/upstreams/group-view.ts
+++ b/src/mysql-proxy/upstreams/group-view.ts
@@ -279,6 +279,7 @@
 
   private changeLeadership (leadership: Leadership): void {
     this.leadership = leadership
+    this.age.clear()
     this.upstreams.forEach((view) => { view.deposed = false })
     this.options.onLeadership?.(leadership)
     this.search.wakeWaiters()
