Begin the numbers of forwarded transactions at random in each process

A caller's step could run in the transaction of another caller, and its commit commit that one, after the home of its transaction had been restarted: each process numbered the transactions that it holds for other hosts from 1, and a step names only the number.

A process now begins at a random number out of 2^47, so the number of an earlier process names no transaction. The test of the registry passes its first number itself; its expectations are unchanged.

--- a/src/entry/requests/forwarded-transactions.ts
+++ b/src/entry/requests/forwarded-transactions.ts
@@ -2,6 +2,7 @@
  * Transactions that this host, as a home, holds open for other hosts. One ends when its host commits it or rolls it
  * back, when it is idle for too long, when the link to its host closes, or when this host stops.
  */
+import { randomInt } from 'node:crypto'
 import { RequestError } from '../../core/errors/index.ts'
 import type { Logger } from '../../core/logger/index.ts'
 import { pause } from '../../core/time/deadline.ts'
@@ -12,6 +13,9 @@
 import { endTransaction, leavesTransactionOpen } from './transaction-steps.ts'
 import type { RequestScope } from './types.ts'
 
+/** Range of a process's first transaction number; large, so that no number of an earlier process is used again. */
+const FIRST_NUMBER_RANGE = 2 ** 47
+
 /** A transaction that is open for another host. */
 interface ForwardedTransaction {
   executor: StatementExecutor
@@ -25,6 +29,8 @@
   logger: Logger
   /** Maximum idle time of a transaction between two steps, in milliseconds. */
   idleMs: () => number
+  /** Number of the first transaction; random by default. */
+  firstNumber?: number
 }
 
 /** Registry of the transactions that are open for other hosts, by number. */
@@ -91,10 +97,10 @@
  * @returns the registry
  */
 export function createForwardedTransactions (
-  { logger, idleMs }: ForwardedTransactionsOptions
+  { logger, idleMs, firstNumber = randomInt(1, FIRST_NUMBER_RANGE) }: ForwardedTransactionsOptions
 ): ForwardedTransactions {
   const open = new Map<number, ForwardedTransaction>()
-  let nextNumber = 1
+  let nextNumber = firstNumber
 
   const end = async (number: number, reason: string): Promise<void> => {
     const transaction = open.get(number)
--- a/test/entry/requests/forwarded-transactions.test.ts
+++ b/test/entry/requests/forwarded-transactions.test.ts
@@ -22,7 +22,7 @@
     log: (_level: string, _event: string, { reason }: { reason: string }) => { reasons.push(reason) }
   } as unknown as Logger
   const link = { onClose: (listener: () => void) => { closeListeners.push(listener) } } as unknown as PeerLink
-  const transactions = createForwardedTransactions({ logger, idleMs: () => idleMs })
+  const transactions = createForwardedTransactions({ logger, idleMs: () => idleMs, firstNumber: 1 })
   const add = async (): Promise<number | undefined> => await transactions.add(executor, SCOPE, answer('open'), link)
   return { transactions, executor, link, add, calls, reasons, closeListeners, state }
 }
