Count the leases of a retired host from when its retirement is seen

A host beyond a cut had writes acknowledged at the old primary for over a second after another upstream was promoted. Its row told when its leases end by the time at which the retirement was computed. The store may carry out a write seconds after it was asked, and confirm the host's leases until then; the promoter took the time in the row for proof.

Each process now counts the longest lease from when it first sees the retired row, on its own clock, both as evidence in a failover and before the row is removed. The row keeps its form. A promoter that has just started may wait longer than before, for the leases of silent hosts at most.

--- a/src/entry/leadership/close-epoch.ts
+++ b/src/entry/leadership/close-epoch.ts
@@ -65,7 +65,7 @@
     if ((latest.stopped?.[group] ?? 0) >= epoch) {
       return 'published'
     }
-    if (latest.retiredUntilMs !== undefined && registry.storeNowAtLeastMs() >= latest.retiredUntilMs) {
+    if (registry.haveLeasesExpired(latest)) {
       return 'retired'
     }
     // A retired host that registers again may be the same process with an outdated snapshot, so it is asked.
--- a/src/entry/registry/host-expiry.ts
+++ b/src/entry/registry/host-expiry.ts
@@ -19,7 +19,7 @@
 const RETIRE_AFTER_MS = 2500
 
 interface HostExpiryOptions {
-  registry: Pick<Registry, 'self' | 'current' | 'peers' | 'write' | 'storeNowAtLeastMs' | 'storeNowAtMostMs'>
+  registry: Pick<Registry, 'self' | 'current' | 'peers' | 'haveLeasesExpired' | 'write' | 'storeNowAtMostMs'>
   peers: Pick<Peers, 'requestOrDisconnect' | 'handle'>
   logger: Logger
   /** Maximum time that a silent host may still work at primaries, in milliseconds. */
@@ -72,8 +72,7 @@
   }
   /** Removes the row of a retired host whose leases have expired; only the first host in the order of names does so. */
   const removeExpired = async (): Promise<void> => {
-    const [expired] = registry.current.hosts.filter(({ retiredUntilMs }) =>
-      retiredUntilMs !== undefined && retiredUntilMs < registry.storeNowAtLeastMs())
+    const expired = registry.current.hosts.find(registry.haveLeasesExpired)
     const first = registry.peers().every(({ name }) => name > registry.self.name)
     if (expired !== undefined && first) {
       const key = registryKeys.host(expired.name)
--- a/src/entry/registry/index.ts
+++ b/src/entry/registry/index.ts
@@ -13,6 +13,7 @@
 import { createRefreshRequests } from './refresh-requests.ts'
 import { createRegistryState } from './registry-state.ts'
 import { createRegistryStore } from './registry-store.ts'
+import { createRetirements } from './retirements.ts'
 import type { Registry } from './service.ts'
 import { createSnapshotExchange } from './snapshot-exchange.ts'
 import { keepSnapshotFresh } from './snapshot-refresh.ts'
@@ -64,11 +65,15 @@
         await exchange.requestFromSome(state.otherHosts())
       }
     })
+    const leaseMs = EXTENDED_LEASE_MS + LEASE_MARGIN_MS
+    const retirements = createRetirements(leaseMs)
+    state.onChange(() => retirements.record(state.current.hosts))
     const service: Registry = {
       self,
       get current () { return state.current },
       confirmedAgeMs: state.confirmedAgeMs,
       peers: state.otherHosts,
+      haveLeasesExpired: retirements.haveLeasesExpired,
       refresh,
       write: registryStore.write,
       publishStopped: ownRow.publishStopped,
@@ -78,7 +83,6 @@
       storeNowAtLeastMs: registryStore.storeNowAtLeastMs,
       storeNowAtMostMs: registryStore.storeNowAtMostMs
     }
-    const leaseMs = EXTENDED_LEASE_MS + LEASE_MARGIN_MS
     const stopHostExpiry = watchNextHost({ registry: service, peers, logger, leaseMs })
 
     return {
--- a/src/entry/registry/service.ts
+++ b/src/entry/registry/service.ts
@@ -9,6 +9,8 @@
   confirmedAgeMs: () => number
   /** Other hosts that are registered and not retired. */
   peers: () => KnownHost[]
+  /** Whether a host is retired and all its leases on primaries have expired. */
+  haveLeasesExpired: (host: KnownHost) => boolean
   /**
    * Reads the table from the store.
    *
--- a/src/entry/registry/types.ts
+++ b/src/entry/registry/types.ts
@@ -15,7 +15,10 @@
   stopped: z.record(z.string(), z.number().int()).optional(),
   /** Whether the process is stopping: it finishes its requests and takes no new ones. */
   leaving: z.boolean().optional(),
-  /** Time on the store's clock when the last lease of a retired process expires, in milliseconds. */
+  /**
+   * Present if a peer has retired the host: when its last lease expires on the store's clock, in milliseconds, had the
+   * store carried out the write at once. Failovers go by `retirements.ts`.
+   */
   retiredUntilMs: z.number().optional()
 })
 
