Ask whether the other hosts answer before silent homes keep a lost primary

When a third of the hosts ended together with their primary, the failover began late: its homes are asked first, and prefer its failure domain, so six silent homes outweighed three losses in the sample until they had been retired one by one. Hosts that are dark did so before; hosts that refuse connections do since they count as silent.

Where only silent hosts keep the primary, the hosts that were not asked are sent the question of the neighbour, which touches no upstream. The rule then counts all hosts: those that answer count as lost in the proportion of the sample.

--- a/src/core/logger/events.ts
+++ b/src/core/logger/events.ts
@@ -57,6 +57,7 @@
   'leadership.not-extended': { level: 'warn', fields: 'grants, by, hosts, confirmedAgeMs, leaseMs', when: 'too few peers extended the leases of this host while the store does not answer it' },
   'leadership.other-primary': { level: 'warn', fields: 'group, upstream, primary, epoch, state', when: 'an upstream other than the primary in the row of its group has begun to claim that it is the primary' },
   'leadership.peer-silent': { level: 'debug', fields: 'peer, reason', when: 'a peer did not answer whether it can reach an upstream' },
+  'leadership.reach-all': { level: 'info', fields: 'group, upstream, answering, silent', when: 'number of the other hosts that answer, asked when only silent hosts keep a primary that this host cannot reach' },
   'leadership.reach': { level: 'info', fields: 'group, upstream, reached, lost, silent', when: 'number of hosts that can reach a primary that this host cannot' },
   'leadership.stopped': { level: 'info', fields: 'group, epoch, upstream, listed, inUse, aborted, waitedMs', when: 'this host has stopped using the primary of an epoch; `listed` tells whether the directory showed it, `inUse` how many connections were in use' },
   'leadership.stop-notice-failed': { level: 'warn', fields: 'group, epoch, reason', when: 'this host could not record in its row that it stopped using a primary; it retries' },
--- a/src/entry/leadership/reach-questions.ts
+++ b/src/entry/leadership/reach-questions.ts
@@ -1,4 +1,8 @@
-/** Asks this host and a sample of its peers whether they can reach an upstream; `reach.ts` evaluates the answers. */
+/**
+ * Asks this host and a sample of its peers whether they can reach an upstream; `reach.ts` evaluates the answers. If
+ * only silent hosts of the sample keep the upstream, the other hosts are asked whether they answer, which costs it
+ * nothing.
+ */
 import { describeThrown } from '../../core/errors/index.ts'
 import type { Logger } from '../../core/logger/index.ts'
 import type { Directory } from '../directory/index.ts'
@@ -7,8 +11,8 @@
 import type { Peers } from '../../peers/index.ts'
 import type { Pools } from '../pools/index.ts'
 import type { KnownHost, Registry } from '../registry/index.ts'
-import { PROBE_TIMEOUT_MS } from './probe-times.ts'
-import { countAnswers, shouldReplacePrimary, type ReachAnswer } from './reach.ts'
+import { HOST_REQUEST_TIMEOUT_MS, PROBE_TIMEOUT_MS } from './probe-times.ts'
+import { countAnswers, estimateAll, isKeptBySilence, shouldReplacePrimary, type ReachAnswer } from './reach.ts'
 import { reachResponseSchema, reachRequestSchema } from './types.ts'
 
 /** Maximum age of an upstream's last answer for it to count as reachable without a probe, in milliseconds. */
@@ -75,13 +79,24 @@
     return [...homePeers, ...sampleItems(others, Math.max(0, REACH_SAMPLE_SIZE - homePeers.length))]
   }
 
+  const answers = async (peer: KnownHost): Promise<boolean> =>
+    await peers.requestOrDisconnect(peer, 'neighbour', {}, HOST_REQUEST_TIMEOUT_MS).then(() => true, () => false)
+
   return {
     isLost: async (group, upstream) => {
       const ownAnswer = canReach(upstream).then((reached): ReachAnswer => reached ? 'reached' : 'lost')
-      const peerAnswers = choosePeers(upstream).map(async (peer) => await askPeer(peer, upstream))
-      const counts = await countAnswers([ownAnswer, ...peerAnswers])
+      const asked = choosePeers(upstream)
+      const counts = await countAnswers([ownAnswer, ...asked.map(async (peer) => await askPeer(peer, upstream))])
       logger.log('info', 'leadership.reach', { group, upstream, ...counts })
-      return shouldReplacePrimary(counts)
+      if (!isKeptBySilence(counts)) {
+        return shouldReplacePrimary(counts)
+      }
+      const askedNames = new Set(asked.map(({ name }) => name))
+      const others = registry.peers().filter(({ name }) => !askedNames.has(name))
+      const answering = (await Promise.all(others.map(answers))).filter((answered) => answered).length
+      const silent = others.length - answering
+      logger.log('info', 'leadership.reach-all', { group, upstream, answering, silent })
+      return shouldReplacePrimary(estimateAll(counts, { answering, silent }))
     }
   }
 }
--- a/src/entry/leadership/reach.ts
+++ b/src/entry/leadership/reach.ts
@@ -11,6 +11,12 @@
 /** Number of hosts by answer; pending answers count as silent. */
 type ReachCounts = Record<ReachAnswer, number>
 
+/** Number of hosts that were not asked whether they reach the primary, by whether they answer at all. */
+interface OtherHosts {
+  answering: number
+  silent: number
+}
+
 /**
  * Whether a primary should be replaced.
  *
@@ -21,6 +27,33 @@
   return lost >= reached && lost >= silent
 }
 
+/**
+ * Whether silent hosts alone keep a primary. The homes are asked first and often share its failure domain, so they may
+ * all be silent together, unlike most other hosts.
+ *
+ * @param count - number of hosts by answer
+ * @returns whether the primary is kept for the silent hosts only
+ */
+export function isKeptBySilence ({ reached, lost, silent }: ReachCounts): boolean {
+  return lost >= reached && lost < silent
+}
+
+/**
+ * Extends the counts to hosts that were not asked: those that answer have lost the primary as often as those asked.
+ *
+ * @param count - number of asked hosts by answer
+ * @param others - the other hosts
+ * @returns the estimated counts of all hosts
+ */
+export function estimateAll ({ reached, lost, silent }: ReachCounts, others: OtherHosts): ReachCounts {
+  const lostShare = lost / (reached + lost)
+  return {
+    reached: reached + others.answering * (1 - lostShare),
+    lost: lost + others.answering * lostShare,
+    silent: silent + others.silent
+  }
+}
+
 /**
  * Counts answers until the pending ones cannot change the decision.
  *
