--- a/src/entry/leadership/close-epoch.ts
+++ b/src/entry/leadership/close-epoch.ts
@@ -10,7 +10,7 @@
 import { isConnectionRefused } from '../../peers/refusal.ts'
 import type { KnownHost, Registry } from '../registry/index.ts'
 import { HOST_REQUEST_TIMEOUT_MS } from './probe-times.ts'
-import { areFewSilent, silentLeasesExpireAt, type ClosingProgress } from './silent-leases.ts'
+import { trackClosing, type ClosingProgress } from './silent-leases.ts'
 
 /** Evidence that a host has stopped using the primary. */
 type StopEvidence =
@@ -38,14 +38,14 @@
 export async function awaitHostsStopped (options: ClosingOptions): Promise<void> {
   const { registry, logger, group, epoch, closedAt } = options
   const others = registry.current.hosts.filter(({ name }) => name !== registry.self.name)
-  const progress: ClosingProgress = { hosts: others.length + 1, silent: others.length, lastStoppedAt: closedAt }
+  const progress = trackClosing({
+    self: registry.self.name, others: others.map(({ name }) => name), standingOf: registry.rowStanding, closedAt
+  })
   await Promise.all(others.map(async (host) => {
     const because = await awaitHostStopped(host, options, progress)
-    // Once few hosts are silent, no majority can extend their leases, so a later stop must not prolong the wait. An
-    // expired lease must not prolong it either.
-    const keepsDeadline = because === 'lease-expired' || areFewSilent(progress)
-    progress.lastStoppedAt = keepsDeadline ? progress.lastStoppedAt : performance.now()
-    progress.silent--
+    if (because !== 'lease-expired') {
+      progress.recordStop(host.name)
+    }
     logger.log('info', 'leadership.host-stopped', {
       group, epoch, peer: host.name, because, waitedMs: Math.round(performance.now() - closedAt)
     })
@@ -55,7 +55,7 @@
 async function awaitHostStopped (
   host: KnownHost, options: ClosingOptions, progress: ClosingProgress
 ): Promise<StopEvidence> {
-  const { registry, peers, group, epoch, closedAt, logger } = options
+  const { registry, peers, group, epoch, logger } = options
   for (;;) {
     const latest = registry.current.hosts.find(({ name }) => name === host.name)
     if (latest === undefined) {
@@ -71,7 +71,7 @@
     if (host.retiredUntilMs === undefined && latest.retiredUntilMs === undefined && latest.process !== host.process) {
       return 'restarted'
     }
-    if (performance.now() >= silentLeasesExpireAt(progress, closedAt)) {
+    if (performance.now() >= progress.leasesExpireAt()) {
       return 'lease-expired'
     }
     try {
--- a/src/entry/leadership/extensions.ts
+++ b/src/entry/leadership/extensions.ts
@@ -1,15 +1,16 @@
 /**
  * Extends this host's leases on primaries without the store, and grants extensions to peers, so that an outage of the
- * store does not stop all work at primaries. A majority of the live hosts, including this one, must grant an extension.
- * It is dated to the request, and `primary-leases.ts` limits how long extensions last. A grant lists, for each group
- * that the granting host knows, the newest epoch in which the primary may not be used, and this host then closes it. A
- * host that was restarted knows it from the group's row.
+ * store does not stop all work at primaries. A majority of all hosts in the snapshot, retired ones included, must grant
+ * an extension, and only registered hosts with a recent confirmation request or grant one; `silent-leases.ts` relies on
+ * both. It is dated to the request, and `primary-leases.ts` limits how long extensions last. A grant lists, for each
+ * group that the granting host knows, the newest epoch in which the primary may not be used, and this host then closes
+ * it. A host that was restarted knows it from the group's row.
  */
 import { describeThrown } from '../../core/errors/index.ts'
 import type { Logger } from '../../core/logger/index.ts'
 import { repeat } from '../../core/time/repeat.ts'
 import type { Peers } from '../../peers/index.ts'
-import { PRIMARY_LEASE_MS } from '../registry/lease-times.ts'
+import { EXTENDED_LEASE_MS, PRIMARY_LEASE_MS } from '../registry/lease-times.ts'
 import type { KnownHost, Registry } from '../registry/index.ts'
 import type { PrimaryLeases } from './primary-leases.ts'
 import { extendRequestSchema, grantSchema, type Grant } from './types.ts'
@@ -30,7 +31,7 @@
 
 /** Options of {@link createExtensions}. */
 interface ExtensionOptions {
-  registry: Pick<Registry, 'self' | 'current' | 'peers' | 'confirmedAgeMs'>
+  registry: Pick<Registry, 'self' | 'current' | 'confirmedAgeMs' | 'isRegistered'>
   peers: Pick<Peers, 'requestOrDisconnect' | 'handle'>
   primaryLeases: Pick<PrimaryLeases, 'closeEpoch' | 'endedEpochs' | 'recordExtension'>
   logger: Logger
@@ -45,10 +46,14 @@
 export function createExtensions ({ registry, peers, primaryLeases, logger }: ExtensionOptions): () => void {
   let wasExtended = false
 
+  /** Whether this host may request and grant extensions. */
+  const mayTakePart = (): boolean => registry.isRegistered() && registry.confirmedAgeMs() <= EXTENDED_LEASE_MS
+
   peers.handle('extend', async (body): Promise<Grant> => {
     const { host, process } = extendRequestSchema.parse(body)
     const liveHost = registry.current.liveHosts.find(({ name }) => name === host)
-    return { granted: liveHost?.process === process, closed: primaryLeases.endedEpochs() }
+    const mayGrant = mayTakePart() && liveHost?.process === process
+    return { granted: mayGrant, closed: primaryLeases.endedEpochs() }
   })
   const requestGrant = async (peer: KnownHost): Promise<boolean> => {
     try {
@@ -63,7 +68,8 @@
   }
   const extend = async (): Promise<void> => {
     const askedAt = performance.now()
-    const others = registry.peers()
+    const confirmedAt = askedAt - registry.confirmedAgeMs()
+    const others = registry.current.hosts.filter(({ name }) => name !== registry.self.name)
     let grants = 1
     const grantedBy: string[] = []
     await Promise.all(others.map(async (peer) => {
@@ -73,7 +79,7 @@
         grantedBy.push(peer.name)
       }
       if (isMajority(grants, others.length + 1)) {
-        primaryLeases.recordExtension(askedAt)
+        primaryLeases.recordExtension({ askedAt, confirmedAt })
       }
     }))
     const isExtended = isMajority(grants, others.length + 1)
@@ -89,7 +95,7 @@
     }
   }
   return repeat(EXTEND_INTERVAL_MS, async () => {
-    if (registry.confirmedAgeMs() > EXTEND_AFTER_MS && Number.isFinite(registry.confirmedAgeMs())) {
+    if (registry.confirmedAgeMs() > EXTEND_AFTER_MS && mayTakePart()) {
       await extend()
     } else {
       wasExtended = false
--- a/src/entry/leadership/primary-leases.ts
+++ b/src/entry/leadership/primary-leases.ts
@@ -1,20 +1,28 @@
 /**
  * Decides whether this host holds a lease on a group's primary, without which it must not use it. The row must be open,
  * its epoch not closed on this host, and the last confirmation by the store at most PRIMARY_LEASE_MS old. An extension
- * by peers counts like a confirmation until the last confirmation is EXTENDED_LEASE_MS old, so that a promoter can rely
- * on the expiry of the leases of hosts that it cannot reach.
+ * by peers counts like a confirmation until the confirmation before it is EXTENDED_LEASE_MS old, so that a promoter can
+ * rely on the expiry of the leases of hosts that it cannot reach.
  */
 import { createWaiters } from '../../core/time/waiters.ts'
 import type { Registry } from '../registry/index.ts'
 import { EXTENDED_LEASE_MS, PRIMARY_LEASE_MS } from '../registry/lease-times.ts'
 import type { ClosedEpoch, PrimaryLease } from './types.ts'
 
+/** An extension of the leases by peers. */
+interface Extension {
+  /** Time when the peers were asked, in milliseconds. */
+  askedAt: number
+  /** Time of the last confirmation by the store when the peers were asked, in milliseconds. */
+  confirmedAt: number
+}
+
 /** Leases of this host on the primaries of all groups. */
 export interface PrimaryLeases {
   /** Returns the current lease, if any; it must be checked again right before each statement is sent. */
   leaseOf: (group: string) => PrimaryLease | undefined
-  /** Records that peers have extended the leases; `askedAt` is when they were asked, on the monotonic clock. */
-  recordExtension: (askedAt: number) => void
+  /** Records that peers have extended the leases; the times are on the monotonic clock. */
+  recordExtension: (extension: Extension) => void
   /** Time since the leases were last confirmed or extended, in milliseconds. */
   ageMs: () => number
   /** Epochs known to this host as closed. */
@@ -43,10 +51,12 @@
  */
 export function createPrimaryLeases (registry: Pick<Registry, 'current' | 'confirmedAgeMs'>): PrimaryLeases {
   const closedEpochs = new Map<string, number>()
-  let extendedAt = -Infinity
+  let extension: Extension = { askedAt: -Infinity, confirmedAt: -Infinity }
   const ageMs = (): number => {
     const confirmedMs = registry.confirmedAgeMs()
-    return confirmedMs <= EXTENDED_LEASE_MS ? Math.min(confirmedMs, performance.now() - extendedAt) : confirmedMs
+    const now = performance.now()
+    const isExtended = now - extension.confirmedAt <= EXTENDED_LEASE_MS
+    return isExtended ? Math.min(confirmedMs, now - extension.askedAt) : confirmedMs
   }
   const waiters = createWaiters()
 
@@ -60,7 +70,7 @@
   return {
     leaseOf,
     ageMs,
-    recordExtension: (askedAt) => { extendedAt = Math.max(extendedAt, askedAt) },
+    recordExtension: (newer) => { extension = newer.askedAt > extension.askedAt ? newer : extension },
     closedEpochs: () => [...closedHere(), ...registry.current.closedGroups],
     endedEpochs: () => {
       const ended = new Map(registry.current.endedEpochs.map(({ group, epoch }) => [group, epoch]))
--- a/src/entry/registry/index.ts
+++ b/src/entry/registry/index.ts
@@ -18,6 +18,7 @@
 import { keepSnapshotFresh } from './snapshot-refresh.ts'
 
 export type { KnownHost } from './snapshot.ts'
+export type { RowStanding } from './row-standing.ts'
 export type { Registry } from './service.ts'
 export * from './types.ts'
 
@@ -68,6 +69,8 @@
       self,
       get current () { return state.current },
       confirmedAgeMs: state.confirmedAgeMs,
+      isRegistered: ownRow.isRegistered,
+      rowStanding: state.rowStanding,
       peers: state.otherHosts,
       refresh,
       write: registryStore.write,
--- a/src/entry/registry/own-row.ts
+++ b/src/entry/registry/own-row.ts
@@ -19,13 +19,13 @@
   /** Initial content of the row. */
   row: HostRow
   store: Pick<StorePort, 'write'>
-  state: Pick<RegistryState, 'current' | 'ownHost'>
+  state: Pick<RegistryState, 'current' | 'ownHost' | 'confirmedAgeMs'>
   registryStore: Pick<RegistryStore, 'refresh' | 'write'>
   logger: Logger
 }
 
 /** Operations on this host's row. */
-interface OwnRow extends Pick<Registry, 'publishStopped'> {
+interface OwnRow extends Pick<Registry, 'publishStopped' | 'isRegistered'> {
   /** Registers this process; returns false if the attempt failed, and true if it need not be registered. */
   register: () => Promise<boolean>
   /** Publishes that this process is stopping; logs a failure. */
@@ -54,11 +54,14 @@
     return await registryStore.write({ expected: [{ key, version: own.version }], put })
   }
   return {
+    isRegistered: () => !isStopping && state.ownHost()?.process === self.process,
     register: async () => {
       const own = state.ownHost()
       if (state.current.version < 0 || isStopping || own?.process === self.process) {
         return true
       }
+      const wasRegistered = Number.isFinite(state.confirmedAgeMs())
+      row.replaces = wasRegistered ? undefined : own?.version
       const written = await store.write({
         table: REGISTRY_TABLE,
         expected: [{ key, version: own?.version ?? 0 }],
--- a/src/entry/registry/registry-state.ts
+++ b/src/entry/registry/registry-state.ts
@@ -1,4 +1,5 @@
 /** Holds this host's newest snapshot of the registry and the time when it last showed this process as registered. */
+import { createRowStandings, type RowStandings } from './row-standing.ts'
 import { EMPTY_SNAPSHOT, type KnownHost, type RegistrySnapshot } from './snapshot.ts'
 
 interface RegistryStateOptions {
@@ -16,6 +17,8 @@
   ownHost: () => KnownHost | undefined
   /** Other hosts that are registered and not retired. */
   otherHosts: () => KnownHost[]
+  /** Since when the row of a host has stood; undefined if there is none. */
+  rowStanding: RowStandings['of']
   /** Replaces the snapshot; ignores one of a lower version, or of the same version and an earlier request time. */
   accept: (snapshot: RegistrySnapshot) => void
   /** Adds a listener that is called after each accepted snapshot. */
@@ -30,6 +33,7 @@
  */
 export function createRegistryState ({ self, onRowsChanged }: RegistryStateOptions): RegistryState {
   const listeners: Array<() => void> = []
+  const standings = createRowStandings()
   let current = EMPTY_SNAPSHOT
   let confirmedAt = -Infinity
 
@@ -38,6 +42,7 @@
     confirmedAgeMs: () => performance.now() - confirmedAt,
     ownHost: () => current.hosts.find(({ name }) => name === self.name),
     otherHosts: () => current.liveHosts.filter(({ name }) => name !== self.name),
+    rowStanding: standings.of,
     accept: (snapshot) => {
       const isOlder = snapshot.version === current.version && snapshot.askedAt < current.askedAt
       if (snapshot.version < current.version || isOlder) {
@@ -45,6 +50,7 @@
       }
       const rowsChanged = snapshot.digest !== current.digest
       current = snapshot
+      standings.record(snapshot)
       if (snapshot.hosts.some(({ name, process }) => name === self.name && process === self.process)) {
         confirmedAt = Math.max(confirmedAt, snapshot.askedAt)
       }
--- a/src/entry/registry/service.ts
+++ b/src/entry/registry/service.ts
@@ -1,5 +1,6 @@
 /** Interface of the plug-in `registry`. */
 import type { StoreTransaction } from '../ports/index.ts'
+import type { RowStanding } from './row-standing.ts'
 import type { KnownHost, RegistrySnapshot } from './snapshot.ts'
 
 export interface Registry {
@@ -7,6 +8,10 @@
   readonly current: RegistrySnapshot
   /** Age of the last confirmation that this process is registered, in milliseconds, counted from the request. */
   confirmedAgeMs: () => number
+  /** Whether the snapshot shows this process as registered, and it has not begun to unregister. */
+  isRegistered: () => boolean
+  /** Since when the row of a host has stood, as far as this host has seen; undefined if there is none. */
+  rowStanding: (name: string) => RowStanding | undefined
   /** Other hosts that are registered and not retired. */
   peers: () => KnownHost[]
   /**
--- a/src/entry/registry/types.ts
+++ b/src/entry/registry/types.ts
@@ -15,6 +15,8 @@
   stopped: z.record(z.string(), z.number().int()).optional(),
   /** Whether the process is stopping: it finishes its requests and takes no new ones. */
   leaving: z.boolean().optional(),
+  /** Version of the row that the process replaced when it registered first; absent if there was none. */
+  replaces: z.number().optional(),
   /** Time on the store's clock when the last lease of a retired process expires, in milliseconds. */
   retiredUntilMs: z.number().optional()
 })
--- a/test/entry/process/extensions.test.ts
+++ b/test/entry/process/extensions.test.ts
@@ -70,4 +70,21 @@
     expect(world.store.tables.get('worksward')!.get('host/h1')!.value.includes('retired')).toEqual(false)
     expect(found).toEqual([])
   })
+
+  // Guards against a majority of the few hosts that a host knew when the store confirmed it last.
+  it('is not extended beyond a failover by hosts that know none of those registered since', async () => {
+    const { world, clock } = suite
+    const later = ['h3', 'h4', 'h5', 'h6', 'h7', 'h8']
+    await startHosts(['h2'])
+    await clock.tickAsync(2000)
+    cutOffFromStore(['h1', 'h2'])
+    world.beyondCut.add('h1').add('h2')
+    await startHosts(later)
+    await clock.tickAsync(1000)
+    cutPrimaryFrom(later)
+    void writeAt('h3', 1000)
+    const found = await writeAt('h1', 18_000)
+    expect(world.upstreams.promotions.length).toEqual(1)
+    expect(found).toEqual([])
+  })
 })
