--- a/src/entry/registry/types.ts
+++ b/src/entry/registry/types.ts
@@ -15,6 +15,8 @@
   stopped: z.record(z.string(), z.number().int()).optional(),
   /** Whether the process is stopping: it finishes its requests and takes no new ones. */
   leaving: z.boolean().optional(),
+  /** Version of the row that the process replaced when it registered first; absent if there was none. */
+  replaces: z.number().optional(),
   /**
    * Present if a peer has retired the host: when its last lease expires on the store's clock, in milliseconds, had the
    * store carried out the write at once. Failovers go by `retirements.ts`.
