Report a failover as done only when the group's row shows it

A failover was logged as done, with the old primary and a closed epoch, when the answer to its last write was lost and the row could not be read.

`failover.done` is logged when the row read after the write is open with this failover's primary; otherwise `failover.not-opened`.

--- a/src/core/logger/events.ts
+++ b/src/core/logger/events.ts
@@ -27,6 +27,7 @@
   'failover.no-effect': { level: 'warn', fields: 'group, upstream', when: 'a promotion did not take effect in time' },
   'failover.no-successor': { level: 'warn', fields: 'group, candidates, fit', when: 'no upstream could be promoted' },
   'failover.not-running': { level: 'warn', fields: 'group, upstream', when: 'the platform reports that an upstream is not running' },
+  'failover.not-opened': { level: 'warn', fields: 'group, upstream, primary, epoch, term', when: 'a primary leads, but the group\'s row does not show its epoch as open after the write; the failover is repeated' },
   'failover.order-pending': { level: 'info', fields: 'group, upstream, ordered, pending', when: 'an upstream leads, and an order to promote another one may take effect or may have done so; the epoch stays closed until that is settled' },
   'failover.ordered': { level: 'info', fields: 'group, upstream, fence, outcome, tookMs', when: 'an order to promote was answered, was withheld because the lease had passed, or its answer was lost; without an answer it may still take effect' },
   'failover.old-primary': { level: 'info', fields: 'group, upstream, term, stopped, role, position', when: 'the old primary was asked to step down' },
--- a/src/entry/leadership/failover.ts
+++ b/src/entry/leadership/failover.ts
@@ -184,6 +184,9 @@
     orders: orders.remaining()
   })
   registry.requestPeerRefresh()
-  logger.log('info', 'failover.done', { group, upstream: written?.primary, epoch: written?.epoch, term: written?.term })
-  return written?.state === 'open' ? written.primary : undefined
+  const isOpen = written?.state === 'open' && written.primary === upstream.upstream && written.epoch > row.epoch
+  logger.log(isOpen ? 'info' : 'warn', isOpen ? 'failover.done' : 'failover.not-opened', {
+    group, upstream: upstream.upstream, primary: written?.primary, epoch: written?.epoch, term: written?.term
+  })
+  return isOpen ? written.primary : undefined
 }
--- a/test/entry/process/failover.test.ts
+++ b/test/entry/process/failover.test.ts
@@ -36,3 +36,27 @@
     expect((await writing).signature?.startsWith('g-b')).toEqual(true)
   })
 })
+
+describe('a failover whose epoch may not be open', () => {
+  const suite = setUpWorld(['h1', 'h2', 'h3'])
+
+  it('is not reported as done when its last write was lost', async () => {
+    const events: string[] = []
+    let promoter = 'nobody'
+    suite.world.logger = {
+      log: (_level, event, fields) => {
+        if (event === 'failover.ordered' && promoter === 'nobody') {
+          promoter = String(fields?.['host'])
+          setTimeout(() => { suite.world.store.cutOff.add(promoter) }, 20)
+        }
+        if (event === 'failover.done' || event === 'failover.not-opened') {
+          events.push(`${event} ${fields?.['host'] === promoter ? 'at the promoter' : 'elsewhere'}`)
+        }
+      }
+    }
+    suite.world.upstreams.all.get('g-a')!.crash()
+    void suite.world.connect('h1', 'money').write()
+    await suite.clock.tickAsync(12_000)
+    expect(events).toEqual(['failover.not-opened at the promoter', 'failover.done elsewhere'])
+  })
+})
