--- a/src/entry/leadership/promotion-lease.ts
+++ b/src/entry/leadership/promotion-lease.ts
@@ -23,7 +23,7 @@
 export const ORDER_EFFECT_MS = 5000
 
 /** An order to promote, as recorded before it is sent. */
-export interface IntendedOrder {
+interface IntendedOrder {
   group: string
   upstream: string
   /** Failover that orders it; the record fails if another failover has taken the group over. */
