Let a restarted process override its record from before its clock was set back

A proxy or keeper of the MySQL product that was restarted after its host's clock had been set back stayed gone to all others for up to ten minutes: no group had its home there, and its keeper did not count.

Cause: records are ordered by the start time on the wall clock, so that of the former process counted as newer, and a process refuted only opinions with its own start time.

Evidence: test/mysql-proxy/membership/opinions.test.ts. Before the mend: 'The value "gone" is not equal to "live"'.

Mend: a process that hears a record of its host with a later start time takes that start time over with the next version.

--- a/src/mysql-proxy/membership/opinions.ts
+++ b/src/mysql-proxy/membership/opinions.ts
@@ -50,21 +50,18 @@
   let self = options.self
   list.merge(self)
 
-  const replaceSelf = (change: Pick<Member, 'version' | 'state'>): void => {
+  const replaceSelf = (change: Partial<Member>): void => {
     self = { ...self, ...change }
     list.merge(self)
     heartbeatsLeft.set(self.host, HEARTBEATS_PER_CHANGE)
     onChange()
   }
 
-  /** Refutes a wrong state of this process. `leaving` is accepted, since an operator may have set it. */
   const mergeOwnState = (opinion: Member): void => {
-    const isOutdated = opinion.startedAt !== self.startedAt || opinion.version < self.version
-    if (isOutdated || opinion.state === self.state) {
-      return
+    const change = overrideOf(opinion, self)
+    if (change !== undefined) {
+      replaceSelf(change)
     }
-    const state = opinion.state === 'leaving' ? 'leaving' : self.state
-    replaceSelf({ version: opinion.version + 1, state })
   }
 
   const awaitRefutation = (suspect: Member): void => {
@@ -122,3 +119,19 @@
     close: () => timers.forEach((timer) => clearTimeout(timer))
   }
 }
+
+/**
+ * Returns how a process changes its record to override an opinion on it; undefined if it is outdated or agrees.
+ * `leaving` is accepted, since an operator may have set it. The record of a former process of the host is overridden,
+ * even if that one started later by a clock that has been set back since.
+ */
+function overrideOf (opinion: Member, self: Member): Partial<Member> | undefined {
+  if (opinion.startedAt > self.startedAt) {
+    return { startedAt: opinion.startedAt, version: opinion.version + 1 }
+  }
+  const isOutdated = opinion.startedAt !== self.startedAt || opinion.version < self.version
+  if (isOutdated || opinion.state === self.state) {
+    return undefined
+  }
+  return { version: opinion.version + 1, state: opinion.state === 'leaving' ? 'leaving' : self.state }
+}
--- a/test/mysql-proxy/membership/opinions.test.ts
+++ b/test/mysql-proxy/membership/opinions.test.ts
@@ -28,3 +28,23 @@
     expect(times[0]! > 0).toEqual(true)
   })
 })
+
+describe('hear', () => {
+  // Others keep the record of the former process, which counts as newer, for ten minutes.
+  it('overrides the record of a former process that started later by the clock', () => {
+    const list = createMemberList()
+    const former = { ...memberNamed('self'), startedAt: 5000, version: 3, state: 'gone' as const }
+    list.merge(former)
+    const opinions = createOpinions({
+      self: { ...memberNamed('self'), startedAt: 2000 },
+      list: createMemberList(),
+      logger: silentLogger,
+      onChange: () => {},
+      onUnavailable: () => {}
+    })
+    opinions.hear(former)
+    opinions.takeChanges().forEach(list.merge)
+    opinions.close()
+    expect(list.get('self')?.state).toEqual('live')
+  })
+})
