--- a/src/peers/refusal.ts
+++ b/src/peers/refusal.ts
@@ -1,7 +1,10 @@
-/** Distinguishes a peer that is not running from one that does not answer. */
+/**
+ * Distinguishes a refused connection from a peer that does not answer. A refusal shows that nothing was sent. It does
+ * not show that the peer has ended, since a firewall on the way refuses as well.
+ */
 import { RequestError } from '../core/errors/index.ts'
 
-/** The connection was refused, so no process listens at the address and nothing was sent. */
+/** The connection was refused, so nothing was sent. */
 export class PeerNotRunning extends RequestError<'PeerUnavailable'> {
   constructor (peer: string, reason: string) {
     super('not-run', 'PeerUnavailable', { peer, reason })
