--- a/src/entry/leadership/extensions.ts
+++ b/src/entry/leadership/extensions.ts
@@ -3,8 +3,8 @@
  * store does not stop all work at primaries. A majority of all hosts in the snapshot, retired ones included, must grant
  * an extension, and only registered hosts with a recent confirmation request or grant one; `silent-leases.ts` relies on
  * both. It is dated to the request, and `primary-leases.ts` limits how long extensions last. A grant lists, for each
- * group that the granting host knows, the newest epoch in which the primary may not be used, and this host then closes
- * it. A host that was restarted knows it from the group's row.
+ * group that the granting host knows, the newest epoch in which the primary may not be used, and this host then
+ * stops its work in it. A host that was restarted knows it from the group's row.
  */
 import { describeThrown } from '../../core/errors/index.ts'
 import type { Logger } from '../../core/logger/index.ts'
@@ -13,7 +13,8 @@
 import { EXTENDED_LEASE_MS, PRIMARY_LEASE_MS } from '../registry/lease-times.ts'
 import type { KnownHost, Registry } from '../registry/index.ts'
 import type { PrimaryLeases } from './primary-leases.ts'
-import { extendRequestSchema, grantSchema, type Grant } from './types.ts'
+import type { LocalWorkStop } from './stop-local-work.ts'
+import { extendRequestSchema, grantSchema, type ClosedEpoch, type Grant } from './types.ts'
 
 /**
  * Age of the last confirmation by the store beyond which peers are asked for extensions, in milliseconds: one read must
@@ -33,17 +34,18 @@
 interface ExtensionOptions {
   registry: Pick<Registry, 'self' | 'current' | 'confirmedAgeMs' | 'isRegistered'>
   peers: Pick<Peers, 'requestOrDisconnect' | 'handle'>
-  primaryLeases: Pick<PrimaryLeases, 'closeEpoch' | 'endedEpochs' | 'recordExtension'>
+  primaryLeases: Pick<PrimaryLeases, 'endedEpochs' | 'recordExtension'>
+  localWork: Pick<LocalWorkStop, 'closeEpoch'>
   logger: Logger
 }
 
 /**
  * Requests extensions while the store does not confirm the leases, and grants extensions to peers.
  *
- * @param options - the registry, the links to peers and the leases
+ * @param options - the registry, the links to peers, the leases and the stop of local work
  * @returns a function that stops the requests
  */
-export function createExtensions ({ registry, peers, primaryLeases, logger }: ExtensionOptions): () => void {
+export function createExtensions ({ registry, peers, primaryLeases, localWork, logger }: ExtensionOptions): () => void {
   let wasExtended = false
 
   /** Whether this host may request and grant extensions. */
@@ -55,11 +57,17 @@
     const mayGrant = mayTakePart() && liveHost?.process === process
     return { granted: mayGrant, closed: primaryLeases.endedEpochs() }
   })
+  /** Stops the work in an epoch that is over: what is in progress must not last as long as the leases are extended. */
+  const stopWorkIn = ({ group, epoch }: ClosedEpoch): void => {
+    if (!primaryLeases.endedEpochs().some((ended) => ended.group === group && ended.epoch >= epoch)) {
+      void localWork.closeEpoch(group, epoch)
+    }
+  }
   const requestGrant = async (peer: KnownHost): Promise<boolean> => {
     try {
       const request = { host: registry.self.name, process: registry.self.process }
       const { granted, closed } = grantSchema.parse(await peers.requestOrDisconnect(peer, 'extend', request, GRANT_TIMEOUT_MS))
-      closed.forEach(({ group, epoch }) => primaryLeases.closeEpoch(group, epoch))
+      closed.forEach(stopWorkIn)
       return granted
     } catch (thrown) {
       logger.log('debug', 'registry.peer-silent', { peer: peer.name, reason: describeThrown(thrown) })
--- a/src/entry/leadership/index.ts
+++ b/src/entry/leadership/index.ts
@@ -81,7 +81,7 @@
       groups().forEach(watch.assess)
       groups().forEach(recordIfReachable)
     }, (thrown) => logger.log('error', 'leadership.watch-failed', { reason: describeThrown(thrown) }))
-    const stopExtending = createExtensions({ registry, peers, primaryLeases, logger })
+    const stopExtending = createExtensions({ registry, peers, primaryLeases, localWork, logger })
     logTransitions({ registry, directory, primaryLeases, groups, logger })
     const recordRowChange = createRowRecorder(registry, recoveryEstimates)
     registry.onChange(() => {
