Leave the end of leases at a stop to leadership

Two mends of one fault met: the registry ended its confirmations and waited 150 ms before it removed the row, and leadership gives up all leases and aborts every use before the registry drains.

--- a/src/entry/registry/own-row.ts
+++ b/src/entry/registry/own-row.ts
@@ -4,7 +4,7 @@
  */
 import { describeThrown } from '../../core/errors/index.ts'
 import type { Logger } from '../../core/logger/index.ts'
-import { pause, withTimeout } from '../../core/time/deadline.ts'
+import { withTimeout } from '../../core/time/deadline.ts'
 import type { StorePort } from '../ports/index.ts'
 import type { RegistryState } from './registry-state.ts'
 import type { RegistryStore } from './registry-store.ts'
@@ -13,18 +13,13 @@
 
 /** Maximum wait for the removal of this host's row, in milliseconds. A row that remains is retired by a peer. */
 const UNREGISTER_MS = 400
-/**
- * Time between the end of this host's leases and the removal of its row, in milliseconds, in which statements in
- * progress at primaries are aborted. Once the row is gone, no failover waits for this host.
- */
-const ABORT_MS = 150
 
 interface OwnRowOptions {
   self: { name: string, process: string }
   /** Initial content of the row. */
   row: HostRow
   store: Pick<StorePort, 'write'>
-  state: Pick<RegistryState, 'current' | 'ownHost' | 'confirmedAgeMs' | 'endRegistration'>
+  state: Pick<RegistryState, 'current' | 'ownHost' | 'confirmedAgeMs'>
   registryStore: Pick<RegistryStore, 'refresh' | 'write'>
   logger: Logger
 }
@@ -35,7 +30,7 @@
   register: () => Promise<boolean>
   /** Publishes that this process is stopping; logs a failure. */
   publishLeaving: () => Promise<void>
-  /** Ends this host's leases, then removes the row and prevents a later registration; the wait is bounded. */
+  /** Removes the row and prevents a later registration; the wait is bounded. */
   unregister: () => Promise<void>
 }
 
@@ -91,8 +86,6 @@
     },
     unregister: async () => {
       isStopping = true
-      state.endRegistration()
-      await pause(ABORT_MS)
       const own = state.ownHost()
       if (own?.process !== self.process) {
         return
--- a/src/entry/registry/registry-state.ts
+++ b/src/entry/registry/registry-state.ts
@@ -13,8 +13,6 @@
   readonly current: RegistrySnapshot
   /** Age of the last confirmation that this process is registered, in milliseconds, counted from the request. */
   confirmedAgeMs: () => number
-  /** Counts this process as no longer registered from now on, so that it holds no lease. */
-  endRegistration: () => void
   /** This host's row, written by any of its processes; undefined if there is none. */
   ownHost: () => KnownHost | undefined
   /** Other hosts that are registered and not retired. */
@@ -38,12 +36,10 @@
   const standings = createRowStandings()
   let current = EMPTY_SNAPSHOT
   let confirmedAt = -Infinity
-  let hasEnded = false
 
   return {
     get current () { return current },
-    confirmedAgeMs: () => hasEnded ? Infinity : performance.now() - confirmedAt,
-    endRegistration: () => { hasEnded = true },
+    confirmedAgeMs: () => performance.now() - confirmedAt,
     ownHost: () => current.hosts.find(({ name }) => name === self.name),
     otherHosts: () => current.liveHosts.filter(({ name }) => name !== self.name),
     rowStanding: standings.of,
