--- a/test/entry/process/extensions.test.ts
+++ b/test/entry/process/extensions.test.ts
@@ -90,7 +90,7 @@
     expect(found).toEqual([])
   })
 
-  // Guards against a statement in progress that outlasts the promoter's wait, since its host is still granted extensions.
+  // Guards against a statement in progress that outlasts the wait, since its host is still granted extensions.
   it('does not keep a statement in progress once a grant names its epoch as over', async () => {
     const { world, clock } = suite
     const others = ['h2', 'h3', 'h4', 'h5', 'h6', 'h7', 'h8']
