Finish a failover without the lease when its host has ended after its order took effect

A group stayed without a primary until the promotion lease expired, up to 5 s, when the promoter ended between its order and the opening of the epoch, since a lease with a recorded order is kept.

Evidence: "is finished by another one without waiting for the promotion lease" failed without the call of finishFailover ("false is not equal to true": over 1.5 s).

Opening the epoch orders nothing, so it needs no lease: an upstream that was ordered leads in a newer term, every ordered upstream reports, and no order for another one is pending. An order that the former holder may still record and the opening exclude each other by the row's version. In late-orders.test.ts a killed host is cut off as well, since the fixture lets its pending work go on.

--- a/src/entry/leadership/failover.ts
+++ b/src/entry/leadership/failover.ts
@@ -4,20 +4,21 @@
  * progress is read from the registry and the upstreams.
  */
 import { randomUUID } from 'node:crypto'
-import { describeThrown } from '../../core/errors/index.ts'
 import { pause } from '../../core/time/deadline.ts'
 import { repeat } from '../../core/time/repeat.ts'
 import type { KnownUpstream } from '../directory/index.ts'
 import type { Peers } from '../../peers/index.ts'
 import type { UpstreamReport } from '../ports/index.ts'
-import { registryKeys, type GroupRow } from '../registry/index.ts'
+import type { GroupRow } from '../registry/index.ts'
 import { comparePositions, formatPosition, type LogPosition } from '../../positions/position.ts'
 import { awaitHostsStopped } from './close-epoch.ts'
 import type { Candidate } from './choose-successor.ts'
+import { finishFailover } from './finish-failover.ts'
+import { openEpoch, writeRow } from './group-row.ts'
 import type { PromoteOptions } from './order-promotion.ts'
 import { pendingOrders } from './pending-orders.ts'
 import { PROBE_TIMEOUT_MS, SUCCESSOR_POLL_INTERVAL_MS } from './probe-times.ts'
-import { promoteSuccessor, type Promoted } from './promote.ts'
+import { promoteSuccessor } from './promote.ts'
 import type { FailoverReason } from './types.ts'
 
 /** Interval at which the promotion lease is renewed during a failover, in milliseconds. */
@@ -46,9 +47,12 @@
 export async function runFailover (options: FailoverOptions): Promise<string | undefined> {
   const { group, logger, registry, reason } = options
   const before = registry.current.group(group)
-  if (before.row?.epoch !== options.epoch || await options.promotionLease.acquire() === undefined) {
+  if (before.row?.epoch !== options.epoch) {
     return undefined
   }
+  if (await options.promotionLease.acquire() === undefined) {
+    return reason === 'unfinished' ? await finishFailover(options) : undefined
+  }
   logger.log('warn', 'failover.started', {
     group, reason, primary: before.row.primary, epoch: before.row.epoch, registryVersion: registry.current.version
   })
@@ -105,20 +109,6 @@
   return row.state === 'closed' ? closedSince ?? performance.now() : performance.now()
 }
 
-/** Writes the row of the group and returns the current row, also if the answer to the write was lost. */
-async function writeRow (
-  { group, registry, logger }: FailoverOptions, version: number, step: 'close' | 'open', row: GroupRow
-): Promise<GroupRow | undefined> {
-  const key = registryKeys.group(group)
-  try {
-    await registry.write({ expected: [{ key, version }], put: [{ key, value: JSON.stringify(row) }] })
-  } catch (thrown) {
-    logger.log('warn', 'failover.answer-lost', { group, step, reason: describeThrown(thrown) })
-    await registry.refresh()
-  }
-  return registry.current.group(group).row
-}
-
 async function demoteOldPrimary (
   options: FailoverOptions, oldPrimary: KnownUpstream | undefined
 ): Promise<UpstreamReport | undefined> {
@@ -163,30 +153,3 @@
     await pause(SUCCESSOR_POLL_INTERVAL_MS)
   }
 }
-
-async function openEpoch (
-  options: FailoverOptions, { upstream, report, orders }: Promoted, failoverId: string
-): Promise<string | undefined> {
-  const { group, registry, logger } = options
-  await registry.refresh()
-  const { row, version } = registry.current.group(group)
-  if (row?.succession !== failoverId || orders.pendingExcept(upstream.upstream)) {
-    return undefined
-  }
-  const written = await writeRow(options, version, 'open', {
-    epoch: row.epoch + 1,
-    primary: upstream.upstream,
-    primaryBornAt: upstream.bornAt,
-    state: 'open',
-    term: report.term,
-    writtenBy: registry.self.name,
-    succession: '',
-    orders: orders.remaining()
-  })
-  registry.requestPeerRefresh()
-  const isOpen = written?.state === 'open' && written.primary === upstream.upstream && written.epoch > row.epoch
-  logger.log(isOpen ? 'info' : 'warn', isOpen ? 'failover.done' : 'failover.not-opened', {
-    group, upstream: upstream.upstream, primary: written?.primary, epoch: written?.epoch, term: written?.term
-  })
-  return isOpen ? written.primary : undefined
-}
--- a/src/entry/leadership/leader-watch.ts
+++ b/src/entry/leadership/leader-watch.ts
@@ -31,10 +31,10 @@
   /**
    * Looks at the ordered upstreams.
    *
-   * @param also - the upstream that was ordered last or leads
+   * @param also - the upstream that was ordered last or leads, if any
    * @returns the leader, and the upstreams that do not report
    */
-  look: (also: KnownUpstream) => Promise<LeaderSighting>
+  look: (also?: KnownUpstream) => Promise<LeaderSighting>
 }
 
 /**
@@ -53,7 +53,7 @@
     return report === undefined ? [] : [{ upstream, report }]
   }
   /** Returns the newest leader by report; the old primary may be one only if it leads anew, or was ordered last. */
-  const leadByReport = (reports: Candidate[], last: string): Candidate | undefined => {
+  const leadByReport = (reports: Candidate[], last?: string): Candidate | undefined => {
     const leader = findLeader(reports.filter(({ upstream }) => upstream.upstream !== oldPrimary), closedTerm)
     return leader === undefined
       ? reports.find(({ upstream, report }) => upstream.upstream === last && report.role === 'primary')
@@ -69,11 +69,11 @@
   }
   return {
     look: async (also) => {
-      const names = new Set([...orders.ordered(), also.upstream])
-      const upstreams = [...names].flatMap((name) => directory.get(name) ?? (name === also.upstream ? [also] : []))
+      const names = new Set([...orders.ordered(), ...also === undefined ? [] : [also.upstream]])
+      const upstreams = [...names].flatMap((name) => directory.get(name) ?? (name === also?.upstream ? [also] : []))
       const reports = (await Promise.all(upstreams.map(probe))).flat()
       const silent = [...names].filter((name) => !reports.some(({ upstream }) => upstream.upstream === name))
-      return { leader: leadByReport(reports, also.upstream) ?? leadByClaim(silent), silent }
+      return { leader: leadByReport(reports, also?.upstream) ?? leadByClaim(silent), silent }
     }
   }
 }
--- a/src/entry/leadership/order-promotion.ts
+++ b/src/entry/leadership/order-promotion.ts
@@ -23,7 +23,7 @@
   group: string
   /** Newest term of the group known to this host. */
   knownTerm: number
-  promotionLease: Pick<PromotionLease, 'acquire' | 'acquireToOrder' | 'recordOrder'>
+  promotionLease: Pick<PromotionLease, 'acquire' | 'acquireToOrder' | 'recordOrder' | 'seemsAbandoned'>
   registry: Registry
   directory: Pick<Directory, 'get' | 'ofGroup'>
   pools: Pick<Pools, 'probe' | 'demote'>
--- a/src/entry/leadership/promote.ts
+++ b/src/entry/leadership/promote.ts
@@ -1,16 +1,12 @@
 /** Orders promotions of the candidates that `choose-successor.ts` ranks, until one leads and no other one can. */
 import type { GroupRow } from '../registry/index.ts'
 import { chooseSuccessors, findLeader, type Candidate } from './choose-successor.ts'
+import type { Promoted } from './group-row.ts'
 import { createLeaderWatch } from './leader-watch.ts'
 import { promote, type PromoteOptions, type PromotionStage } from './order-promotion.ts'
-import { createPendingOrders, type PendingOrders } from './pending-orders.ts'
+import { createPendingOrders } from './pending-orders.ts'
 import { awaitOrdersSettled } from './settle-orders.ts'
 
-/** A new primary, and the orders that may still take effect, which are none for other upstreams. */
-export interface Promoted extends Candidate {
-  orders: PendingOrders
-}
-
 /**
  * Promotes one of the candidates, or finds that one already leads.
  *
--- a/src/entry/leadership/promotion-lease.ts
+++ b/src/entry/leadership/promotion-lease.ts
@@ -53,6 +53,8 @@
   acquireToOrder: (order: IntendedOrder) => Promise<HeldPromotionLease | undefined>
   /** Records that a promotion is ordered, after which the lease is kept until it expires. */
   recordOrder: () => void
+  /** Whether another process holds the lease and seems to have ended. */
+  seemsAbandoned: () => Promise<boolean>
   /** Releases the lease early, unless a promotion was ordered under it. */
   release: () => Promise<void>
 }
@@ -86,6 +88,10 @@
       return await takeTurn(async () => await acquireOnce(order))
     },
     recordOrder: () => { orderedAt = performance.now() },
+    seemsAbandoned: async () => {
+      const { row } = options.registry.current.promotionLease
+      return row !== undefined && row.process !== options.registry.self.process && await hasHolderEnded(row, options)
+    },
     release: async () => await takeTurn(async () => {
       if (performance.now() - orderedAt > PROMOTION_LEASE_MS) {
         releasedAt = performance.now()
--- a/test/entry/process/failover.test.ts
+++ b/test/entry/process/failover.test.ts
@@ -60,3 +60,30 @@
     expect(events).toEqual(['failover.not-opened at the promoter', 'failover.done elsewhere'])
   })
 })
+
+describe('a failover whose host ends after its order', () => {
+  const suite = setUpWorld(['h1', 'h2', 'h3'])
+
+  it('is finished by another one without waiting for the promotion lease', async () => {
+    let endedAt = Infinity
+    let doneAt = Infinity
+    suite.world.logger = {
+      log: (_level, event, fields) => {
+        if (event === 'failover.ordered' && endedAt === Infinity) {
+          endedAt = performance.now()
+          const host = String(fields?.['host'])
+          // What a killed host still runs in this process must not reach anything.
+          suite.world.store.cutOff.add(host)
+          suite.world.upstreams.all.forEach(({ cutOff }) => cutOff.add(host))
+          void suite.world.kill(host)
+        }
+        doneAt = event === 'failover.done' ? Math.min(doneAt, performance.now()) : doneAt
+      }
+    }
+    suite.world.upstreams.all.get('g-a')!.crash()
+    void suite.world.connect('h1', 'money').write()
+    await suite.clock.tickAsync(12_000)
+    expect(doneAt - endedAt < 1500).toEqual(true)
+    expect(suite.world.arrivedOrders.length).toEqual(1)
+  })
+})
--- a/test/entry/process/late-orders.test.ts
+++ b/test/entry/process/late-orders.test.ts
@@ -68,7 +68,12 @@
     suite.world.orderFates.push({ answered: false, carriedOutAfterMs: 4000 })
     onFirstOrder((host, ordered) => {
       HOSTS.forEach((name) => upstream(ordered).cutOff.add(name))
-      setTimeout(() => { void suite.world.kill(host) }, 50)
+      setTimeout(() => {
+        // What a killed host still runs in this process must not reach anything.
+        suite.world.store.cutOff.add(host)
+        suite.world.upstreams.all.forEach(({ cutOff }) => cutOff.add(host))
+        void suite.world.kill(host)
+      }, 50)
     })
     expect(await play()).toEqual([])
     expect(suite.world.arrivedOrders.some((order) => order.upstream === 'g-c')).toEqual(true)
