--- a/test/entry/process/failover.test.ts
+++ b/test/entry/process/failover.test.ts
@@ -71,7 +71,11 @@
       log: (_level, event, fields) => {
         if (event === 'failover.ordered' && endedAt === Infinity) {
           endedAt = performance.now()
-          void suite.world.kill(String(fields?.['host']))
+          const host = String(fields?.['host'])
+          // What a killed host still runs in this process must not reach anything.
+          suite.world.store.cutOff.add(host)
+          suite.world.upstreams.all.forEach(({ cutOff }) => cutOff.add(host))
+          void suite.world.kill(host)
         }
         doneAt = event === 'failover.done' ? Math.min(doneAt, performance.now()) : doneAt
       }
