Open an epoch by a former host's order only under the row seen before the look

A host that finishes another one's failover could open the epoch with an upstream that another one had superseded: it looked at the upstreams first and asked afterwards whether orders were pending, and it opened under the version that the row had by then. An order that took effect during the look, and one that the former host recorded then, were passed over. Found by a review of the mends.

The pending orders are read before the look, which then shows the effect of the others, and the row must still have its version.

--- a/src/entry/leadership/finish-failover.ts
+++ b/src/entry/leadership/finish-failover.ts
@@ -1,7 +1,7 @@
 /**
  * Finishes the failover of a host that has ended after its order took effect. This orders nothing, so it needs no
- * promotion lease: an order that the former host may still record and this write exclude each other by the row's
- * version.
+ * promotion lease: an order that the former host may still record and this write exclude each other by the version that
+ * the row had before the look at the upstreams.
  */
 import type { Directory } from '../directory/index.ts'
 import { openEpoch, type RowOptions } from './group-row.ts'
@@ -29,18 +29,21 @@
  */
 export async function finishFailover (options: FinishOptions): Promise<string | undefined> {
   const { group, registry, logger, knownTerm, directory, pools, promotionLease } = options
-  const { row } = registry.current.group(group)
+  const { row, version } = registry.current.group(group)
   if (row?.state !== 'closed' || row.orders === undefined || !await promotionLease.seemsAbandoned()) {
     return undefined
   }
   const orders = createPendingOrders({ group, registry })
   const closedTerm = Math.max(knownTerm, row.term)
   const watch = createLeaderWatch({ directory, pools, group, orders, oldPrimary: row.primary, closedTerm })
+  // Read before the look, which shows the effect of every order that has passed by then.
+  const pending = Object.keys(orders.remaining() ?? {})
   const { leader, silent } = await watch.look()
   const name = leader?.upstream.upstream
-  if (leader === undefined || name === row.primary || silent.length > 0 || orders.pendingExcept(name ?? '')) {
+  const isUncertain = silent.length > 0 || pending.some((upstream) => upstream !== name)
+  if (leader === undefined || name === row.primary || isUncertain) {
     return undefined
   }
   logger.log('info', 'failover.already-promoted', { group, upstream: name, term: leader.report.term })
-  return await openEpoch(options, { ...leader, orders }, row.succession)
+  return await openEpoch(options, { ...leader, orders }, row.succession, version)
 }
--- a/src/entry/leadership/group-row.ts
+++ b/src/entry/leadership/group-row.ts
@@ -45,15 +45,17 @@
  * @param options - the group
  * @param promoted - the new primary, and the orders of the group
  * @param failoverId - failover that wrote the row last
+ * @param seenVersion - version that the row must still have; any by default
  * @returns the primary, or undefined if the row does not show the epoch as open
  */
 export async function openEpoch (
-  options: RowOptions, { upstream, report, orders }: Promoted, failoverId: string
+  options: RowOptions, { upstream, report, orders }: Promoted, failoverId: string, seenVersion?: number
 ): Promise<string | undefined> {
   const { group, registry, logger } = options
   await registry.refresh()
   const { row, version } = registry.current.group(group)
-  if (row?.succession !== failoverId || orders.pendingExcept(upstream.upstream)) {
+  const hasChanged = row?.succession !== failoverId || (seenVersion ?? version) !== version
+  if (hasChanged || orders.pendingExcept(upstream.upstream)) {
     return undefined
   }
   const written = await writeRow(options, version, 'open', {
