Settle an order only when its upstream reports a newer term

An epoch could open with an upstream while an order for the old primary was under way: a primary that was superseded unseen and not demoted reports its old term, and that was taken for the effect of the order.

The order counts as pending until a newer term is reported or its time has passed.

--- a/src/entry/leadership/order-promotion.ts
+++ b/src/entry/leadership/order-promotion.ts
@@ -80,8 +80,10 @@
     }
   }
   const leader = await awaitPromotion(stage, candidate)
-  // The only order for the upstream was answered and has taken effect, so nothing of it is left.
-  if (leader?.upstream.upstream === name && answeredAtOnce && !wasPending) {
+  // The only order for the upstream was answered and has taken effect, so nothing of it is left. A primary that was
+  // superseded unseen still reports its old term until the order takes effect.
+  const tookEffect = leader?.upstream.upstream === name && leader.report.term > candidate.report.term
+  if (tookEffect && answeredAtOnce && !wasPending) {
     orders.settle(name, -Infinity)
   }
   return leader
