Stop work in an epoch as soon as its closed row is seen

A write in progress was covered until 3.68 s after the closing on a host that heard the store again 3.2 s after it: a confirmation by the closed row renewed the age of the lease, and the stop notice waits 0.3 s. A promoter waits 3.6 s. Found by a review of the mends; a write at two primaries was not shown.

Before: the new case of stop-local-work.test.ts, covered in place of not covered 0.16 s after the closed row. What is in use in a closed epoch is now closed when the row is seen, with 0.15 s to finish, which ends before the promoter's wait.

--- a/src/entry/leadership/stop-local-work.ts
+++ b/src/entry/leadership/stop-local-work.ts
@@ -30,7 +30,10 @@
   stop: () => Promise<void>
   /** Aborts all uses of primaries if the leases have expired. */
   abortExpired: () => void
-  /** Aborts the uses of primaries in epochs before those of their groups' rows. */
+  /**
+   * Aborts the uses of primaries in epochs before those of their groups' rows, and closes epochs whose rows are closed.
+   * A confirmation by such a row must not let a statement in progress go on.
+   */
   abortPassed: () => void
 }
 
@@ -68,25 +71,35 @@
     }
     return primaryUses.abort(selection, reason)
   }
+  const closeEpoch = async (group: string, epoch: number): Promise<void> => {
+    primaryLeases.closeEpoch(group, epoch)
+    const ofEpoch = usesUpTo(group, epoch)
+    const startedAt = performance.now()
+    const inUse = primaryUses.count(ofEpoch)
+    const aborted = await finish(ofEpoch, 'the epoch was closed')
+    const { row } = registry.current.group(group)
+    const upstream = row?.epoch === epoch ? row.primary : undefined
+    logger.log('info', 'leadership.stopped', {
+      group,
+      epoch,
+      upstream,
+      listed: upstream !== undefined && directory.get(upstream) !== undefined,
+      inUse,
+      aborted,
+      waitedMs: Math.round(performance.now() - startedAt)
+    })
+  }
+  const closing = new Set<string>()
+  /** Closes an epoch whose row is closed, if something is in use there. */
+  const closeUsed = (group: string, epoch: number): void => {
+    const key = `${group} ${epoch}`
+    if (!closing.has(key) && primaryUses.count(usesUpTo(group, epoch)) > 0) {
+      closing.add(key)
+      void closeEpoch(group, epoch).finally(() => closing.delete(key))
+    }
+  }
   return {
-    closeEpoch: async (group, epoch) => {
-      primaryLeases.closeEpoch(group, epoch)
-      const ofEpoch = usesUpTo(group, epoch)
-      const startedAt = performance.now()
-      const inUse = primaryUses.count(ofEpoch)
-      const aborted = await finish(ofEpoch, 'the epoch was closed')
-      const { row } = registry.current.group(group)
-      const upstream = row?.epoch === epoch ? row.primary : undefined
-      logger.log('info', 'leadership.stopped', {
-        group,
-        epoch,
-        upstream,
-        listed: upstream !== undefined && directory.get(upstream) !== undefined,
-        inUse,
-        aborted,
-        waitedMs: Math.round(performance.now() - startedAt)
-      })
-    },
+    closeEpoch,
     stop: async () => {
       primaryLeases.giveUp()
       await finish(() => true, 'this host is stopping')
@@ -101,6 +114,7 @@
     abortPassed: () => {
       primaryUses.abort(
         ({ group, lease }) => (registry.current.group(group).row?.epoch ?? 0) > lease.epoch, 'a newer epoch is known')
+      registry.current.closedGroups.forEach(({ group, epoch }) => closeUsed(group, epoch))
     }
   }
 }
--- a/test/entry/leadership/stop-local-work.test.ts
+++ b/test/entry/leadership/stop-local-work.test.ts
@@ -22,10 +22,11 @@
   /** Creates the stop at a host that knows no upstream, and whose row names an open epoch. */
   const setUp = (epoch: number) => {
     const row = { epoch, primary: `u${epoch}`, state: 'open' }
-    const confirmedAt = performance.now()
+    const confirmed = { at: performance.now() }
+    const closedGroups: Array<{ group: string, epoch: number }> = []
     const registry = {
-      current: { group: () => ({ row, version: 1 }), closedGroups: [] },
-      confirmedAgeMs: () => performance.now() - confirmedAt
+      current: { group: () => ({ row, version: 1 }), closedGroups },
+      confirmedAgeMs: () => performance.now() - confirmed.at
     } as unknown as Pick<Registry, 'current' | 'confirmedAgeMs'>
     const events: Array<Record<string, unknown>> = []
     const logger: Logger = { log: (_level, event, fields) => { events.push({ event, ...fields }) } }
@@ -39,7 +40,7 @@
     })
     /** Starts a command that never ends. */
     const hang = (hanging: PrimaryUse): void => { void hanging.whileRunning(async () => await new Promise(() => {})) }
-    return { row, stop, use, hang, aborted, events }
+    return { row, stop, use, hang, aborted, events, confirmed, closedGroups }
   }
 
   // Guards against an acknowledgement at once because the row names the next primary already.
@@ -59,6 +60,19 @@
     deepEqual({ event, inUse, count, listed }, { event: 'leadership.stopped', inUse: 2, count: 2, listed: false })
   })
 
+  it('aborts what is in progress when the lease is confirmed again by a closed row', async () => {
+    const { stop, use, hang, row, confirmed, closedGroups } = setUp(1)
+    const running = use('running', 'g', 1)
+    hang(running)
+    await clock.tickAsync(PRIMARY_LEASE_MS + 200)
+    confirmed.at = performance.now()
+    row.state = 'closed'
+    closedGroups.push({ group: 'g', epoch: 1 })
+    stop.abortPassed()
+    await clock.tickAsync(160)
+    equal(running.isCovered, false)
+  })
+
   it('aborts an idle transaction without waiting for it', async () => {
     const { stop, use, aborted } = setUp(1)
     use('idle', 'g', 1)
