--- a/src/entry/leadership/group-row.ts
+++ b/src/entry/leadership/group-row.ts
@@ -40,7 +40,8 @@
 }
 
 /**
- * Opens the next epoch with a new primary, unless an order for another upstream may still take effect.
+ * Opens the next epoch with a new primary, unless an order for another upstream may still take effect. So the orders in
+ * an open row are for its own primary, and one for another upstream in a closed row was recorded after the closing.
  *
  * @param options - the group
  * @param promoted - the new primary, and the orders of the group
--- a/src/entry/leadership/pending-orders.ts
+++ b/src/entry/leadership/pending-orders.ts
@@ -22,11 +22,17 @@
   registry: Pick<Registry, 'current' | 'storeNowAtLeastMs'>
 }
 
-/** Orders to promote the upstreams of a group. */
+/**
+ * Orders to promote the upstreams of a group. An order is pending until its latest effect has passed. It counts as
+ * ordered after that, too, since it may have taken effect, unless this failover has seen all that it did.
+ */
 export interface PendingOrders {
   /** Upstreams whose orders may take effect or may have done so. */
   ordered: () => string[]
-  /** Latest effect of the orders for an upstream, on the store's clock, in milliseconds; -Infinity without orders. */
+  /**
+   * Latest effect of the orders for an upstream, on the store's clock, in milliseconds; -Infinity without orders, and
+   * after all that they did was seen.
+   */
   untilMs: (upstream: string) => number
   /** Replaces the latest effect of the orders for an upstream by what this failover knows of them. */
   settle: (upstream: string, untilMs: number) => void
--- a/src/entry/leadership/primary-leases.ts
+++ b/src/entry/leadership/primary-leases.ts
@@ -25,7 +25,7 @@
   recordExtension: (extension: Extension) => void
   /** Time since the leases were last confirmed or extended, in milliseconds. */
   ageMs: () => number
-  /** Epochs known to this host as closed. */
+  /** Epochs known to this host as closed, by its own closing or by a closed row; a group may be listed for both. */
   closedEpochs: () => ClosedEpoch[]
   /** Newest epoch of each group in which no host may use the primary: closed on this host, or over by its row. */
   endedEpochs: () => ClosedEpoch[]
--- a/src/entry/leadership/promotion-lease.ts
+++ b/src/entry/leadership/promotion-lease.ts
@@ -12,7 +12,7 @@
 import { registryKeys, type GroupRow, type PromotionLeaseRow, type Registry } from '../registry/index.ts'
 import { HOST_REQUEST_TIMEOUT_MS } from './probe-times.ts'
 
-/** Duration of the lease, in milliseconds; a promotion takes less than half of it. */
+/** Duration of the lease, in milliseconds; it is renewed while a failover waits. */
 export const PROMOTION_LEASE_MS = 5000
 /** Minimum remaining time of the lease for ordering a promotion, in milliseconds: the timeout of the order. */
 const ORDER_TIMEOUT_MS = 2000
--- a/src/entry/leadership/stop-notice.ts
+++ b/src/entry/leadership/stop-notice.ts
@@ -13,7 +13,7 @@
 const STOP_REQUEST_WAIT_MS = 300
 /**
  * Additional time after which the row is written although a peer has asked, in milliseconds, since the answer may have
- * been lost. It is longer than a promotion takes.
+ * been lost. It is longer than a usual promotion takes.
  */
 const LOST_ANSWER_WAIT_MS = 2000
 
--- a/src/peers/open-link.ts
+++ b/src/peers/open-link.ts
@@ -3,7 +3,7 @@
 import { RequestError, type Verdict } from '../core/errors/index.ts'
 import { attachFrames, type FrameStream } from '../core/wire/frames.ts'
 import { createNonce, proveKey, sameProof } from './authentication.ts'
-import { PeerNotRunning } from './refusal.ts'
+import { PeerRefusedConnection } from './refusal.ts'
 import { challengeSchema, replyFrameSchema, welcomeSchema, type ReplyFrame } from './types.ts'
 
 /** Options of {@link openLink}. */
@@ -90,7 +90,7 @@
 }
 
 function connectionError (peer: string, { code, message }: NodeJS.ErrnoException): RequestError<'PeerUnavailable'> {
-  return code === 'ECONNREFUSED' ? new PeerNotRunning(peer, message) : peerUnavailableError(peer, message, 'not-run')
+  return code === 'ECONNREFUSED' ? new PeerRefusedConnection(peer, message) : peerUnavailableError(peer, message, 'not-run')
 }
 
 /**
--- a/src/peers/refusal.ts
+++ b/src/peers/refusal.ts
@@ -5,7 +5,7 @@
 import { RequestError } from '../core/errors/index.ts'
 
 /** The connection was refused, so nothing was sent. */
-export class PeerNotRunning extends RequestError<'PeerUnavailable'> {
+export class PeerRefusedConnection extends RequestError<'PeerUnavailable'> {
   constructor (peer: string, reason: string) {
     super('not-run', 'PeerUnavailable', { peer, reason })
   }
@@ -18,5 +18,5 @@
  * @returns whether the connection was refused
  */
 export function isConnectionRefused (thrown: unknown): boolean {
-  return thrown instanceof PeerNotRunning
+  return thrown instanceof PeerRefusedConnection
 }
--- a/test/entry/leadership/lease-handover.test.ts
+++ b/test/entry/leadership/lease-handover.test.ts
@@ -6,7 +6,7 @@
 import { createSnapshot } from '../../../src/entry/registry/snapshot.ts'
 import { registryKeys, type Registry } from '../../../src/entry/registry/index.ts'
 import type { StoreRow } from '../../../src/entry/ports/index.ts'
-import { PeerNotRunning } from '../../../src/peers/refusal.ts'
+import { PeerRefusedConnection } from '../../../src/peers/refusal.ts'
 import { FakeStore } from '../../fixtures/fleet/store.ts'
 
 const TABLE = 'worksward'
@@ -43,7 +43,7 @@
       storeNowAtMostMs: () => performance.now(),
       write: async (transaction: Parameters<Registry['write']>[0]) => store.apply({ ...transaction, table: TABLE })
     }
-    const peers = { requestOrDisconnect: async () => { throw new PeerNotRunning('h1', 'connect ECONNREFUSED') } }
+    const peers = { requestOrDisconnect: async () => { throw new PeerRefusedConnection('h1', 'connect ECONNREFUSED') } }
     return createPromotionLease({ registry: registry as unknown as Registry, peers, logger: silentLogger })
   }
 
--- a/test/entry/process/reach.test.ts
+++ b/test/entry/process/reach.test.ts
@@ -6,7 +6,7 @@
 import type { KnownUpstream } from '../../../src/entry/directory/index.ts'
 import type { UpstreamResources } from '../../../src/entry/pools/index.ts'
 import type { KnownHost } from '../../../src/entry/registry/index.ts'
-import { PeerNotRunning } from '../../../src/peers/refusal.ts'
+import { PeerRefusedConnection } from '../../../src/peers/refusal.ts'
 
 const never = new Promise<ReachAnswer>(() => {})
 const decide = async (answers: ReachAnswer[], pending: Array<Promise<ReachAnswer>> = []): Promise<boolean> =>
@@ -51,7 +51,7 @@
           const { name } = endpoint as KnownHost
           const answer = answerOf.get(name)!
           if (answer === 'refuses') {
-            throw new PeerNotRunning(name, 'connect ECONNREFUSED')
+            throw new PeerRefusedConnection(name, 'connect ECONNREFUSED')
           }
           return { reached: answer === 'reached' }
         }
