--- a/test/system/acknowledgement.test.ts
+++ b/test/system/acknowledgement.test.ts
@@ -1,10 +1,14 @@
-import { after, before, describe, it } from 'node:test'
+import { after, afterEach, before, describe, it } from 'node:test'
 import { expect } from 'earl'
 import { GROUP, purchase, readRequests, startTestDeployment, until, type TestDeployment } from '../fixtures/deployment.ts'
 
 describe('acknowledgement and promotion', () => {
   let deployment: TestDeployment
   before(async () => { deployment = await startTestDeployment() })
+  afterEach(() => {
+    deployment.network.mend()
+    deployment.standins.mendReplication()
+  })
   after(async () => await deployment.close())
 
   const replicaNames = (): string[] => {
