Log the requests that lose their connection at a stop

A record like the users' could not tell a request cut in progress from an answer that was never written out, or from one dropped before the close: request.done is written when an answer exists, and callers.drained counts sessions.

No decision is changed: the requests a connection drops are the same as before.

--- a/src/entry/ports/types.ts
+++ b/src/entry/ports/types.ts
@@ -3,9 +3,18 @@
 import type { LogPosition } from '../../positions/position.ts'
 import type { CallerHandler, CallerLink, PreparedShape, StatementAnswer } from './statements.ts'
 
+/** A request of an open connection that was read whole, but whose answer has not been written whole. */
+export interface UnansweredRequest {
+  id: string
+  /** Whether it waits for earlier requests, is being served, or has an answer that is still being written. */
+  stage: 'queued' | 'in-progress' | 'unflushed'
+}
+
 /** A socket that accepts callers. */
 interface CallerListener {
   readonly connections: number
+  /** Returns the unanswered requests of all open connections. */
+  unanswered: () => UnansweredRequest[]
   /** Stops accepting connections; open ones stay open. */
   stopAccepting: () => void
   /** Stops listening, and closes the remaining connections. */
--- a/src/entry/requests/index.ts
+++ b/src/entry/requests/index.ts
@@ -8,6 +8,7 @@
 import { createPositionProver } from './prove-position.ts'
 import { createSession, type Session } from './session.ts'
 import { createStatementCosts } from './statement-costs.ts'
+import { countByStage, logCutRequests } from './cut-requests.ts'
 import { stopSessions } from './stop-sessions.ts'
 import type { EntryContext, EntryMetrics } from './types.ts'
 
@@ -86,6 +87,10 @@
         passedTransactions: forwarded.size
       }),
       drain: async () => {
+        const transactions = [...sessions].filter(({ inTransaction }) => inTransaction).length
+        logger.log('info', 'callers.stopping', {
+          sessions: sessions.size, transactions, ...countByStage(listener.unanswered())
+        })
         await stopSessions({
           sessions,
           graceMs: settings.graceSeconds * 1000,
@@ -94,7 +99,10 @@
         })
         logger.log('info', 'callers.drained', { left: sessions.size })
       },
-      close: async () => { await listener.close() }
+      close: async () => {
+        logCutRequests(logger, listener.unanswered())
+        await listener.close()
+      }
     }
   }
 })
