--- a/test/entry/process/stopping.test.ts
+++ b/test/entry/process/stopping.test.ts
@@ -1,6 +1,12 @@
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
-import { setUpWorld } from '../../fixtures/fleet/set-up.ts'
+import { pause } from '../../../src/core/time/deadline.ts'
+import { MONEY, setUpWorld } from '../../fixtures/fleet/set-up.ts'
+import type { FakeCaller, FakeRoute } from '../../fixtures/fleet/world.ts'
+
+const VIEW: FakeRoute = {
+  database: 'view', group: 'g', freshness: { type: 'bounded', maximumAgeMs: 1500 }, timeoutMs: 2000
+}
 
 describe('graceful shutdown of an entry process', () => {
   const suite = setUpWorld(['h1'])
@@ -49,3 +55,35 @@
     expect(await stopping < 6000).toEqual(true)
   })
 })
+
+describe('graceful shutdown with callers that go on using their connections', () => {
+  const suite = setUpWorld(['h1', 'h2', 'h3', 'h4', 'h5', 'h6'], [MONEY, VIEW])
+
+  for (const { statementMs, pauseMs } of [
+    { statementMs: 200, pauseMs: 20 }, { statementMs: 900, pauseMs: 20 }, { statementMs: 1400, pauseMs: 140 }
+  ]) {
+    it(`cuts no request in progress: statements of ${statementMs} ms, pauses of ${pauseMs} ms`, async () => {
+      const host = suite.world.hosts.get('h1')!
+      suite.world.upstreams.all.forEach((upstream) => { upstream.workMs = statementMs })
+      const requests: Array<{ startedAt: number, endedAt: number }> = []
+      const callUntilEnded = async (caller: FakeCaller): Promise<void> => {
+        while (!caller.ended && performance.now() < host.closedAt) {
+          const request = { startedAt: performance.now(), endedAt: Infinity }
+          requests.push(request)
+          await caller.read()
+          request.endedAt = performance.now()
+          await pause(pauseMs)
+        }
+      }
+      for (let count = 0; count < 4; count++) {
+        void callUntilEnded(suite.world.connect('h1', 'view'))
+      }
+      const stopping = host.kernel.stop()
+      host.running = false
+      await suite.clock.tickAsync(8000)
+      await stopping
+      expect(requests.length > 8).toEqual(true)
+      expect(requests.filter(({ endedAt }) => endedAt > host.closedAt)).toEqual([])
+    })
+  }
+})
