Answer each request that was read before its connection ends

Callers saw: a request sent behind another one, or while the answer that ends the connection was awaited, was read and never answered; and a caller with more than 64 requests in the pipe lost the connection with all of them. Nothing of them had run, but the caller could not know that.

Cause: the caller port kept the requests of a connection in a queue of its own, dropped the queue and all later lines once the connection was to end, and destroyed the socket when the queue was full.

Change: src/entry/requests/caller-requests.ts owns the requests of a connection from their reading until their answers, one at a time. The port passes every line on at once, knows each request until its answer is written, and ends the connection when none is without an answer. With more than 64 it reads no further, so the pipe holds the caller up.

--- a/src/entry/ports/statements.ts
+++ b/src/entry/ports/statements.ts
@@ -55,7 +55,8 @@
 /** Serves the connection of one caller. */
 export interface CallerHandler {
   /**
-   * Serves one request. The listener sends the next one after the answer.
+   * Serves a request that was read whole, which may be while earlier ones are served. Answers must come in the order of
+   * the requests.
    *
    * @param request - the request
    * @returns the answer; never rejects
@@ -70,7 +71,7 @@
   database: string
   /** Digest of the caller's key; the key itself is not passed on. */
   keyDigest: string
-  /** Closes the connection after the pending answer has been sent. */
+  /** Ends the connection as soon as every request that was read has an answer, and the answers are written. */
   end: () => void
 }
 
--- a/src/entry/ports/types.ts
+++ b/src/entry/ports/types.ts
@@ -6,8 +6,8 @@
 /** A request of an open connection that was read whole, but whose answer has not been written whole. */
 export interface UnansweredRequest {
   id: string
-  /** Whether it waits for earlier requests, is being served, or has an answer that is still being written. */
-  stage: 'queued' | 'in-progress' | 'unflushed'
+  /** Whether it has no answer, or one that is still being written. */
+  stage: 'in-progress' | 'unflushed'
 }
 
 /** A socket that accepts callers. */
--- a/src/entry/requests/cut-requests.ts
+++ b/src/entry/requests/cut-requests.ts
@@ -11,11 +11,9 @@
  * @param requests - the requests
  * @returns the number in each stage
  */
-export function countByStage (
-  requests: UnansweredRequest[]
-): { queued: number, inProgress: number, unflushed: number } {
-  const count = (stage: UnansweredRequest['stage']): number => requests.filter((request) => request.stage === stage).length
-  return { queued: count('queued'), inProgress: count('in-progress'), unflushed: count('unflushed') }
+export function countByStage (requests: UnansweredRequest[]): { inProgress: number, unflushed: number } {
+  const inProgress = requests.filter(({ stage }) => stage === 'in-progress').length
+  return { inProgress, unflushed: requests.length - inProgress }
 }
 
 /**
--- a/src/entry/requests/index.ts
+++ b/src/entry/requests/index.ts
@@ -6,6 +6,7 @@
 import { createRetryBudget } from '../../retries/retry-budget.ts'
 import { serveForwarded } from './serve-forwarded.ts'
 import { createPositionProver } from './prove-position.ts'
+import { createCallerRequests } from './caller-requests.ts'
 import { createSession, type Session } from './session.ts'
 import { createStatementCosts } from './statement-costs.ts'
 import { countByStage, logCutRequests } from './cut-requests.ts'
@@ -77,7 +78,7 @@
         onClose: () => sessions.delete(session)
       })
       sessions.add(session)
-      return session
+      return { serve: createCallerRequests({ serve: session.serve }).serve, close: session.close }
     })
     return {
       service: {},
--- a/test/platform/caller-port.test.ts
+++ b/test/platform/caller-port.test.ts
@@ -121,6 +121,42 @@
     expect(caller.text()).toEqual('READY I -\r\nROW r w\r\nDONE s.1\r\nREADY I 3.9\r\n')
   })
 
+  it('answers each request that it reads before the end of the connection', async () => {
+    const finish: Array<(answer: StatementAnswer) => void> = []
+    const { port, links, served } = await listen(async () => await new Promise((resolve) => { finish.push(resolve) }))
+    const caller = await call(port)
+    caller.socket.write('START d1 u1\r\nQUERY 7a READ k\r\nQUERY 7b READ k\r\n')
+    await caller.until('READY')
+    await new Promise((resolve) => { setTimeout(resolve, 20) })
+    links[0]!.end()
+    caller.socket.write('QUERY 7c READ k\r\n')
+    await new Promise((resolve) => { setTimeout(resolve, 20) })
+    expect(served.map(({ id }) => id)).toEqual(['7a', '7b', '7c'])
+    finish.forEach((answer) => answer(done))
+    await once(caller.socket, 'end')
+    expect(caller.text().split('DONE').length - 1).toEqual(3)
+  })
+
+  it('reads no further requests of a caller while many are unanswered, and drops none', async () => {
+    const finish: Array<(answer: StatementAnswer) => void> = []
+    const { port, served } = await listen(async () => await new Promise((resolve) => { finish.push(resolve) }))
+    const caller = await call(port)
+    caller.socket.write('START d1 u1\r\n')
+    await caller.until('READY')
+    const line = `QUERY 7a WRITE k ${'x'.repeat(5000)}\r\n`
+    for (let sent = 0; sent < 400; sent++) {
+      caller.socket.write(line)
+    }
+    await new Promise((resolve) => { setTimeout(resolve, 50) })
+    expect(served.length < 150).toEqual(true)
+    const answering = setInterval(() => finish.splice(0).forEach((answer) => answer(done)), 1)
+    while (caller.text().split('DONE').length - 1 < 400 && !caller.socket.closed) {
+      await Promise.race([once(caller.socket, 'data'), once(caller.socket, 'close')])
+    }
+    clearInterval(answering)
+    expect(served.length).toEqual(400)
+  })
+
   it('rejects invalid input with an error and keeps serving other callers', async () => {
     const { port } = await listen(async () => done)
     const other = await call(port)
