End each caller's connection after an answer at a stop, and answer what is left within the grace period

Callers saw: around SIGTERM a request that was taken, forwarded and run by an upstream ended without an answer.

Cause: a stopping host ended only sessions that had rested for 150 ms. A caller with shorter pauses kept its session until 5.1 s after SIGTERM; then every socket was destroyed, whatever was in progress. No owner of a request knew of the stop: its deadline was the route's, and the code that closed the connections asked nobody whether something was unanswered.

Change: once the balancer has noticed the stop, a connection ends with its next answer outside a transaction, or when it rests; what waits behind that answer, and a transaction that begins, is refused as not run. After five sixths of the grace period each request left is answered: busy if nothing was sent for it, aborted if it leaves no effect, else in doubt; its deadline expires, and nothing is sent for a request whose deadline has passed.

The frozen exchange now keeps a transaction open at the stopping host, since the stop was over before another host retired its row; its expected bytes are the same.

--- a/src/core/time/deadline.ts
+++ b/src/core/time/deadline.ts
@@ -5,7 +5,7 @@
 export class Deadline {
   /** Total time granted, in milliseconds. */
   readonly grantedMs: number
-  private readonly expiresAt: number
+  private expiresAt: number
 
   constructor (grantedMs: number) {
     this.grantedMs = grantedMs
@@ -22,6 +22,11 @@
     return this.leftMs === 0
   }
 
+  /** Makes the deadline pass now. Waits that have begun keep their time. */
+  expire (): void {
+    this.expiresAt = Math.min(this.expiresAt, performance.now())
+  }
+
   /**
    * Throws if the deadline has passed.
    *
--- a/src/entry/requests/attempt.ts
+++ b/src/entry/requests/attempt.ts
@@ -1,6 +1,6 @@
 /** Runs one attempt of a single statement and converts its outcome to the input of `retry-rules.ts`. */
 import { describeThrown, toRequestError, type RequestError } from '../../core/errors/index.ts'
-import type { StatementAnswer } from '../ports/index.ts'
+import { verdictOf, type StatementAnswer } from '../ports/index.ts'
 import { recordAnswer } from './record-answer.ts'
 import type { RetryCause } from './retry-rules.ts'
 import type { StatementExecutor } from './statement-executor.ts'
@@ -25,9 +25,13 @@
   try {
     const timed = await executor.runSingle(scope, statement, statement.access === 'read')
     recordAnswer(context, scope, timed)
+    const { failure } = timed.answer
+    scope.sent = failure === undefined || verdictOf(failure.kind) !== 'not-run'
     return { answer: timed.answer }
   } catch (thrown) {
-    return { error: toRequestError(thrown, 'may-have-run'), reason: describeThrown(thrown) }
+    const error = toRequestError(thrown, 'may-have-run')
+    scope.sent = error.verdict !== 'not-run'
+    return { error, reason: describeThrown(thrown) }
   }
 }
 
--- a/src/entry/requests/caller-requests.ts
+++ b/src/entry/requests/caller-requests.ts
@@ -1,8 +1,9 @@
 /**
  * Owns the requests of a caller's connection from the time they are read until they have an answer, and serves them one
- * at a time in their order.
+ * at a time in their order. To end the connection is its decision, so none ends with a request that has no answer.
  */
-import type { CallerRequest, StatementAnswer } from '../ports/index.ts'
+import type { CallerHandler, CallerLink, CallerRequest, StatementAnswer } from '../ports/index.ts'
+import type { Session } from './session.ts'
 
 /** A request without an answer. */
 interface UnservedRequest {
@@ -12,47 +13,76 @@
 
 /** Options of {@link createCallerRequests}. */
 interface CallerRequestsOptions {
-  /** Serves a request; never rejects. */
-  serve: (request: CallerRequest) => Promise<StatementAnswer>
+  session: Pick<
+    Session, 'serve' | 'refuse' | 'interrupt' | 'idleMs' | 'inTransaction' | 'abortTransaction' | 'close'
+  >
+  link: Pick<CallerLink, 'end'>
+  onClose: () => void
 }
 
 /** The requests of a connection. */
-export interface CallerRequests {
+export interface CallerRequests extends CallerHandler {
   /** Number of requests without an answer. */
   readonly unanswered: number
-  /**
-   * Serves a request after all earlier ones.
-   *
-   * @param request - the request
-   * @returns its answer; never rejects
-   */
-  serve: (request: CallerRequest) => Promise<StatementAnswer>
+  /** Time without a request or an open transaction, in milliseconds. */
+  readonly idleMs: number
+  readonly inTransaction: boolean
+  /** Rolls back the open transaction; the caller's next statement fails with the reason. */
+  abortTransaction: (reason: string) => void
+  /** Ends the connection after the next answer outside a transaction; no transaction begins any more. */
+  endAfterAnswer: () => void
+  /** Answers all requests at once, and ends the connection. */
+  endNow: () => void
 }
 
 /**
  * Creates the owner of a connection's requests.
  *
- * @param options - serves a request
+ * @param options - the session that serves them, and the connection
  * @returns the owner
  */
-export function createCallerRequests ({ serve }: CallerRequestsOptions): CallerRequests {
+export function createCallerRequests ({ session, link, onClose }: CallerRequestsOptions): CallerRequests {
   const waiting: UnservedRequest[] = []
   let isServing = false
+  let endsAfterAnswer = false
+  let isEnded = false
 
+  const end = (): void => {
+    isEnded = true
+    link.end()
+  }
+  const mayServe = ({ statement }: CallerRequest): boolean =>
+    !isEnded && !(endsAfterAnswer && statement.type === 'begin' && !session.inTransaction)
   const serveWaiting = async (): Promise<void> => {
     isServing = true
     for (let next = waiting.shift(); next !== undefined; next = waiting.shift()) {
-      next.answer(await serve(next.request))
+      next.answer(mayServe(next.request) ? await session.serve(next.request) : session.refuse(next.request))
+      if (endsAfterAnswer && !session.inTransaction) {
+        end()
+      }
     }
     isServing = false
   }
   return {
     get unanswered () { return waiting.length + (isServing ? 1 : 0) },
+    get idleMs () { return isServing ? 0 : session.idleMs },
+    get inTransaction () { return session.inTransaction },
     serve: async (request) => await new Promise((resolve) => {
       waiting.push({ request, answer: resolve })
       if (!isServing) {
         void serveWaiting()
       }
-    })
+    }),
+    abortTransaction: session.abortTransaction,
+    endAfterAnswer: () => { endsAfterAnswer = true },
+    endNow: () => {
+      end()
+      session.interrupt()
+    },
+    close: () => {
+      isEnded = true
+      session.close()
+      onClose()
+    }
   }
 }
--- a/src/entry/requests/forwarding-executor.ts
+++ b/src/entry/requests/forwarding-executor.ts
@@ -48,6 +48,8 @@
   }
   return {
     ask: async (scope, type, body, onLateReply) => {
+      scope.deadline.check('not-run', `waiting to be forwarded to ${home.name}`)
+      scope.sent = true
       scope.home = home.name
       const sentAt = performance.now()
       const timeoutMs = scope.deadline.leftMs + FORWARDING_GRACE_MS
--- a/src/entry/requests/index.ts
+++ b/src/entry/requests/index.ts
@@ -6,11 +6,12 @@
 import { createRetryBudget } from '../../retries/retry-budget.ts'
 import { serveForwarded } from './serve-forwarded.ts'
 import { createPositionProver } from './prove-position.ts'
-import { createCallerRequests } from './caller-requests.ts'
-import { createSession, type Session } from './session.ts'
+import { createCallerRequests, type CallerRequests } from './caller-requests.ts'
+import { createSession } from './session.ts'
 import { createStatementCosts } from './statement-costs.ts'
 import { countByStage, logCutRequests } from './cut-requests.ts'
 import { stopSessions } from './stop-sessions.ts'
+import { stopTimesOf } from './stop-times.ts'
 import type { EntryContext, EntryMetrics } from './types.ts'
 
 /** Maximum idle time of a transaction while no desired state is known, in milliseconds. */
@@ -41,7 +42,7 @@
     const desiredState = context.use('desiredState')
     const metrics = context.use('metrics')
     const { logger } = context
-    const sessions = new Set<Session>()
+    const connections = new Set<CallerRequests>()
     const entryContext: EntryContext = {
       pools: context.use('pools'),
       homes: context.use('homes'),
@@ -53,10 +54,11 @@
       retryBudget: createRetryBudget(),
       costs: createStatementCosts(),
       metrics: createEntryMetrics(metrics),
+      host: settings.host.name,
       failureDomain: settings.host.failureDomain,
       get drainMs () { return settings.drainMs }
     }
-    metrics.registerGauge('worksward_sessions', 'Sessions that are open', () => ({ open: sessions.size }))
+    metrics.registerGauge('worksward_sessions', 'Sessions that are open', () => ({ open: connections.size }))
     entryContext.freshness.setProver(createPositionProver(entryContext).prove)
     const forwarded = serveForwarded({
       context: entryContext,
@@ -74,31 +76,31 @@
         link,
         desiredState: () => desiredState.current,
         waitForDesiredState: desiredState.waitForFirst,
-        onDone: metrics.recordRequest,
-        onClose: () => sessions.delete(session)
+        onDone: metrics.recordRequest
       })
-      sessions.add(session)
-      return { serve: createCallerRequests({ serve: session.serve }).serve, close: session.close }
+      const connection = createCallerRequests({ session, link, onClose: () => connections.delete(connection) })
+      connections.add(connection)
+      return connection
     })
     return {
       service: {},
       dump: () => ({
-        sessions: sessions.size,
-        busy: [...sessions].filter(({ busy }) => busy).length,
+        sessions: connections.size,
+        busy: [...connections].filter(({ unanswered }) => unanswered > 0).length,
         passedTransactions: forwarded.size
       }),
       drain: async () => {
-        const transactions = [...sessions].filter(({ inTransaction }) => inTransaction).length
+        const transactions = [...connections].filter(({ inTransaction }) => inTransaction).length
         logger.log('info', 'callers.stopping', {
-          sessions: sessions.size, transactions, ...countByStage(listener.unanswered())
+          sessions: connections.size, transactions, ...countByStage(listener.unanswered())
         })
         await stopSessions({
-          sessions,
-          graceMs: settings.graceSeconds * 1000,
+          connections,
+          times: stopTimesOf(settings.graceSeconds * 1000),
           stopAccepting: listener.stopAccepting,
           drainForwarded: forwarded.drain
         })
-        logger.log('info', 'callers.drained', { left: sessions.size })
+        logger.log('info', 'callers.drained', { left: connections.size })
       },
       close: async () => {
         logCutRequests(logger, listener.unanswered())
--- a/src/entry/requests/leased-commands.ts
+++ b/src/entry/requests/leased-commands.ts
@@ -24,6 +24,7 @@
 }
 
 const PRIMARY_CHANGED = 'the primary has changed'
+const DEADLINE_PASSED = 'the time for the request had passed before it was sent'
 
 /** Commands on a leased connection; each is a use of the primary and may end the connection's lease on failure. */
 interface LeasedCommands {
@@ -98,13 +99,13 @@
 }
 
 /** Releases the connection, on which nothing was sent, and creates the error. */
-function refuseNew ({ lease, target: { upstream } }: LeasedUpstream): RequestError {
+function refuseNew ({ lease, target: { upstream } }: LeasedUpstream, reason: string): RequestError {
   lease.release()
-  return new RequestError('not-run', 'ConnectionLost', { upstream, reason: PRIMARY_CHANGED })
+  return new RequestError('not-run', 'ConnectionLost', { upstream, reason })
 }
 
-function transactionBroken (): RequestError {
-  return new RequestError('not-run', 'TransactionLost', { reason: PRIMARY_CHANGED })
+function transactionBroken (reason: string): RequestError {
+  return new RequestError('not-run', 'TransactionLost', { reason })
 }
 
 /**
@@ -122,17 +123,21 @@
   let wrote = false
   /** Creates the options of a command; `refuse` creates the error if it may not be sent any more. */
   const optionsOf = (
-    scope: RequestScope, mayAbandon: boolean, isRead: boolean, refuse: () => RequestError
+    scope: RequestScope, mayAbandon: boolean, isRead: boolean, refuse: (reason: string) => RequestError
   ): RunOptions => ({
     ...runOptionsOf(context, leased, scope, mayAbandon),
     admit: () => {
       if (!rights.maySend(isRead)) {
-        throw refuse()
+        throw refuse(PRIMARY_CHANGED)
       }
+      if (scope.deadline.passed) {
+        throw refuse(DEADLINE_PASSED)
+      }
+      scope.sent = true
       return rights.epoch
     }
   })
-  const refuseToBegin = (): RequestError => refuseNew(leased)
+  const refuseToBegin = (reason: string): RequestError => refuseNew(leased, reason)
   /** Runs a command as a use of the primary, and takes its answer before the use counts as finished. */
   const run = async (command: () => Promise<TimedAnswer>, hasWritten = false): Promise<TimedAnswer> =>
     await rights.whileRunning(async () => takeAnswer(context, leased, rights, await command(), hasWritten))
--- a/src/entry/requests/session-state.ts
+++ b/src/entry/requests/session-state.ts
@@ -17,6 +17,8 @@
   floor: LogPosition | undefined
   /** Details of the current request for the log. */
   trace: RequestTrace
+  /** Whether its requests have been answered because this host is stopping; nothing is sent for them any more. */
+  isInterrupted: boolean
 }
 
 /**
@@ -28,7 +30,7 @@
 export function createSessionState (
   { context, link, desiredState }: Pick<SessionState, 'context' | 'link' | 'desiredState'>
 ): SessionState {
-  return { context, link, desiredState, names: createSessionNames(), floor: undefined, trace: {} }
+  return { context, link, desiredState, names: createSessionNames(), floor: undefined, trace: {}, isInterrupted: false }
 }
 
 /**
@@ -68,6 +70,9 @@
     attempts: 0,
     triedHomes: new Set()
   }
+  if (session.isInterrupted) {
+    scope.deadline.expire()
+  }
   session.trace = { scope }
   return scope
 }
--- a/src/entry/requests/session-transaction.ts
+++ b/src/entry/requests/session-transaction.ts
@@ -16,6 +16,8 @@
 export interface SessionTransaction {
   readonly state: TransactionState
   readonly isOpen: boolean
+  /** Whether it is open, and the caller has not been told that it failed. */
+  readonly canContinue: boolean
   /** Begins a transaction without sending anything yet. Throws RequestError if the caller may not begin one. */
   begin: (readOnly: boolean) => Promise<StatementAnswer>
   /** Runs a statement in the open transaction. */
@@ -80,6 +82,7 @@
   session: SessionState, ending: CallerTransaction, requestId: string, text: string
 ): Promise<StatementAnswer> {
   const scope = startRequestScope(session, requestId, ending)
+  scope.hasLastingEffect = ending.wrote
   session.trace.upstream = ending.upstream
   try {
     ensureKeyHeld(session, ending)
@@ -115,6 +118,7 @@
   return {
     get state () { return stateNow() },
     get isOpen () { return open !== undefined },
+    get canContinue () { return open !== undefined && !(open.failed && failureReported) },
     begin: async (readOnly) => {
       if (open !== undefined) {
         return failureAnswer('malformed', 'a transaction is open', stateNow())
--- a/src/entry/requests/session.ts
+++ b/src/entry/requests/session.ts
@@ -1,5 +1,5 @@
 /** A caller's session: serves its requests in sequence and dispatches them by the type of the statement. */
-import { RequestError } from '../../core/errors/index.ts'
+import { RequestError, type Verdict } from '../../core/errors/index.ts'
 import type {
   CallerHandler, CallerLink, CallerRequest, CallerStatement, DesiredState, StatementAnswer
 } from '../ports/index.ts'
@@ -17,6 +17,7 @@
  * callers would be told that their database is not declared.
  */
 const DESIRED_STATE_WAIT_MS = 400
+const STOP_REASON = 'this host is stopping'
 
 /** Options of {@link createSession}. */
 interface SessionOptions {
@@ -27,19 +28,19 @@
   waitForDesiredState: (timeoutMs: number) => Promise<boolean>
   /** Called after each request with its outcome. */
   onDone: (outcome: string, durationMs: number) => void
-  onClose: () => void
 }
 
 /** A caller's session. */
 export interface Session extends CallerHandler {
-  readonly busy: boolean
-  /** Time without a request or an open transaction, in milliseconds. */
+  /** Time without a request, or a transaction that can go on, in milliseconds. */
   readonly idleMs: number
   readonly inTransaction: boolean
   /** Rolls back the open transaction; the caller's next statement fails with the reason. */
   abortTransaction: (reason: string) => void
-  /** Closes the connection after the answer in progress. */
-  end: () => void
+  /** Returns the answer to a request that is not served because this host is stopping. */
+  refuse: (request: CallerRequest) => StatementAnswer
+  /** Answers the request in progress, if any, because this host is stopping; sends nothing more for it. */
+  interrupt: () => void
 }
 
 /** Handlers by type of statement; `id` is the request id. */
@@ -108,6 +109,7 @@
   const handlers = createHandlers(session, transaction)
   let busy = false
   let closed = false
+  let answerNow = (_answer: StatementAnswer): void => {}
   let idleSince = performance.now()
 
   const executeRequest = async ({ id, statement }: CallerRequest): Promise<StatementAnswer> => {
@@ -123,7 +125,10 @@
     const startedAt = performance.now()
     busy = true
     session.trace = {}
-    const answer = await executeRequest(request)
+    const answer = await new Promise<StatementAnswer>((resolve) => {
+      answerNow = resolve
+      void executeRequest(request).then(resolve)
+    })
     busy = false
     idleSince = performance.now()
     if (succeededAtUpstream(answer)) {
@@ -141,9 +146,17 @@
     }
     return answer
   }
+  /** Creates the answer to a request that this host stops serving, and aborts the transaction it belongs to. */
+  const answerStopped = (verdict: Verdict, hasLastingEffect = false): StatementAnswer => {
+    if (transaction.isOpen) {
+      transaction.abort(STOP_REASON)
+      return failureAnswer('aborted', `the transaction was rolled back: ${STOP_REASON}`, 'failed')
+    }
+    const error = new RequestError(verdict, 'Stopping', { host: context.host })
+    return { rows: [], failure: failureOf(error, !hasLastingEffect), state: 'idle' }
+  }
   return {
-    get busy () { return busy },
-    get idleMs () { return busy || transaction.isOpen ? 0 : performance.now() - idleSince },
+    get idleMs () { return busy || transaction.canContinue ? 0 : performance.now() - idleSince },
     get inTransaction () { return transaction.isOpen },
     serve,
     close: () => {
@@ -152,9 +165,16 @@
       if (!busy) {
         transaction.clear()
       }
-      options.onClose()
     },
     abortTransaction: transaction.abort,
-    end: link.end
+    refuse: () => answerStopped('not-run'),
+    interrupt: () => {
+      session.isInterrupted = true
+      const { scope } = session.trace
+      scope?.deadline.expire()
+      if (busy) {
+        answerNow(answerStopped(scope?.sent === true ? 'may-have-run' : 'not-run', scope?.hasLastingEffect))
+      }
+    }
   }
 }
--- a/src/entry/requests/single-statement.ts
+++ b/src/entry/requests/single-statement.ts
@@ -28,6 +28,7 @@
   const callerRoute = findCallerRoute(session.desiredState(), session.link)
   const { route, organisation } = callerRoute
   const scope = startRequestScope(session, statement.requestId, callerRoute)
+  scope.hasLastingEffect = statement.access === 'write'
   await limits.take(organisation)
   const giveBackUnlessRun = (verdict: Verdict): void => {
     if (verdict === 'not-run') {
--- a/src/entry/requests/stop-sessions.ts
+++ b/src/entry/requests/stop-sessions.ts
@@ -1,65 +1,57 @@
 /**
- * Ends callers' sessions during a graceful shutdown. Idle sessions are closed once the load balancer has noticed the
- * shutdown, and open transactions are aborted after half of the grace period. {@link STOP_RESERVE_MS} before its end
- * the wait for the remaining sessions stops.
+ * Ends callers' connections during a graceful shutdown: each one after an answer, or when it is idle. Open transactions
+ * may finish for a part of the grace period. What is unanswered when the time for answers ends is answered then.
  */
 import { pause } from '../../core/time/deadline.ts'
-import type { Session } from './session.ts'
+import type { CallerRequests } from './caller-requests.ts'
+import type { StopTimes } from './stop-times.ts'
 
-/** Time after which the load balancer has noticed the shutdown and idle sessions are closed, in milliseconds. */
-const BALANCER_NOTICE_MS = 2200
-/** Part of the grace period reserved for the rest of the shutdown, in milliseconds. */
-const STOP_RESERVE_MS = 900
-/** Idle time after which a session is closed during shutdown, in milliseconds. */
+/** Idle time after which a connection is ended during shutdown, in milliseconds. */
 const SESSION_IDLE_MS = 150
-/** Interval between checks for open sessions or transactions during shutdown, in milliseconds. */
+/** Interval between checks for open connections or transactions during shutdown, in milliseconds. */
 export const STOP_POLL_MS = 50
+const STOP_REASON = 'this host is stopping'
 
-/** The part of a session that shutdown needs. */
-type StoppingSession = Pick<Session, 'inTransaction' | 'idleMs' | 'abortTransaction' | 'end'>
+/** The part of a connection that shutdown needs. */
+type StoppingConnection =
+  Pick<CallerRequests, 'idleMs' | 'inTransaction' | 'abortTransaction' | 'endAfterAnswer' | 'endNow'>
 
 /** Options of {@link stopSessions}. */
 interface StopOptions {
-  sessions: ReadonlySet<StoppingSession>
-  /** Length of the grace period, in milliseconds. */
-  graceMs: number
+  connections: ReadonlySet<StoppingConnection>
+  times: StopTimes
   /** Stops accepting connections. */
   stopAccepting: () => void
   /** Waits for transactions of other hosts to finish, and ends those still open after `endMs` milliseconds. */
   drainForwarded: (endMs: number) => Promise<void>
 }
 
-/** Closes idle sessions and, after half of the grace period, aborts open transactions. */
-function endIdleSessions (sessions: ReadonlySet<StoppingSession>, elapsedMs: number, graceMs: number): void {
-  for (const session of sessions) {
-    if (session.inTransaction && elapsedMs > graceMs / 2) {
-      session.abortTransaction('this host is stopping')
-    }
-    if (session.idleMs > SESSION_IDLE_MS && elapsedMs > BALANCER_NOTICE_MS) {
-      session.end()
-    }
+function endConnection (connection: StoppingConnection, elapsedMs: number, { transactionsMs }: StopTimes): void {
+  connection.endAfterAnswer()
+  if (connection.inTransaction && elapsedMs > transactionsMs) {
+    connection.abortTransaction(STOP_REASON)
+  }
+  if (connection.idleMs > SESSION_IDLE_MS) {
+    connection.endNow()
   }
 }
 
 /**
- * Ends sessions until none is left or the grace period is nearly over.
+ * Ends all connections in the time for answers.
  *
- * @param options - the sessions and the grace period
+ * @param options - the connections and the times of the stop
  */
 export async function stopSessions (
-  { sessions, graceMs, stopAccepting, drainForwarded }: StopOptions
+  { connections, times, stopAccepting, drainForwarded }: StopOptions
 ): Promise<void> {
   const startedAt = performance.now()
   const elapsed = (): number => performance.now() - startedAt
-  const drainUntil = async (minimumMs: number): Promise<void> => {
-    while (elapsed() < graceMs - STOP_RESERVE_MS && (sessions.size > 0 || elapsed() < minimumMs)) {
-      endIdleSessions(sessions, elapsed(), graceMs)
-      await pause(STOP_POLL_MS)
-    }
-  }
-  await drainUntil(BALANCER_NOTICE_MS)
-  // Sessions accepted just before the listener closes are still served.
+  await pause(times.endingMs)
   stopAccepting()
-  await drainUntil(elapsed() + SESSION_IDLE_MS)
-  await drainForwarded(Math.max(0, graceMs / 2 - elapsed()))
+  while (connections.size > 0 && elapsed() < times.answersMs) {
+    connections.forEach((connection) => endConnection(connection, elapsed(), times))
+    await pause(STOP_POLL_MS)
+  }
+  connections.forEach((connection) => connection.endNow())
+  await drainForwarded(Math.max(0, times.transactionsMs - elapsed()))
 }
--- a/src/entry/requests/types.ts
+++ b/src/entry/requests/types.ts
@@ -24,6 +24,8 @@
   retryBudget: RetryBudget
   costs: StatementCosts
   metrics: EntryMetrics
+  /** Name of this host. */
+  host: string
   failureDomain: string
   /** Time after which a draining upstream must get no new work, in milliseconds. */
   drainMs: number
@@ -72,6 +74,10 @@
   softDeadline: number
   /** Number of attempts so far. */
   attempts: number
+  /** Whether a statement was sent for it that may run, or may have run. */
+  sent?: boolean
+  /** Whether it has a lasting effect if it runs: a single write, or the commit of a transaction that wrote. */
+  hasLastingEffect?: boolean
   /** Upstream of the last attempt, for the log. */
   upstream?: string
   /** Home to which it was forwarded last, for the log. */
--- a/test/frozen/exchange.test.ts
+++ b/test/frozen/exchange.test.ts
@@ -139,6 +139,8 @@
     world.silent.clear()
     await clock.tickAsync(6000)
     const leaving = world.hosts.get('h5')!
+    // An open transaction makes the stop last until another host has retired the row.
+    await settle(world.connect('h5', 'money', 'red-1').send({ type: 'begin', readOnly: false }), 60)
     const stopping = leaving.kernel.stop()
     leaving.running = false
     await settle(stopping, 9000)
