Let the answers of a stopping host reach callers that read slowly

Callers saw: of a large answer to a slow reader, only what the operating system had taken (3.9 MB of 6) arrived when the host stopped, and the connection was reset in the middle.

Cause: an answer counted as given when it was handed to the socket; the close of the callers' port destroyed the sockets, and with them what still waited in the process.

Change: a request is unanswered until its answer is written whole. The close ends each connection after its answers and waits for them until 5 % before the end of the grace period; callers.cut then names what is left, in place of what was open before the wait.

--- a/src/entry/ports/types.ts
+++ b/src/entry/ports/types.ts
@@ -17,8 +17,13 @@
   unanswered: () => UnansweredRequest[]
   /** Stops accepting connections; open ones stay open. */
   stopAccepting: () => void
-  /** Stops listening, and closes the remaining connections. */
-  close: () => Promise<void>
+  /**
+   * Stops listening, and ends the remaining connections once their requests are answered and the answers are written.
+   *
+   * @param flushMs - time after which connections are closed nevertheless, in milliseconds
+   * @returns the requests that had no whole answer then
+   */
+  close: (flushMs: number) => Promise<UnansweredRequest[]>
 }
 
 /** Accepts connections from callers. */
--- a/src/entry/requests/index.ts
+++ b/src/entry/requests/index.ts
@@ -82,6 +82,7 @@
       connections.add(connection)
       return connection
     })
+    let flushBy = 0
     return {
       service: {},
       dump: () => ({
@@ -94,17 +95,18 @@
         logger.log('info', 'callers.stopping', {
           sessions: connections.size, transactions, ...countByStage(listener.unanswered())
         })
+        const times = stopTimesOf(settings.graceSeconds * 1000)
+        flushBy = performance.now() + times.flushMs
         await stopSessions({
           connections,
-          times: stopTimesOf(settings.graceSeconds * 1000),
+          times,
           stopAccepting: listener.stopAccepting,
           drainForwarded: forwarded.drain
         })
         logger.log('info', 'callers.drained', { left: connections.size })
       },
       close: async () => {
-        logCutRequests(logger, listener.unanswered())
-        await listener.close()
+        logCutRequests(logger, await listener.close(Math.max(0, flushBy - performance.now())))
       }
     }
   }
--- a/src/entry/requests/stop-times.ts
+++ b/src/entry/requests/stop-times.ts
@@ -4,8 +4,10 @@
 const BALANCER_NOTICE_MS = 2200
 /** Share of the grace period in which open transactions may finish. */
 const TRANSACTIONS_SHARE = 1 / 2
-/** Share of the grace period by which every request is answered; the rest is for the answers to arrive. */
+/** Share of the grace period by which every request is answered. */
 const ANSWERS_SHARE = 5 / 6
+/** Share of the grace period in which answers may be written; the rest is for the exit of the process. */
+const FLUSH_SHARE = 0.95
 
 /** Times from the begin of a planned stop, in milliseconds. */
 export interface StopTimes {
@@ -15,6 +17,8 @@
   transactionsMs: number
   /** Requests that are still unanswered are answered. */
   answersMs: number
+  /** Connections are closed although their callers have not read all answers. */
+  flushMs: number
 }
 
 /**
@@ -28,6 +32,7 @@
   return {
     endingMs: Math.min(BALANCER_NOTICE_MS, transactionsMs),
     transactionsMs,
-    answersMs: graceMs * ANSWERS_SHARE
+    answersMs: graceMs * ANSWERS_SHARE,
+    flushMs: graceMs * FLUSH_SHARE
   }
 }
--- a/test/frozen/platform-lines.test.ts
+++ b/test/frozen/platform-lines.test.ts
@@ -108,7 +108,7 @@
         close: () => {}
       }
     })
-    ends.push(async () => await listener.close())
+    ends.push(async () => { await listener.close(0) })
     const socket = connect(port, ADDRESS)
     const chunks: Buffer[] = []
     socket.on('data', (chunk: Buffer) => chunks.push(chunk))
--- a/test/platform/caller-port.test.ts
+++ b/test/platform/caller-port.test.ts
@@ -6,7 +6,7 @@
 import { MAXIMUM_MESSAGE_BYTES } from '../../platform/line-wire.ts'
 import { digestOfKey } from '../../platform/secrets.ts'
 import { silentLogger } from '../../src/core/logger/index.ts'
-import type { CallerHandler, CallerLink, CallerRequest, StatementAnswer } from '../../src/entry/ports/index.ts'
+import type { CallerHandler, CallerLink, CallerPort, CallerRequest, StatementAnswer } from '../../src/entry/ports/index.ts'
 
 const closers: Array<() => Promise<void> | void> = []
 
@@ -14,6 +14,7 @@
   port: number
   links: CallerLink[]
   served: CallerRequest[]
+  close: Awaited<ReturnType<CallerPort['listen']>>['close']
 }
 
 async function freePort (): Promise<number> {
@@ -41,8 +42,8 @@
     }
     return handler
   })
-  closers.push(listener.close)
-  return { port, links, served }
+  closers.push(async () => { await listener.close(0) })
+  return { port, links, served, close: listener.close }
 }
 
 interface Calling {
@@ -157,6 +158,37 @@
     expect(served.length).toEqual(400)
   })
 
+  it('delivers a large answer whole to a slow reader although the host closes meanwhile', async () => {
+    const { port, close } = await listen(async () => ({ ...done, rows: Array.from({ length: 60 }, () => 'x'.repeat(1e5)) }))
+    const caller = await call(port)
+    caller.socket.write('START d1 u1\r\n')
+    await caller.until('READY')
+    caller.socket.pause()
+    caller.socket.write('QUERY 7a READ k\r\n')
+    await new Promise((resolve) => { setTimeout(resolve, 50) })
+    const closing = close(60_000)
+    caller.socket.resume()
+    await once(caller.socket, 'end')
+    expect(caller.text().length > 6e6 && caller.text().endsWith('READY I 3.9\r\n')).toEqual(true)
+    caller.socket.end()
+    expect(await closing).toEqual([])
+  })
+
+  it('closes connections when the time for answers is over, and names the requests without a whole one', async () => {
+    const { port, close } = await listen(async ({ id }) => id === '7b'
+      ? await new Promise<StatementAnswer>(() => {})
+      : { ...done, rows: Array.from({ length: 200 }, () => 'x'.repeat(1e5)) })
+    const reader = await call(port)
+    const waiter = await call(port)
+    reader.socket.write('START d1 u1\r\n')
+    waiter.socket.write('START d1 u1\r\nQUERY 7b READ k\r\n')
+    await Promise.all([reader.until('READY'), waiter.until('READY')])
+    reader.socket.pause()
+    reader.socket.write('QUERY 7a READ k\r\n')
+    await new Promise((resolve) => { setTimeout(resolve, 50) })
+    expect(await close(50)).toEqual([{ id: '7a', stage: 'unflushed' }, { id: '7b', stage: 'in-progress' }])
+  })
+
   it('rejects invalid input with an error and keeps serving other callers', async () => {
     const { port } = await listen(async () => done)
     const other = await call(port)
