--- a/test/platform/caller-port.test.ts
+++ b/test/platform/caller-port.test.ts
@@ -70,6 +70,12 @@
   }
 }
 
+async function closed (socket: Socket): Promise<void> {
+  if (!socket.closed) {
+    await once(socket, 'close')
+  }
+}
+
 const done: StatementAnswer = { rows: ['r w'], signature: 's.1', state: 'idle', position: { term: 3, position: 9 } }
 
 afterEach(async () => {
@@ -158,6 +164,28 @@
     expect(served.length).toEqual(400)
   })
 
+  it('answers the requests of a caller that has closed its sending side, then ends the connection', async () => {
+    const finish: Array<(answer: StatementAnswer) => void> = []
+    const { port } = await listen(async () => await new Promise((resolve) => { finish.push(resolve) }))
+    const caller = await call(port)
+    caller.socket.end('START d1 u1\r\nQUERY 7a READ k\r\nQUERY 7b READ k\r\n')
+    await caller.until('READY')
+    await new Promise((resolve) => { setTimeout(resolve, 50) })
+    finish.forEach((answer) => answer(done))
+    await closed(caller.socket)
+    expect(caller.text().split('DONE').length - 1).toEqual(2)
+  })
+
+  it('ends the connection of a caller that leaves without a request', async () => {
+    const { port } = await listen(async () => done)
+    const caller = await call(port)
+    caller.socket.end('START d1 u1\r\n')
+    const unstarted = await call(port)
+    unstarted.socket.end()
+    await Promise.all([closed(caller.socket), closed(unstarted.socket)])
+    expect([caller.text(), unstarted.text()]).toEqual(['READY I -\r\n', ''])
+  })
+
   it('delivers a large answer whole to a slow reader although the host closes meanwhile', async () => {
     const { port, close } = await listen(async () => ({ ...done, rows: Array.from({ length: 60 }, () => 'x'.repeat(1e5)) }))
     const caller = await call(port)
