Finish the statements of other hosts before a stopping home gives up its leases

Callers of other hosts saw: a single statement that their host had forwarded to a home was in doubt, or refused, because the home stopped while it ran.

Cause: a stop waited for the transactions of other hosts only, and only after its own callers; then leadership aborted the uses of primaries and the links closed. A step that ran when the time of the transactions was over kept its transaction open behind it.

Change: the work of other hosts is drained beside the own callers: new statements are refused as not run once others know of the stop, so their hosts try another home; transactions have half of the grace period, a running step first gets its answer; statements in progress have the time for answers. callers.drained tells how many are left.

--- a/src/entry/requests/forwarded-transactions.ts
+++ b/src/entry/requests/forwarded-transactions.ts
@@ -15,6 +15,7 @@
 
 /** Range of a process's first transaction number; large, so that no number of an earlier process is used again. */
 const FIRST_NUMBER_RANGE = 2 ** 47
+const STOP_REASON = 'this host is stopping'
 
 /** A transaction that is open for another host. */
 interface ForwardedTransaction {
@@ -70,7 +71,10 @@
   end: (number: number, reason: string) => Promise<void>
   /** Removes a transaction whose step got no answer, and closes its connection. */
   discard: (number: number, transaction: ForwardedTransaction) => void
-  /** Waits until all transactions have ended, and rolls back those still open after `endMs` milliseconds. */
+  /**
+   * Waits until all transactions have ended, and rolls back those still open after `endMs` milliseconds. One whose step
+   * is running is rolled back after that step.
+   */
   drain: (endMs: number) => Promise<void>
 }
 
@@ -101,6 +105,7 @@
 ): ForwardedTransactions {
   const open = new Map<number, ForwardedTransaction>()
   let nextNumber = firstNumber
+  let isDrained = false
 
   const end = async (number: number, reason: string): Promise<void> => {
     const transaction = open.get(number)
@@ -117,6 +122,11 @@
     number: number, transaction: ForwardedTransaction, answer: StatementAnswer
   ): Promise<number | undefined> => {
     transaction.running = false
+    if (leavesTransactionOpen(answer) && isDrained) {
+      open.set(number, transaction)
+      await end(number, STOP_REASON)
+      return undefined
+    }
     if (leavesTransactionOpen(answer)) {
       open.set(number, transaction)
       clearTimeout(transaction.idleTimer)
@@ -163,7 +173,8 @@
       while (open.size > 0 && performance.now() < until) {
         await pause(STOP_POLL_MS)
       }
-      await Promise.all([...open.keys()].map(async (number) => await end(number, 'this host is stopping')))
+      isDrained = true
+      await Promise.all([...open.keys()].map(async (number) => await end(number, STOP_REASON)))
     }
   }
 }
--- a/src/entry/requests/index.ts
+++ b/src/entry/requests/index.ts
@@ -69,7 +69,7 @@
       isLeaving: () => context.stopping.aborted
     })
     metrics.registerGauge('worksward_passed_transactions', 'Transactions that are open here for other hosts',
-      () => ({ open: forwarded.size }))
+      () => ({ open: forwarded.openTransactions }))
     const listener = await callers.listen(parseEndpoint(settings.listen.callers), (link) => {
       const session = createSession({
         context: entryContext,
@@ -88,7 +88,7 @@
       dump: () => ({
         sessions: connections.size,
         busy: [...connections].filter(({ unanswered }) => unanswered > 0).length,
-        passedTransactions: forwarded.size
+        passedTransactions: forwarded.openTransactions
       }),
       drain: async () => {
         const transactions = [...connections].filter(({ inTransaction }) => inTransaction).length
@@ -97,13 +97,11 @@
         })
         const times = stopTimesOf(settings.graceSeconds * 1000)
         flushBy = performance.now() + times.flushMs
-        await stopSessions({
-          connections,
-          times,
-          stopAccepting: listener.stopAccepting,
-          drainForwarded: forwarded.drain
-        })
-        logger.log('info', 'callers.drained', { left: connections.size })
+        await Promise.all([
+          stopSessions({ connections, times, stopAccepting: listener.stopAccepting }),
+          forwarded.drain(times)
+        ])
+        logger.log('info', 'callers.drained', { left: connections.size, forwarded: forwarded.inProgress })
       },
       close: async () => {
         logCutRequests(logger, await listener.close(Math.max(0, flushBy - performance.now())))
--- a/src/entry/requests/serve-forwarded.ts
+++ b/src/entry/requests/serve-forwarded.ts
@@ -1,6 +1,6 @@
 /** Serves statements that other hosts forward to this host as a home of their upstream. */
 import { RequestError } from '../../core/errors/index.ts'
-import { Deadline } from '../../core/time/deadline.ts'
+import { Deadline, pause } from '../../core/time/deadline.ts'
 import type { DesiredStateInForce } from '../desired-state/index.ts'
 import type { KnownUpstream } from '../directory/index.ts'
 import {
@@ -18,6 +18,8 @@
 import { RETRY_PAUSE_MS } from './retry-rules.ts'
 import type { TimedAnswer } from './run-statement.ts'
 import type { StatementExecutor } from './statement-executor.ts'
+import { STOP_POLL_MS } from './stop-sessions.ts'
+import type { StopTimes } from './stop-times.ts'
 import { runNextStep } from './transaction-steps.ts'
 import type { EntryContext, RequestScope } from './types.ts'
 import { acceptsNewWork, RETRY_AFTER_MS, WAIT_SHARE } from './wait-rules.ts'
@@ -43,23 +45,55 @@
 /** State shared by the message handlers. */
 interface ForwardedServer extends ForwardedOptions {
   transactions: ForwardedTransactions
+  /** Whether new statements are refused, so that their hosts try another home. */
+  refusesNew: boolean
+}
+
+/** Work of this host for other hosts. */
+interface ForwardedWork {
+  /** Number of open transactions. */
+  readonly openTransactions: number
+  /** Number of statements and steps in progress. */
+  readonly inProgress: number
+  /**
+   * Waits until everything has ended: refuses new work once other hosts know of the stop, ends transactions when their
+   * time is over, and gives statements in progress the time for answers.
+   */
+  drain: (times: StopTimes) => Promise<void>
 }
 
 /**
  * Registers the handlers of forwarded statements.
  *
  * @param options - services and limits
- * @returns the transactions that are open here for other hosts
+ * @returns the work that is in progress for other hosts
  */
-export function serveForwarded (options: ForwardedOptions): Pick<ForwardedTransactions, 'size' | 'drain'> {
+export function serveForwarded (options: ForwardedOptions): ForwardedWork {
   const { context: { logger }, peers, idleMs } = options
   const transactions = createForwardedTransactions({ logger, idleMs })
-  const server: ForwardedServer = { ...options, transactions }
+  const server: ForwardedServer = { ...options, transactions, refusesNew: false }
+  const inProgress = new Set<Promise<HomeReply>>()
+  const track = async (serving: Promise<HomeReply>): Promise<HomeReply> => {
+    inProgress.add(serving)
+    return await serving.finally(() => inProgress.delete(serving))
+  }
   peers.handle('home-statement', async (body, link) =>
-    await serveStatement(server, homeStatementSchema.parse(body), link))
-  peers.handle('home-step', async (body) => await serveStep(server, homeStepSchema.parse(body)))
+    await track(serveStatement(server, homeStatementSchema.parse(body), link)))
+  peers.handle('home-step', async (body) => await track(serveStep(server, homeStepSchema.parse(body))))
   peers.handle('home-rollback', async (body) => await serveRollback(server, homeRollbackSchema.parse(body).transaction))
-  return transactions
+  return {
+    get openTransactions () { return transactions.size },
+    get inProgress () { return inProgress.size },
+    drain: async ({ endingMs, transactionsMs, answersMs }) => {
+      const answersUntil = performance.now() + answersMs
+      await pause(endingMs)
+      server.refusesNew = true
+      await transactions.drain(transactionsMs - endingMs)
+      while (inProgress.size > 0 && performance.now() < answersUntil) {
+        await pause(STOP_POLL_MS)
+      }
+    }
+  }
 }
 
 /** Returns the load of the upstream on this host, and whether this host is shutting down. */
@@ -81,6 +115,11 @@
 ): Promise<HomeReply> {
   const { context } = server
   const { target, scope } = createScope(context, message)
+  if (server.refusesNew) {
+    throw new RequestError('not-run', 'NoUpstream', {
+      group: target.group, reason: 'its home is stopping', retryAfterMs: RETRY_PAUSE_MS
+    })
+  }
   await awaitVersion(server, scope)
   const executor = await acquireExecutor(server, target, scope, message)
   if (message.begin !== undefined) {
--- a/src/entry/requests/stop-sessions.ts
+++ b/src/entry/requests/stop-sessions.ts
@@ -22,8 +22,6 @@
   times: StopTimes
   /** Stops accepting connections. */
   stopAccepting: () => void
-  /** Waits for transactions of other hosts to finish, and ends those still open after `endMs` milliseconds. */
-  drainForwarded: (endMs: number) => Promise<void>
 }
 
 function endConnection (connection: StoppingConnection, elapsedMs: number, { transactionsMs }: StopTimes): void {
@@ -41,9 +39,7 @@
  *
  * @param options - the connections and the times of the stop
  */
-export async function stopSessions (
-  { connections, times, stopAccepting, drainForwarded }: StopOptions
-): Promise<void> {
+export async function stopSessions ({ connections, times, stopAccepting }: StopOptions): Promise<void> {
   const startedAt = performance.now()
   const elapsed = (): number => performance.now() - startedAt
   await pause(times.endingMs)
@@ -53,5 +49,4 @@
     await pause(STOP_POLL_MS)
   }
   connections.forEach((connection) => connection.endNow())
-  await drainForwarded(Math.max(0, times.transactionsMs - elapsed()))
 }
--- a/test/entry/process/stopping.test.ts
+++ b/test/entry/process/stopping.test.ts
@@ -134,3 +134,56 @@
     await stopping
   })
 })
+
+describe('what a stopping host does as a home for others', () => {
+  const suite = setUpWorld(['h1', 'h2', 'h3', 'h4', 'h5', 'h6'], [
+    { ...MONEY, timeoutMs: 6000 }, { ...VIEW, timeoutMs: 6000 }
+  ])
+  /** Returns the homes of the primary, and a host that is none. */
+  const findHomes = (): { homes: string[], other: string } => {
+    const { 'g-a': { homes } } = suite.world.hosts.get('h1')!.kernel.dump()['homes'] as Record<string, { homes: string[] }>
+    return { homes, other: [...suite.world.hosts.keys()].find((name) => !homes.includes(name))! }
+  }
+
+  it('finishes the single statements that others have forwarded before it gives up its leases', async () => {
+    const { homes, other } = findHomes()
+    const primary = suite.world.upstreams.all.get('g-a')!
+    primary.workMs = 4000
+    const writes = Array.from({ length: 3 }, async () => await suite.world.connect(other, 'money').write())
+    await suite.clock.tickAsync(50)
+    const stopping = homes.map(async (name) => {
+      const host = suite.world.hosts.get(name)!
+      await host.kernel.stop()
+      host.running = false
+    })
+    await suite.clock.tickAsync(9000)
+    await Promise.all(stopping)
+    expect((await Promise.all(writes)).map(({ failure }) => failure?.kind)).toEqual([undefined, undefined, undefined])
+  })
+
+  it('refuses new statements of others as not run once they know of the stop', async () => {
+    const { homes, other } = findHomes()
+    const home = suite.world.hosts.get(homes[0]!)!
+    const forward = async (id: string): Promise<unknown> => await home.handlers.get('home-statement')!({
+      id,
+      upstream: 'g-b',
+      organisation: '',
+      version: 0,
+      priority: 1,
+      costMs: 5,
+      leftMs: 5000,
+      inTimeMs: 500,
+      step: { type: 'data', access: 'read', text: 'READ x' },
+      after: { term: 1, position: 0 }
+    }, suite.world.linkBetween(other, home.name))
+    suite.world.upstreams.all.get('g-b')!.workMs = 2500
+    const stopping = home.kernel.stop()
+    const early = forward('early')
+    await suite.clock.tickAsync(2300)
+    await expect(forward('late')).toBeRejectedWith('its home is stopping')
+    home.running = false
+    await suite.clock.tickAsync(8000)
+    await stopping
+    expect((await early as { answer: { failure?: unknown } }).answer.failure).toEqual(undefined)
+  })
+})
--- a/test/entry/requests/forwarded-transactions.test.ts
+++ b/test/entry/requests/forwarded-transactions.test.ts
@@ -92,4 +92,14 @@
     deepEqual(reasons, ['this host is stopping'])
     equal(transactions.size, 0)
   })
+
+  it('are rolled back after the step that runs when the drain time is over', async () => {
+    const { transactions, add, calls } = setUp()
+    await add()
+    const claimed = await transactions.claim(1)
+    await transactions.drain(10)
+    deepEqual([calls, transactions.size], [[], 1])
+    equal(await transactions.settle(1, claimed, answer('open')), undefined)
+    deepEqual([calls, transactions.size], [['rollBack'], 0])
+  })
 })
--- a/test/entry/requests/stop-sessions.test.ts
+++ b/test/entry/requests/stop-sessions.test.ts
@@ -43,8 +43,7 @@
   const stop = async (graceMs: number): Promise<void> => await stopSessions({
     connections,
     times: stopTimesOf(graceMs),
-    stopAccepting: () => record('accepts no more'),
-    drainForwarded: async (endMs) => record(`forwarded get ${endMs > 0 ? 'time' : 'none'}`)
+    stopAccepting: () => record('accepts no more')
   })
   return { connections, events, add, stop }
 }
@@ -55,9 +54,7 @@
     add('idle', { idleMs: 10_000 })
     await stop(8000)
     equal(connections.size, 0)
-    deepEqual(events.map(({ event }) => event), [
-      'accepts no more', 'idle ends after an answer', 'idle ended', 'forwarded get time'
-    ])
+    deepEqual(events.map(({ event }) => event), ['accepts no more', 'idle ends after an answer', 'idle ended'])
     equal(events[0]!.atMs > 2195, true)
   })
 
@@ -67,8 +64,7 @@
     await stop(4800)
     equal(connections.size, 0)
     deepEqual(events.map(({ event }) => event), [
-      'accepts no more', 'busy ends after an answer', 'busy aborted: this host is stopping', 'busy ended',
-      'forwarded get none'
+      'accepts no more', 'busy ends after an answer', 'busy aborted: this host is stopping', 'busy ended'
     ])
     equal(events[2]!.atMs > 2400, true)
   })
