Install the signal handlers before a process starts to serve

Cause: the program installed the handlers after startEntry had returned, when the listener was already open; before, a signal has its default action.

Change: runUntilStopped installs them first and then starts the process. A signal during the start stops it from starting further plug-ins, and those that run are drained and closed in order; a process that had not begun to listen never does. The launchers ignore SIGHUP while the code is loaded, since the settings are read after it.

What remains is the boot of the runtime itself, in which nothing is served.

--- a/deploy/start.cjs
+++ b/deploy/start.cjs
@@ -1,4 +1,7 @@
 // Starts the bundled entry process with its code cache; logs a warning if the cache is missing or rejected.
+// The settings are read after the code is loaded, so a change that is announced before needs no action.
+process.on('SIGHUP', () => {})
+
 const { existsSync, readFileSync } = require('node:fs')
 const { join } = require('node:path')
 const { compiledFileOf, readBundle, runBundle } = require('./load-bundle.cjs')
--- a/src/cli/entry/index.ts
+++ b/src/cli/entry/index.ts
@@ -7,7 +7,8 @@
 import { createLogger } from '../../core/logger/index.ts'
 import { createDialer } from '../../core/wire/dialer.ts'
 import { startEntry } from '../../entry/start-entry.ts'
-import { exitAfterCrash, runProgram, serveUntilStopped } from '../run-command.ts'
+import { exitAfterCrash, runProgram } from '../run-command.ts'
+import { runUntilStopped } from '../run-until-stopped.ts'
 
 /** Environment variable with the path of the settings file, used if the command line has none. */
 const SETTINGS_VARIABLE = 'WORKSWARD_BOOT'
@@ -22,14 +23,17 @@
         level: settings.log.level, fields: { host: settings.host.name }, stream: createBoundedStream(STANDARD_OUTPUT)
       })
       const logger = createBudgetedLogger(writer)
-      const kernel = await startEntry(settings, { logger, dialer: createDialer(settings.host.address) })
-      logger.log('info', 'process.started', {
-        role: 'entry', callers: settings.listen.callers, peers: settings.listen.peers, http: settings.listen.metrics
-      })
       process.on('uncaughtException', (error) => exitAfterCrash(error, logger))
       process.on('SIGHUP', () => reloadSettings({
         file: settingsFile, settings, logger, setLogLevel: writer.setLevel
       }))
-      serveUntilStopped(kernel, logger)
+      await runUntilStopped({
+        logger,
+        start: async (signal) =>
+          await startEntry(settings, { logger, dialer: createDialer(settings.host.address), signal }),
+        onStarted: () => logger.log('info', 'process.started', {
+          role: 'entry', callers: settings.listen.callers, peers: settings.listen.peers, http: settings.listen.metrics
+        })
+      })
     })
 })
--- a/src/cli/run-command.ts
+++ b/src/cli/run-command.ts
@@ -1,8 +1,7 @@
-/** Shared by all programs: command line parsing, error reports, exit codes and signal handling. */
+/** Shared by all programs: command line parsing, error reports and exit codes. */
 import { cac, type CAC } from 'cac'
 import { writeSync } from 'node:fs'
 import { WorkswardError, describeThrown } from '../core/errors/index.ts'
-import type { Kernel } from '../core/kernel/index.ts'
 import type { Logger } from '../core/logger/index.ts'
 
 /** Exit code for an invalid command line or input file. */
@@ -50,30 +49,6 @@
   process.exitCode = badInput || usage ? EXIT_BAD_INPUT : EXIT_FAILED
 }
 
-/**
- * Installs signal handlers: SIGTERM and SIGINT stop the process gracefully, SIGUSR2 prints its state.
- */
-export function serveUntilStopped (kernel: Kernel, logger: Logger): void {
-  let stopping = false
-  const stop = (signal: string): void => {
-    if (stopping) {
-      return
-    }
-    stopping = true
-    logger.log('info', 'process.stopping', { signal })
-    kernel.stop().then(() => {
-      logger.log('info', 'process.stopped')
-      process.exit(0)
-    }, (thrown: unknown) => {
-      logger.log('error', 'process.stop-failed', { reason: describeThrown(thrown) })
-      process.exit(EXIT_FAILED)
-    })
-  }
-  process.on('SIGTERM', () => stop('SIGTERM'))
-  process.on('SIGINT', () => stop('SIGINT'))
-  process.on('SIGUSR2', () => { process.stdout.write(JSON.stringify(kernel.dump(), null, 2) + '\n') })
-}
-
 /**
  * Logs an uncaught error and exits, since the state of the process may be inconsistent.
  */
--- /dev/null
+++ b/src/cli/run-until-stopped.ts
@@ -0,0 +1,65 @@
+/** Runs a process from its start to its planned stop. */
+import { describeThrown } from '../core/errors/index.ts'
+import type { Kernel } from '../core/kernel/index.ts'
+import type { Logger } from '../core/logger/index.ts'
+
+/** Exit code after a stop that failed. */
+const EXIT_FAILED = 1
+
+/** Options of {@link runUntilStopped}. */
+interface RunOptions {
+  logger: Logger
+  /**
+   * Starts the process.
+   *
+   * @param signal - aborted when the process is told to stop; nothing more is started then
+   */
+  start: (signal: AbortSignal) => Promise<Kernel>
+  /** Called once everything is started, unless the process is to stop. */
+  onStarted: (kernel: Kernel) => void
+  /** Ends the process. */
+  exit?: (code: number) => void
+}
+
+/**
+ * Installs the signal handlers and starts the process. SIGTERM and SIGINT stop it gracefully, even while it starts;
+ * SIGUSR2 prints its state.
+ *
+ * @param options - how to start it
+ * @throws the error of the start
+ */
+export async function runUntilStopped ({ logger, start, onStarted, exit = process.exit }: RunOptions): Promise<void> {
+  const stopController = new AbortController()
+  const stop = (signal: string): void => {
+    if (stopController.signal.aborted) {
+      return
+    }
+    logger.log('info', 'process.stopping', { signal })
+    stopController.abort()
+    // A start that fails is reported by the caller of this function.
+    starting.then(async (kernel) => exit(await stopKernel(kernel, logger)), () => {})
+  }
+  process.on('SIGTERM', () => stop('SIGTERM'))
+  process.on('SIGINT', () => stop('SIGINT'))
+  process.on('SIGUSR2', () => {
+    void starting.then((kernel) => process.stdout.write(JSON.stringify(kernel.dump(), null, 2) + '\n'))
+  })
+
+  const starting = start(stopController.signal)
+  const kernel = await starting
+  if (!stopController.signal.aborted) {
+    onStarted(kernel)
+  }
+}
+
+/** Stops a kernel; returns the exit code. */
+async function stopKernel (kernel: Kernel, logger: Logger): Promise<number> {
+  try {
+    await kernel.stop()
+    logger.log('info', 'process.stopped')
+    return 0
+  } catch (thrown) {
+    logger.log('error', 'process.stop-failed', { reason: describeThrown(thrown) })
+    return EXIT_FAILED
+  }
+}
--- a/src/core/kernel/index.ts
+++ b/src/core/kernel/index.ts
@@ -70,6 +70,8 @@
   settings: unknown
   logger: Logger
   dialer: Dialer
+  /** When aborted, no further plug-in is started. */
+  signal?: AbortSignal
 }
 
 const registry = new Map<string, Plugin>()
@@ -87,7 +89,7 @@
  * Starts plug-ins and their dependencies.
  *
  * @param options - the plug-ins and their shared context
- * @returns the running kernel
+ * @returns the running kernel; it lacks plug-ins if the start was aborted
  */
 export async function startKernel (options: KernelOptions): Promise<Kernel> {
   const running = new Map<string, RunningPlugin<unknown>>()
@@ -111,6 +113,9 @@
   }
   try {
     for (const plugin of sortByDependencies(options.plugins)) {
+      if (options.signal?.aborted === true) {
+        break
+      }
       running.set(plugin.name, await plugin.start(context))
     }
   } catch (thrown) {
--- a/src/entry/start-entry.ts
+++ b/src/entry/start-entry.ts
@@ -20,11 +20,11 @@
  * Starts an entry process.
  *
  * @param settings - its settings
- * @param options - logger and dialer
+ * @param options - logger, dialer and the signal to stop
  * @returns the running kernel
  */
 export async function startEntry (
-  settings: EntrySettings, options: Pick<KernelOptions, 'logger' | 'dialer'>
+  settings: EntrySettings, options: Pick<KernelOptions, 'logger' | 'dialer' | 'signal'>
 ): Promise<Kernel> {
   return await startKernel({ ...options, settings, plugins: ['readiness'] })
 }
--- a/src/mysql-proxy/start-keeper.ts
+++ b/src/mysql-proxy/start-keeper.ts
@@ -13,11 +13,11 @@
  * Starts a keeper.
  *
  * @param settings - settings of the keeper
- * @param options - logger and dialer of the process
+ * @param options - logger, dialer and the signal to stop of the process
  * @returns the running kernel
  */
 export async function startKeeper (
-  settings: KeeperSettings, options: Pick<KernelOptions, 'logger' | 'dialer'>
+  settings: KeeperSettings, options: Pick<KernelOptions, 'logger' | 'dialer' | 'signal'>
 ): Promise<Kernel> {
   return await startKernel({ ...options, settings, plugins: ['failover', 'operators'] })
 }
--- a/src/mysql-proxy/start-proxy.ts
+++ b/src/mysql-proxy/start-proxy.ts
@@ -15,11 +15,11 @@
  * Starts a proxy.
  *
  * @param settings - settings of the proxy
- * @param options - logger and dialer of the process
+ * @param options - logger, dialer and the signal to stop of the process
  * @returns the running kernel
  */
 export async function startProxy (
-  settings: ProxySettings, options: Pick<KernelOptions, 'logger' | 'dialer'>
+  settings: ProxySettings, options: Pick<KernelOptions, 'logger' | 'dialer' | 'signal'>
 ): Promise<Kernel> {
   return await startKernel({ ...options, settings, plugins: ['callers', 'console'] })
 }
