Answer the commands of a stopping MySQL proxy that it can no longer run

Callers of the MySQL product: a command that still ran when stopMs was over lost its connection without an answer, and a command that arrived after the proxy had ended the connection was executed although no answer could be written any more.

Change: after stopMs the command in progress is answered with error 1053 and the verdict may-have-run, those behind it with not-run, and the connection ends when the answers are written; a command that comes after the end of the queue is never run.

--- a/src/mysql-proxy/callers/index.ts
+++ b/src/mysql-proxy/callers/index.ts
@@ -1,6 +1,6 @@
 /**
  * Plug-in `callers`: accepts callers over the MySQL protocol. On shutdown, callers are disconnected once they are idle
- * and outside a transaction; the others are disconnected after `stopMs`.
+ * and outside a transaction; the others are disconnected after `stopMs`, with errors for their unanswered commands.
  */
 import type { ProxySettings } from '../../core/config/index.ts'
 import { describeThrown, RequestError, WorkswardError } from '../../core/errors/index.ts'
@@ -30,6 +30,8 @@
 const MAXIMUM_COMMAND_BYTES = 16_000_000
 /** Interval at which draining checks for idle callers, in milliseconds. */
 const DRAIN_POLL_INTERVAL_MS = 10
+/** Time for the last answers to be written, in milliseconds. */
+const ANSWER_FLUSH_MS = 500
 
 /** A connected caller. */
 interface ConnectedCaller {
@@ -89,6 +91,9 @@
         server.stopAccepting()
         await membership.leave()
         await drainCallers(callers, settings.stopMs)
+        callers.forEach(({ client }) => client.endNow((verdict) =>
+          new RequestError(verdict, 'Stopping', { host: settings.host.name })))
+        await drainCallers(callers, ANSWER_FLUSH_MS)
         context.logger.log('info', 'callers.drained', { left: callers.size })
       },
       close: async () => {
--- a/src/mysql/client-handler.ts
+++ b/src/mysql/client-handler.ts
@@ -1,4 +1,5 @@
 /** Interfaces between the MySQL protocol server and the handlers that serve its clients. */
+import type { Verdict } from '../core/errors/index.ts'
 import type { Answer, Statement } from './types.ts'
 
 /** A MySQL error to send to the client. */
@@ -26,8 +27,14 @@
   database: string
   /** Connection attributes that the client sent. */
   attributes: Record<string, string>
-  /** Closes the connection after the command in progress has been answered. */
+  /** Closes the connection after all received commands have been answered. */
   end: () => void
+  /**
+   * Answers all received commands with errors at once, and closes the connection.
+   *
+   * @param errorOf - creates the error of a command that may have run, or that has not
+   */
+  endNow: (errorOf: (verdict: Verdict) => Error) => void
   /** Closes the connection immediately. */
   destroy: () => void
 }
--- a/src/mysql/command-queue.ts
+++ b/src/mysql/command-queue.ts
@@ -2,7 +2,7 @@
 
 /** Queue of a client's unanswered commands. */
 interface CommandQueue<Command> {
-  /** Adds a command; it runs after all earlier ones have been answered. */
+  /** Adds a command; it runs after all earlier ones have been answered, and never after `finish` was called. */
   add: (command: Command) => void
   /** Calls `finish` after all commands have been answered, or immediately if there are none. */
   finishWhenIdle: () => void
@@ -20,6 +20,13 @@
   const waiting: Command[] = []
   let busy = false
   let finishing = false
+  let finished = false
+  const finishOnce = (): void => {
+    if (!finished) {
+      finished = true
+      finish()
+    }
+  }
 
   const drain = async (): Promise<void> => {
     busy = true
@@ -28,12 +35,15 @@
     }
     busy = false
     if (finishing) {
-      finish()
+      finishOnce()
     }
   }
 
   return {
     add: (command) => {
+      if (finished) {
+        return
+      }
       waiting.push(command)
       if (!busy) {
         void drain()
@@ -42,7 +52,7 @@
     finishWhenIdle: () => {
       finishing = true
       if (!busy && waiting.length === 0) {
-        finish()
+        finishOnce()
       }
     }
   }
--- a/src/mysql/serve-client.ts
+++ b/src/mysql/serve-client.ts
@@ -1,5 +1,6 @@
 /** Serves one client connection from handshake to close. */
 import { greetClient } from './authentication.ts'
+import type { Verdict } from '../core/errors/index.ts'
 import type { ServeOptions } from './client-handler.ts'
 import { createCommandQueue } from './command-queue.ts'
 import { runCommand, type AnswerWriter, type ClientState, type ReceivedCommand } from './commands.ts'
@@ -7,6 +8,14 @@
 import { createPreparedStatements } from './prepared-statements.ts'
 import type { ReceivedPacket, ServerConnection } from './server-connection.ts'
 
+/** Whether a client's commands are answered with errors instead of being run. */
+interface Interruption {
+  /** Answers the command in progress with an error. */
+  interrupt: (error: Error) => void
+  /** Creates the errors; undefined while commands are run. */
+  errorOf?: (verdict: Verdict) => Error
+}
+
 /**
  * Serves a client. The handler is created at the first command after authentication.
  *
@@ -26,6 +35,11 @@
       database: credentials.database,
       attributes: connection.clientHelloReply?.connectAttributes ?? {},
       end: queue.finishWhenIdle,
+      endNow: (errorOf) => {
+        interruption.errorOf = errorOf
+        interruption.interrupt(errorOf('may-have-run'))
+        queue.finishWhenIdle()
+      },
       destroy: () => connection.stream.destroy()
     })
     if (connection.stream.destroyed) {
@@ -34,11 +48,19 @@
     return { connection, handler, statements: createPreparedStatements(), statementBytes: options.statementBytes }
   }
 
+  const interruption: Interruption = { interrupt: () => {} }
+  const run = async (command: ReceivedCommand): Promise<AnswerWriter> => {
+    if (interruption.errorOf !== undefined) {
+      throw interruption.errorOf('not-run')
+    }
+    state ??= await openState()
+    return await runCommand(state, command)
+  }
   const queue = createCommandQueue<ReceivedCommand>(async (command) =>
-    await answer(connection, options, command.code, async () => {
-      state ??= await openState()
-      return await runCommand(state, command)
-    }), () => connection.stream.end())
+    await answer(connection, options, command.code, async () => await new Promise((resolve, reject) => {
+      interruption.interrupt = reject
+      run(command).then(resolve, reject)
+    })), () => connection.stream.end())
 
   connection.on('packet', (packet: ReceivedPacket, _known: boolean, code: number) => {
     packet.readInt8()
--- a/test/mysql/command-queue.test.ts
+++ b/test/mysql/command-queue.test.ts
@@ -25,4 +25,14 @@
     queue.finishWhenIdle()
     expect(finished).toEqual(1)
   })
+
+  it('runs no command that comes after its end', async () => {
+    const steps: string[] = []
+    const queue = createCommandQueue<string>(async (command) => { steps.push(command) }, () => { steps.push('finished') })
+    queue.finishWhenIdle()
+    queue.add('late')
+    queue.finishWhenIdle()
+    await new Promise((resolve) => { setImmediate(resolve) })
+    expect(steps).toEqual(['finished'])
+  })
 })
