Refuse sessions that start after the others have ended at a stop, and count what a stop refuses

Callers saw: nothing in the record; reading showed the window. A caller that connected just before the listener closed and sent its START after all other sessions had ended got a session that nobody stopped: its requests were served while the host gave up its leases, and cut at the close if they took long.

Cause: the stop looked at sessions, not at connections without one.

Change: a session that starts then is ended at once and its requests are refused as not run. Each request that a stop refuses or interrupts is logged as request.failed and counted in callers.drained.

--- a/src/core/logger/events.ts
+++ b/src/core/logger/events.ts
@@ -14,7 +14,7 @@
   'caller.link-error': { level: 'debug', fields: 'reason', when: 'a caller\'s connection broke' },
   'callers.cut': { level: 'error', fields: 'requests, inProgress, unflushed, ids', when: 'this host closed connections with requests that were read but not answered: without an answer, or with one not written whole; `ids` names the first of them' },
   'callers.dropped': { level: 'info', fields: 'id, stage', when: 'a request was read whole, but its connection was lost before its answer was written' },
-  'callers.drained': { level: 'info', fields: 'left, forwarded', when: 'all callers have disconnected, or the drain timeout has passed; `forwarded` tells how many statements of other hosts an entry process still runs' },
+  'callers.drained': { level: 'info', fields: 'left, refused, forwarded', when: 'all callers have disconnected, or the drain timeout has passed; on an entry process, how many requests were refused or interrupted by the stop, and how many statements of other hosts still run' },
   'callers.stopping': { level: 'info', fields: 'sessions, transactions, inProgress, unflushed', when: 'this host starts to end its callers\' sessions; their open transactions and unanswered requests' },
   'configuration.accepted': { level: 'info', fields: 'change, operator, revision', when: 'an operator\'s change was accepted' },
   'configuration.applied': { level: 'info', fields: 'group, version, change', when: 'this process applied a version of a group\'s declarations' },
--- a/src/entry/requests/index.ts
+++ b/src/entry/requests/index.ts
@@ -43,6 +43,8 @@
     const metrics = context.use('metrics')
     const { logger } = context
     const connections = new Set<CallerRequests>()
+    let isDrained = false
+    let refused = 0
     const entryContext: EntryContext = {
       pools: context.use('pools'),
       homes: context.use('homes'),
@@ -76,10 +78,14 @@
         link,
         desiredState: () => desiredState.current,
         waitForDesiredState: desiredState.waitForFirst,
-        onDone: metrics.recordRequest
+        onDone: metrics.recordRequest,
+        onStopped: () => { refused++ }
       })
       const connection = createCallerRequests({ session, link, onClose: () => connections.delete(connection) })
       connections.add(connection)
+      if (isDrained) {
+        connection.endNow()
+      }
       return connection
     })
     let flushBy = 0
@@ -101,7 +107,8 @@
           stopSessions({ connections, times, stopAccepting: listener.stopAccepting }),
           forwarded.drain(times)
         ])
-        logger.log('info', 'callers.drained', { left: connections.size, forwarded: forwarded.inProgress })
+        isDrained = true
+        logger.log('info', 'callers.drained', { left: connections.size, refused, forwarded: forwarded.inProgress })
       },
       close: async () => {
         logCutRequests(logger, await listener.close(Math.max(0, flushBy - performance.now())))
--- a/src/entry/requests/session.ts
+++ b/src/entry/requests/session.ts
@@ -1,5 +1,5 @@
 /** A caller's session: serves its requests in sequence and dispatches them by the type of the statement. */
-import { RequestError, type Verdict } from '../../core/errors/index.ts'
+import { RequestError } from '../../core/errors/index.ts'
 import type {
   CallerHandler, CallerLink, CallerRequest, CallerStatement, DesiredState, StatementAnswer
 } from '../ports/index.ts'
@@ -9,7 +9,7 @@
 import { createSessionState, type SessionState } from './session-state.ts'
 import { createSessionTransaction, type SessionTransaction } from './session-transaction.ts'
 import { serveSingleStatement } from './single-statement.ts'
-import type { ExecutableStatement, EntryContext } from './types.ts'
+import type { ExecutableStatement, EntryContext, RequestScope } from './types.ts'
 import { RETRY_AFTER_MS } from './wait-rules.ts'
 
 /**
@@ -28,6 +28,8 @@
   waitForDesiredState: (timeoutMs: number) => Promise<boolean>
   /** Called after each request with its outcome. */
   onDone: (outcome: string, durationMs: number) => void
+  /** Called for each request that is not served, or not to its end, because this host is stopping. */
+  onStopped: () => void
 }
 
 /** A caller's session. */
@@ -96,6 +98,23 @@
   return signature !== undefined && failure === undefined
 }
 
+/**
+ * Creates the answer to a request that this host stops serving, and aborts the transaction it belongs to.
+ *
+ * @param scope - scope of the request; undefined if nothing was done for it
+ */
+function answerStopped (
+  { context, onStopped }: SessionOptions, transaction: SessionTransaction, scope?: RequestScope
+): StatementAnswer {
+  onStopped()
+  if (transaction.isOpen) {
+    transaction.abort(STOP_REASON)
+    return failureAnswer('aborted', `the transaction was rolled back: ${STOP_REASON}`, 'failed')
+  }
+  const error = new RequestError(scope?.sent === true ? 'may-have-run' : 'not-run', 'Stopping', { host: context.host })
+  return { rows: [], failure: failureOf(error, scope?.hasLastingEffect !== true), state: 'idle' }
+}
+
 /**
  * Creates a session.
  *
@@ -121,6 +140,12 @@
       return { rows: [], failure: failureOf(thrown, true), state: transaction.state }
     }
   }
+  const report = (
+    request: CallerRequest, answer: StatementAnswer, trace: SessionState['trace'], durationMs: number
+  ): void => {
+    options.onDone(answer.failure?.kind ?? 'done', durationMs)
+    reportRequest(context, link.database, request, answer, trace, durationMs)
+  }
   const serve = async (request: CallerRequest): Promise<StatementAnswer> => {
     const startedAt = performance.now()
     busy = true
@@ -138,23 +163,12 @@
     if (answer.state === 'failed') {
       transaction.failureReported()
     }
-    const durationMs = performance.now() - startedAt
-    options.onDone(answer.failure?.kind ?? 'done', durationMs)
-    reportRequest(context, link.database, request, answer, session.trace, durationMs)
+    report(request, answer, session.trace, performance.now() - startedAt)
     if (closed) {
       transaction.abandon()
     }
     return answer
   }
-  /** Creates the answer to a request that this host stops serving, and aborts the transaction it belongs to. */
-  const answerStopped = (verdict: Verdict, hasLastingEffect = false): StatementAnswer => {
-    if (transaction.isOpen) {
-      transaction.abort(STOP_REASON)
-      return failureAnswer('aborted', `the transaction was rolled back: ${STOP_REASON}`, 'failed')
-    }
-    const error = new RequestError(verdict, 'Stopping', { host: context.host })
-    return { rows: [], failure: failureOf(error, !hasLastingEffect), state: 'idle' }
-  }
   return {
     get idleMs () { return busy || transaction.canContinue ? 0 : performance.now() - idleSince },
     get inTransaction () { return transaction.isOpen },
@@ -167,13 +181,17 @@
       }
     },
     abortTransaction: transaction.abort,
-    refuse: () => answerStopped('not-run'),
+    refuse: (request) => {
+      const answer = answerStopped(options, transaction)
+      report(request, answer, {}, 0)
+      return answer
+    },
     interrupt: () => {
       session.isInterrupted = true
       const { scope } = session.trace
       scope?.deadline.expire()
       if (busy) {
-        answerNow(answerStopped(scope?.sent === true ? 'may-have-run' : 'not-run', scope?.hasLastingEffect))
+        answerNow(answerStopped(options, transaction, scope))
       }
     }
   }
--- a/test/entry/process/stopping.test.ts
+++ b/test/entry/process/stopping.test.ts
@@ -121,6 +121,18 @@
     expect(kinds.some(({ kind }) => kind === 'busy') && kinds.some(({ kind }) => kind === 'in-doubt')).toEqual(true)
   })
 
+  it('ends a session that starts after all others have ended', async () => {
+    const host = suite.world.hosts.get('h1')!
+    const stopping = host.kernel.stop()
+    await suite.clock.tickAsync(2250)
+    const caller = suite.world.connect('h1', 'money')
+    expect((await suite.settle(caller.read(), 10)).failure?.kind).toEqual('busy')
+    expect(caller.ended).toEqual(true)
+    host.running = false
+    await suite.clock.tickAsync(8000)
+    await stopping
+  })
+
   it('refuses a transaction that begins after the balancer has noticed the stop', async () => {
     const host = suite.world.hosts.get('h1')!
     const caller = suite.world.connect('h1', 'money')
