Let the last replies of a closing host reach its peers

Other hosts saw: a reply that a home had sent and not written whole was lost when the home closed its links, so a write that had succeeded was in doubt, and a read was sent again.

Cause: the same as for callers: the close of the listener destroyed the sockets with what still waited in the process.

Change: links are ended after what was sent, and destroyed after 200 ms; a link that is being ended takes no more requests.

--- a/src/core/wire/listener.ts
+++ b/src/core/wire/listener.ts
@@ -10,8 +10,12 @@
   readonly connections: number
   /** Stops accepting connections; open ones stay. */
   stopAccepting: () => void
-  /** Destroys all sockets and stops listening. */
-  close: () => Promise<void>
+  /**
+   * Stops listening, and ends all sockets once what was sent is written.
+   *
+   * @param flushMs - time after which sockets are destroyed nevertheless, in milliseconds; at once by default
+   */
+  close: (flushMs?: number) => Promise<void>
 }
 
 /**
@@ -40,10 +44,16 @@
     port: typeof bound === 'object' && bound !== null ? bound.port : port,
     get connections () { return sockets.size },
     stopAccepting: () => { server.close() },
-    close: async () => {
+    close: async (flushMs = 0) => {
       const closed = new Promise<void>((resolve) => server.close(() => resolve()))
-      sockets.forEach((socket) => socket.destroy())
+      const destroyAll = (): void => sockets.forEach((socket) => socket.destroy())
+      if (flushMs === 0) {
+        destroyAll()
+      }
+      sockets.forEach((socket) => socket.end())
+      const timer = setTimeout(destroyAll, flushMs)
       await closed
+      clearTimeout(timer)
     }
   }
 }
--- a/src/peers/index.ts
+++ b/src/peers/index.ts
@@ -41,6 +41,8 @@
  */
 const WORK_CONNECT_MS = 1000
 const WORK_LINK_WAIT_MS = 200
+/** Time for the last replies to be written when this process closes its links, in milliseconds. */
+const REPLY_FLUSH_MS = 200
 
 registerPlugin({
   name: 'peers',
@@ -79,7 +81,7 @@
       close: async () => {
         client.close()
         work.close()
-        await server.close()
+        await server.close(REPLY_FLUSH_MS)
       }
     }
   }
--- a/src/peers/peer-server.ts
+++ b/src/peers/peer-server.ts
@@ -3,7 +3,7 @@
 import { toRequestError } from '../core/errors/index.ts'
 import type { Logger } from '../core/logger/index.ts'
 import { attachFrames, type FrameStream } from '../core/wire/frames.ts'
-import { listenForSockets } from '../core/wire/listener.ts'
+import { listenForSockets, type SocketListener } from '../core/wire/listener.ts'
 import { createNonce, proveKey, sameProof } from './authentication.ts'
 import { helloSchema, requestFrameSchema, type PeerHandler, type PeerLink, type ReplyFrame } from './types.ts'
 
@@ -24,7 +24,8 @@
   /** Number of requests in progress. */
   readonly inProgress: number
   readonly links: number
-  close: () => Promise<void>
+  /** Stops listening and ends all links; takes no more requests. See {@link SocketListener.close}. */
+  close: SocketListener['close']
 }
 
 /** Timeout of the handshake, in milliseconds. */
@@ -75,6 +76,9 @@
   }
 
   const frames: FrameStream = attachFrames(socket, (value) => {
+    if (!socket.writable) {
+      return
+    }
     if (peerHost === undefined) {
       handleHello(value)
       return
--- a/test/peers/peer-client.test.ts
+++ b/test/peers/peer-client.test.ts
@@ -64,3 +64,24 @@
     client.close()
   })
 })
+
+describe('a peer that closes', () => {
+  it('delivers the replies that it has sent, and takes no more requests', async () => {
+    const requests: unknown[] = []
+    let closing: Promise<void> | undefined
+    const handlers = new Map<string, PeerHandler>([['large', async (body) => {
+      requests.push(body)
+      setImmediate(() => { closing = peer.close(REQUEST_MS) })
+      return { text: 'x'.repeat(20_000_000) }
+    }]])
+    const peer = await listenForPeers({ host: 'closing', key: KEY, handlers, address: ADDRESS, port: 0, logger: silentLogger })
+    const client = createPeerClient({ host: 'asker', key: KEY, dialer: createDialer() })
+    const ask = async (): Promise<{ text: string }> =>
+      await client.request({ address: ADDRESS, port: peer.port }, 'large', {}, REQUEST_MS) as { text: string }
+    expect((await ask()).text.length).toEqual(20_000_000)
+    await closing
+    await expect(ask()).toBeRejected()
+    expect(requests.length).toEqual(1)
+    client.close()
+  })
+})
