Keep a second of the grace period for the end of a stop

No request was cut, since the callers' connections end first, but rows and leases were left behind.

Cause: the last answers were due after five sixths of the grace period, which leaves 0.5 s of 3; giving up leases and removing the row take up to 0.55 s by their own limits, beside the last answers and replies.

Change: the reserve after the answers is a second, or a third of a short grace period; answers may be written in its first half. With the default of 6 s the time for answers is the same as before.

--- a/src/entry/requests/stop-times.ts
+++ b/src/entry/requests/stop-times.ts
@@ -4,10 +4,15 @@
 const BALANCER_NOTICE_MS = 2200
 /** Share of the grace period in which open transactions may finish. */
 const TRANSACTIONS_SHARE = 1 / 2
-/** Share of the grace period by which every request is answered. */
-const ANSWERS_SHARE = 5 / 6
-/** Share of the grace period in which answers may be written; the rest is for the exit of the process. */
-const FLUSH_SHARE = 0.95
+/**
+ * Time from the last answers to the end of the grace period, in milliseconds: for writing them, giving up leases,
+ * removing this host's row and closing links.
+ */
+const RESERVE_MS = 1000
+/** Maximum share of a short grace period that the reserve may take. */
+const RESERVE_SHARE = 1 / 3
+/** Share of the reserve in which answers may be written. */
+const FLUSH_SHARE = 1 / 2
 
 /** Times from the begin of a planned stop, in milliseconds. */
 export interface StopTimes {
@@ -29,10 +34,12 @@
  */
 export function stopTimesOf (graceMs: number): StopTimes {
   const transactionsMs = graceMs * TRANSACTIONS_SHARE
+  const reserveMs = Math.min(RESERVE_MS, graceMs * RESERVE_SHARE)
+  const answersMs = graceMs - reserveMs
   return {
     endingMs: Math.min(BALANCER_NOTICE_MS, transactionsMs),
     transactionsMs,
-    answersMs: graceMs * ANSWERS_SHARE,
-    flushMs: graceMs * FLUSH_SHARE
+    answersMs,
+    flushMs: answersMs + reserveMs * FLUSH_SHARE
   }
 }
