Refuse sessions that start while only the work of other hosts is left at a stop

Reading showed the window: once a stop had ended its callers, a session that started while statements of other hosts were still running was taken as if nothing stopped, and nobody ended it.

Cause: new sessions were refused from the end of the whole drain on, not from the end of the callers' part.

Change: they are refused as soon as the callers are ended.

Measured: 'refuses new statements of others as not run once they know of the stop, and new sessions' gets no answer without the change and passes with it.

--- a/src/entry/requests/index.ts
+++ b/src/entry/requests/index.ts
@@ -43,7 +43,7 @@
     const metrics = context.use('metrics')
     const { logger } = context
     const connections = new Set<CallerRequests>()
-    let isDrained = false
+    let areCallersEnded = false
     let refused = 0
     const entryContext: EntryContext = {
       pools: context.use('pools'),
@@ -83,7 +83,7 @@
       })
       const connection = createCallerRequests({ session, link, onClose: () => connections.delete(connection) })
       connections.add(connection)
-      if (isDrained) {
+      if (areCallersEnded) {
         connection.endNow()
       }
       return connection
@@ -103,11 +103,11 @@
         })
         const times = stopTimesOf(settings.graceSeconds * 1000)
         flushBy = performance.now() + times.flushMs
-        await Promise.all([
-          stopSessions({ connections, times, stopAccepting: listener.stopAccepting }),
-          forwarded.drain(times)
-        ])
-        isDrained = true
+        const endCallers = async (): Promise<void> => {
+          await stopSessions({ connections, times, stopAccepting: listener.stopAccepting })
+          areCallersEnded = true
+        }
+        await Promise.all([endCallers(), forwarded.drain(times)])
         logger.log('info', 'callers.drained', { left: connections.size, refused, forwarded: forwarded.inProgress })
       },
       close: async () => {
