Give slow readers more of the reserve of a stop

Cause: answers could be written in the first half of the reserve only. What comes after takes less: the row and the leases go while the answers are written, and the links end within 0.2 s.

Change: answers may be written in the first 0.7 of the reserve: until 5.7 of 6 s, or 2.7 of 3.

--- a/src/entry/requests/stop-times.ts
+++ b/src/entry/requests/stop-times.ts
@@ -12,7 +12,7 @@
 /** Maximum share of a short grace period that the reserve may take. */
 const RESERVE_SHARE = 1 / 3
 /** Share of the reserve in which answers may be written. */
-const FLUSH_SHARE = 1 / 2
+const FLUSH_SHARE = 0.7
 
 /** Times from the begin of a planned stop, in milliseconds. */
 export interface StopTimes {
