--- a/src/entry/requests/stop-times.ts
+++ b/src/entry/requests/stop-times.ts
@@ -14,7 +14,7 @@
 /** Share of the reserve in which answers may be written. */
 const FLUSH_SHARE = 0.7
 
-/** Times from the begin of a planned stop, in milliseconds. */
+/** Times from the beginning of a planned stop, in milliseconds. */
 export interface StopTimes {
   /** From here on connections are ended, and no new ones are accepted. */
   endingMs: number
