--- a/test/platform/caller-port.test.ts
+++ b/test/platform/caller-port.test.ts
@@ -27,12 +27,15 @@
   return typeof address === 'object' && address !== null ? address.port : 0
 }
 
-async function listen (answer: (request: CallerRequest) => Promise<StatementAnswer>): Promise<Listening> {
+async function listen (
+  answer: (request: CallerRequest) => Promise<StatementAnswer>, onStart: (link: CallerLink) => void = () => {}
+): Promise<Listening> {
   const links: CallerLink[] = []
   const served: CallerRequest[] = []
   const port = await freePort()
   const listener = await createCallerPort(silentLogger).listen({ address: '127.0.0.1', port }, (link) => {
     links.push(link)
+    onStart(link)
     const handler: CallerHandler = {
       serve: async (request) => {
         served.push(request)
@@ -144,6 +147,14 @@
     expect(caller.text().split('DONE').length - 1).toEqual(3)
   })
 
+  it('answers a request that arrives together with the start of a session that is ended at once', async () => {
+    const { port, served } = await listen(async () => done, (link) => link.end())
+    const caller = await call(port)
+    caller.socket.write('START d1 u1\r\nQUERY 7a READ k\r\n')
+    await once(caller.socket, 'end')
+    expect([served.length, caller.text().split('DONE').length - 1]).toEqual([1, 1])
+  })
+
   it('reads no further requests of a caller while many are unanswered, and drops none', async () => {
     const finish: Array<(answer: StatementAnswer) => void> = []
     const { port, served } = await listen(async () => await new Promise((resolve) => { finish.push(resolve) }))
