Log failed probes, the time in which a keeper did not run, and the outcome of each fence

The MySQL product's elections on a busy machine leave only failover.started and failover.failed. Two hypotheses for a primary that is replaced while it lives can't be told apart: the keeper did not run while the answer was there (failover.probe-failed with stalledMs near the timeout), or the upstream did not answer (stalledMs near 0). Likewise for elections that fence too few: another keeper came first (failover.fence outcome=refused, with its fencedTerm), or the upstream did not answer in time (outcome=failed).

Adds failover.probe-failed, failover.fence and a meter of the time in which a process does not run. No decision changes.

--- a/src/mysql-proxy/failover/election.ts
+++ b/src/mysql-proxy/failover/election.ts
@@ -3,6 +3,7 @@
  * promoting the fenced upstream with the most advanced log keeps every acknowledged write. Safety does not depend on
  * clocks, leases or the platform.
  */
+import { silentLogger, type Logger } from '../../core/logger/index.ts'
 import type { GroupView, UpstreamView } from '../upstreams/group-view.ts'
 import { chooseSuccessor, nextTerm } from './choose-successor.ts'
 import { fenceMajority, fencePrimary } from './fencing.ts'
@@ -19,6 +20,8 @@
   preferred?: string
   /** Whether the old primary is fenced first, so that the preferred upstream can catch up with it. */
   planned: boolean
+  /** Receives the outcome of each fence. */
+  logger?: Logger
 }
 
 /**
@@ -27,10 +30,12 @@
  * @param options - the group and the preferred upstream
  * @returns the new term and primary, or the reason for the failure
  */
-export async function electPrimary ({ view, preferred, planned }: ElectionOptions): Promise<ElectionResult> {
+export async function electPrimary (
+  { view, preferred, planned, logger = silentLogger }: ElectionOptions
+): Promise<ElectionResult> {
   const statuses = [...view.upstreams.values()].map(({ channel }) => channel.latest?.status)
   const term = nextTerm(view.leadership.term, statuses)
-  const fence = { view, term, preferred }
+  const fence = { view, term, preferred, logger }
   const fencedPrimary = planned ? await fencePrimary(fence) : undefined
   const fenced = await fenceMajority(fence, fencedPrimary)
   if (fenced.length < view.majority) {
--- a/src/mysql-proxy/failover/elections.ts
+++ b/src/mysql-proxy/failover/elections.ts
@@ -51,7 +51,7 @@
 
   const elect = async ({ reason, preferred, planned }: ElectionRequest): Promise<string> => {
     logger.log('warn', 'failover.started', { group: name, reason, term: view.leadership.term })
-    const result = await electPrimary({ view, preferred, planned })
+    const result = await electPrimary({ view, preferred, planned, logger })
     if (result.type === 'failed') {
       logger.log('warn', 'failover.failed', { group: name, term: result.term, reason: result.reason })
       await pause(Math.random() * staggerMs)
--- a/src/mysql-proxy/failover/fencing.ts
+++ b/src/mysql-proxy/failover/fencing.ts
@@ -2,9 +2,11 @@
  * Fences upstreams with a term. A fenced upstream rejects writes and replication from lower terms, and accepts each
  * term only once.
  */
+import type { LogFields, Logger } from '../../core/logger/index.ts'
+import { describeThrown } from '../../core/errors/index.ts'
 import { Deadline, withTimeout } from '../../core/time/deadline.ts'
 import { comparePositions } from '../../positions/position.ts'
-import type { GroupView } from '../upstreams/group-view.ts'
+import type { GroupView, UpstreamView } from '../upstreams/group-view.ts'
 import { logEnd } from '../upstreams/status.ts'
 import type { FencedUpstream } from './choose-successor.ts'
 
@@ -19,6 +21,7 @@
   term: number
   /** Preferred successor, if any. */
   preferred?: string
+  logger: Logger
 }
 
 /**
@@ -28,21 +31,22 @@
  * @param request - group, term and successor
  * @returns the old primary; undefined when it rejects the fence, or when either upstream is unknown or times out
  */
-export async function fencePrimary ({ view, term, preferred }: FenceRequest): Promise<FencedUpstream | undefined> {
+export async function fencePrimary (request: FenceRequest): Promise<FencedUpstream | undefined> {
+  const { view, preferred } = request
   const oldPrimary = view.usablePrimary
   const successor = view.upstreams.get(preferred ?? '')
   if (oldPrimary === undefined || successor === undefined) {
     return undefined
   }
   try {
-    const { accepted, status } = await oldPrimary.channel.command('fence', [term])
-    if (!accepted) {
+    const fenced = await fenceUpstream(request, oldPrimary)
+    if (fenced === undefined) {
       return undefined
     }
-    const end = logEnd(status)
+    const end = logEnd(fenced.status)
     await successor.channel.waitUntil(
       (candidate) => comparePositions(logEnd(candidate), end) >= 0, new Deadline(CATCH_UP_TIMEOUT_MS))
-    return { view: oldPrimary, status }
+    return fenced
   } catch {
     // The election continues without the old primary, as in an unplanned failover.
     return undefined
@@ -58,17 +62,18 @@
  * @returns upstreams that accepted in time; may be less than a majority
  */
 export async function fenceMajority (
-  { view, term, preferred }: FenceRequest, fencedPrimary: FencedUpstream | undefined
+  request: FenceRequest, fencedPrimary: FencedUpstream | undefined
 ): Promise<FencedUpstream[]> {
+  const { view, preferred } = request
   const fenced: FencedUpstream[] = fencedPrimary === undefined ? [] : [fencedPrimary]
   const others = [...view.upstreams.values()].filter((upstream) => upstream !== fencedPrimary?.view)
   const hasPreferred = (): boolean =>
     preferred === undefined || fenced.some((candidate) => candidate.view.declaration.name === preferred)
   const sufficient = new Promise<void>((resolve) => {
     const attempts = others.map(async (upstream) => {
-      const { accepted, status } = await upstream.channel.command('fence', [term])
-      if (accepted) {
-        fenced.push({ view: upstream, status })
+      const accepted = await fenceUpstream(request, upstream)
+      if (accepted !== undefined) {
+        fenced.push(accepted)
       }
       if (fenced.length >= view.majority && hasPreferred()) {
         resolve()
@@ -79,3 +84,26 @@
   await withTimeout(sufficient, FENCE_TIMEOUT_MS)
   return [...fenced]
 }
+
+/**
+ * Fences one upstream and logs the outcome.
+ *
+ * @returns the upstream; undefined when it refused the fence
+ */
+async function fenceUpstream (
+  { view: { name: group }, term, logger }: FenceRequest, upstream: UpstreamView
+): Promise<FencedUpstream | undefined> {
+  const startedAt = performance.now()
+  const log = (outcome: string, fields: LogFields): void => {
+    const tookMs = Math.round(performance.now() - startedAt)
+    logger.log('info', 'failover.fence', { group, term, upstream: upstream.declaration.name, outcome, tookMs, ...fields })
+  }
+  try {
+    const { accepted, status } = await upstream.channel.command('fence', [term])
+    log(accepted ? 'accepted' : 'refused', { fencedTerm: status.fencedTerm })
+    return accepted ? { view: upstream, status } : undefined
+  } catch (thrown) {
+    log('failed', { reason: describeThrown(thrown) })
+    throw thrown
+  }
+}
--- a/src/mysql-proxy/failover/group-watch.ts
+++ b/src/mysql-proxy/failover/group-watch.ts
@@ -10,6 +10,7 @@
 import { preferredReplica } from './choose-successor.ts'
 import { createElections } from './elections.ts'
 import { createPrimaryHealth } from './primary-health.ts'
+import { createProbeLog } from './probe-log.ts'
 import { createProbes } from './probes.ts'
 import type { Observation } from './suspicion.ts'
 import { createWatchActions } from './watch-actions.ts'
@@ -57,7 +58,7 @@
 export function createGroupWatch (options: GroupWatchOptions): GroupWatch {
   const { name, dialer, logger, settings, rank, announce } = options
   const { probeMs, timeoutMs, failures: failuresNeeded, staggerMs } = settings.watch
-  const health = createPrimaryHealth(failuresNeeded)
+  const health = createPrimaryHealth({ failuresNeeded, log: createProbeLog(name, logger) })
   const state = { group: options.group, closed: false }
 
   const view = new GroupView({
@@ -80,7 +81,7 @@
 
   const recordFailure = (upstream: string, error: Error): void => {
     const { primary, term } = view.leadership
-    if (upstream !== primary || !health.recordFailure(error)) {
+    if (upstream !== primary || !health.recordFailure(upstream, error)) {
       return
     }
     const observation = { upstream, term, failureDomain: settings.host.failureDomain }
@@ -125,6 +126,7 @@
     }),
     close: () => {
       state.closed = true
+      health.close()
       view.close()
     }
   }
--- a/src/mysql-proxy/failover/primary-health.ts
+++ b/src/mysql-proxy/failover/primary-health.ts
@@ -1,7 +1,15 @@
 /** Tracks the health of a group's primary: consecutive failed probes of this keeper, and observations of others. */
+import type { ProbeLog } from './probe-log.ts'
 import { createSuspicion, type Observation } from './suspicion.ts'
 import { countFailure, isUnreachable } from './unreachable.ts'
 
+/** Options of {@link createPrimaryHealth}. */
+interface PrimaryHealthOptions {
+  /** Consecutive failures that make an observation. */
+  failuresNeeded: number
+  log: ProbeLog
+}
+
 /** Health of a group's primary. */
 export interface PrimaryHealth {
   /** Consecutive failures of this keeper, as counted by `countFailure`. */
@@ -9,12 +17,13 @@
   /** Resets the count of failures after a successful probe. */
   recordAnswer: () => void
   /**
-   * Counts a failed probe.
+   * Counts and logs a failed probe.
    *
+   * @param upstream - name of the primary
    * @param error - cause of the failure
    * @returns whether the count has reached the threshold for an observation
    */
-  recordFailure: (error: Error) => boolean
+  recordFailure: (upstream: string, error: Error) => boolean
   /** Adds a failure observation of this keeper or of another process. */
   recordObservation: (observation: Observation) => void
   /**
@@ -27,22 +36,27 @@
   isUnreachable: (primary: string, term: number) => boolean
   /** Discards failures and observations after a change of primary. */
   reset: () => void
+  close: () => void
 }
 
 /**
  * Creates a health tracker without failures.
  *
- * @param failuresNeeded - consecutive failures that make an observation
+ * @param options - the threshold, and the log of failed probes
  * @returns the tracker
  */
-export function createPrimaryHealth (failuresNeeded: number): PrimaryHealth {
+export function createPrimaryHealth ({ failuresNeeded, log }: PrimaryHealthOptions): PrimaryHealth {
   const suspicion = createSuspicion()
   let failures = 0
   return {
     get failures () { return failures },
-    recordAnswer: () => { failures = 0 },
-    recordFailure: (error) => {
+    recordAnswer: () => {
+      failures = 0
+      log.answered()
+    },
+    recordFailure: (upstream, error) => {
       failures = countFailure(failures, failuresNeeded, error)
+      log.failed({ upstream, failures, error })
       return failures >= failuresNeeded
     },
     recordObservation: (observation) => suspicion.record(observation),
@@ -51,6 +65,7 @@
     reset: () => {
       failures = 0
       suspicion.clear()
-    }
+    },
+    close: log.close
   }
 }
