--- a/src/entry/ports/statements.ts
+++ b/src/entry/ports/statements.ts
@@ -73,6 +73,11 @@
   keyDigest: string
   /** Ends the connection as soon as every request that was read has an answer, and the answers are written. */
   end: () => void
+  /**
+   * Answers the start of the session with a failure, and ends the connection; only while the session is being accepted.
+   * None of its requests are served.
+   */
+  refuseStart: (failure: StatementFailure) => void
 }
 
 /** Failures after which the upstream has certainly not run the statement. */
--- a/src/entry/requests/index.ts
+++ b/src/entry/requests/index.ts
@@ -1,9 +1,12 @@
 /** Plug-in `entry`: serves callers' sessions and the statements that other hosts forward to this one. */
 import type { EntrySettings } from '../../core/config/entry-settings.ts'
+import { RequestError } from '../../core/errors/index.ts'
 import { registerPlugin } from '../../core/kernel/index.ts'
 import { parseEndpoint } from '../../core/wire/dialer.ts'
 import type { Metrics } from '../../metrics/index.ts'
 import { createRetryBudget } from '../../retries/retry-budget.ts'
+import type { CallerLink } from '../ports/index.ts'
+import { failureOf } from './answers.ts'
 import { serveForwarded } from './serve-forwarded.ts'
 import { createPositionProver } from './prove-position.ts'
 import { createCallerRequests, type CallerRequests } from './caller-requests.ts'
@@ -30,6 +33,12 @@
   }
 }
 
+/** Tells a caller before its first request that this host is stopping, and ends its connection. */
+function refuseSession (link: CallerLink, connection: CallerRequests, host: string): void {
+  link.refuseStart(failureOf(new RequestError('not-run', 'Stopping', { host }), true))
+  connection.endNow()
+}
+
 registerPlugin({
   name: 'entry',
   dependencies: [
@@ -84,7 +93,8 @@
       const connection = createCallerRequests({ session, link, onClose: () => connections.delete(connection) })
       connections.add(connection)
       if (areCallersEnded) {
-        connection.endNow()
+        refused++
+        refuseSession(link, connection, entryContext.host)
       }
       return connection
     })
--- a/test/platform/caller-port.test.ts
+++ b/test/platform/caller-port.test.ts
@@ -155,6 +155,36 @@
     expect([served.length, caller.text().split('DONE').length - 1]).toEqual([1, 1])
   })
 
+  // Guards against READY to a caller whose next request would be cut off.
+  it('answers a start that is refused with the failure, then ends the connection', async () => {
+    const { port, served } = await listen(async () => done,
+      (link) => link.refuseStart({ kind: 'busy', message: 'this host is stopping' }))
+    const caller = await call(port)
+    caller.socket.write('START d1 u1\r\nQUERY 7a READ k\r\n')
+    await once(caller.socket, 'end')
+    expect([caller.text(), served]).toEqual(['ERR BUSY this host is stopping\r\n', []])
+  })
+
+  // Guards against the loss of requests that a paused connection has read when its end is decided.
+  it('answers the requests that it has read but not taken when it decides to end the connection', async () => {
+    const finish: Array<(answer: StatementAnswer) => void> = []
+    let isEnding = false
+    const { port, links, served } = await listen(async () =>
+      isEnding ? done : await new Promise((resolve) => { finish.push(resolve) }))
+    const caller = await call(port)
+    caller.socket.write('START d1 u1\r\n' + 'QUERY 7a READ k\r\n'.repeat(70))
+    await caller.until('READY')
+    await new Promise((resolve) => { setTimeout(resolve, 20) })
+    caller.socket.write('QUERY 7b READ k\r\n'.repeat(10))
+    await new Promise((resolve) => { setTimeout(resolve, 20) })
+    expect(served.length).toEqual(70)
+    isEnding = true
+    links[0]!.end()
+    finish.forEach((answer) => answer(done))
+    await once(caller.socket, 'end')
+    expect([served.length, caller.text().split('DONE').length - 1]).toEqual([80, 80])
+  })
+
   it('reads no further requests of a caller while many are unanswered, and drops none', async () => {
     const finish: Array<(answer: StatementAnswer) => void> = []
     const { port, served } = await listen(async () => await new Promise((resolve) => { finish.push(resolve) }))
