Close an embedded deployment that does not start

Cause: startDeployment threw and left everything that it had started open, and the test's own clean-up has no deployment to close.

Change: it closes the deployment before it throws. The waits move to a file of their own.

--- a/src/emulation/embedded/deployment.ts
+++ b/src/emulation/embedded/deployment.ts
@@ -5,7 +5,6 @@
 } from '../../core/config/index.ts'
 import type { Kernel } from '../../core/kernel/index.ts'
 import { silentLogger, type Logger } from '../../core/logger/index.ts'
-import { pause } from '../../core/time/deadline.ts'
 import { createConfigurationStore } from '../../mysql-proxy/configuration/configuration-store.ts'
 import { doubleSha1 } from '../../mysql/password.ts'
 import { hashOperatorKey } from '../../mysql-proxy/operators/authentication.ts'
@@ -19,14 +18,11 @@
   EMBEDDED_ACCOUNT, EMBEDDED_KINDS, EMBEDDED_OPERATOR_KEY, EMBEDDED_PASSWORD, EMBEDDED_SCHEMA, EMBEDDED_SERVICE,
   type DeploymentSizes
 } from './sizes.ts'
+import { START_TIMEOUT_MS, waitForPrimaries, waitUntilServing } from './wait-until-serving.ts'
 
 const ADDRESS = '127.0.0.1'
 const PLATFORM = 'platform'
 const PEER_KEY = 'embedded-peer-key-0123456789'
-/** Timeout for the first elections and for the proxies to become ready, in milliseconds. */
-const START_TIMEOUT_MS = 15_000
-/** Interval between readiness checks, in milliseconds. */
-const POLL_MS = 10
 
 /** Options of {@link startDeployment}. */
 export interface DeploymentOptions {
@@ -36,6 +32,8 @@
   adjust?: (declarations: Declarations) => void
   /** Whether to wait until every group has a primary and all proxies are ready; true when absent. */
   waitForPrimaries?: boolean
+  /** Time in which that must happen, in milliseconds. */
+  startTimeoutMs?: number
 }
 
 /** A host that runs one proxy or keeper. */
@@ -139,15 +137,14 @@
     },
     upstream: (group, name) => standins.groups.get(group)!.get(name)!,
     primaryOf: (group) => findPrimary(standins, group),
-    waitForPrimaries: async () => await waitForPrimaries(standins, sizes),
+    waitForPrimaries: async () => await waitForPrimaries(standins, sizes.groups),
     close: async () => {
       await Promise.all([...proxies, ...keepers].map(async ({ kernel }) => await kernel.close()))
       await standins.close()
     }
   }
   if (options.waitForPrimaries !== false) {
-    await waitForPrimaries(standins, sizes)
-    await waitUntilReady(deployment)
+    await waitUntilServing(deployment, options.startTimeoutMs ?? START_TIMEOUT_MS)
   }
   return deployment
 }
@@ -225,34 +222,6 @@
   return [...standins.groups.get(group)!.values()].sort((left, right) => rank(right) - rank(left))[0]!
 }
 
-async function waitForPrimaries (standins: Standins, sizes: DeploymentSizes): Promise<void> {
-  const until = performance.now() + START_TIMEOUT_MS
-  while (!sizes.groups.every((group) => countFollowers(standins, group) === sizes.upstreamsPerGroup - 1)) {
-    if (performance.now() > until) {
-      throw new Error('timed out waiting for the groups to elect their primaries')
-    }
-    await pause(POLL_MS)
-  }
-}
-
-function countFollowers (standins: Standins, group: string): number {
-  const statuses = [...standins.groups.get(group)!.values()].map(({ upstream }) => upstream.status())
-  const primary = statuses.find(({ role, term, fencedTerm }) => role === 'primary' && fencedTerm === term)
-  return statuses.filter(({ role, term }) => role === 'replica' && term === primary?.term).length
-}
-
-async function waitUntilReady ({ proxies }: Deployment): Promise<void> {
-  const until = performance.now() + START_TIMEOUT_MS
-  const isReady = ({ kernel }: DeployedHost): boolean =>
-    kernel.use('configuration').ready && kernel.use('membership').available('proxy').length >= proxies.length
-  while (!proxies.every(isReady)) {
-    if (performance.now() > until) {
-      throw new Error('timed out waiting for the proxies to become ready')
-    }
-    await pause(POLL_MS)
-  }
-}
-
 function pickUpstreamSizes ({ slots, connections, connectMs, readMs, writeMs, lagMs }: DeploymentSizes) {
   return { slots, connections, connectMs, readMs, writeMs, lagMs }
 }
