Elect no primary because a keeper did not run, and one keeper at a time

What callers saw on a busy machine: 'no primary is known' and 'its outcome could not be settled in time' for 5 s and more, while every upstream was alive.

Cause, three faults that feed each other: - The timeouts of probes counted time in which the keeper did not run, so the answers that waited in its sockets counted as silence. The driver's own timer of the login did so, too. - A failed election was followed by the next within 150 ms, by up to three keepers, each fencing with the next term, so that one undid what another was about to finish. - An election that could fence no majority fenced what it reached. Only after 15 full rounds did a keeper finish it.

Change: - Timeouts of the status channel count only time in which the process runs, at most ten times as long, and end after what has arrived was read. - Before it fences, a keeper asks the upstreams: it begins no election without an answering majority, none if the primary answers, and gives 500 ms to an election of another keeper that it sees. - After a failed election it waits 75 to 150 ms, twice as long each time up to 1.2 s, and finishes itself what it has left fenced.

--- a/src/core/logger/events.ts
+++ b/src/core/logger/events.ts
@@ -38,6 +38,7 @@
   'failover.promoting': { level: 'info', fields: 'group, upstream, fence, position', when: 'a promotion is requested' },
   'failover.probe-failed': { level: 'info', fields: 'group, upstream, failures, stalledMs, reason', when: 'a keeper\'s probe of a primary failed; consecutive failures, and the time since the last answer or failure in which the keeper itself did not run' },
   'failover.started': { level: 'warn', fields: 'group, reason, primary, epoch, term, registryVersion', when: 'a keeper or an entry process starts a failover' },
+  'failover.withheld': { level: 'info', fields: 'group, term, reason', when: 'a keeper did not start a failover, because it was not needed or could not succeed' },
   'failover.would-promote': { level: 'warn', fields: 'group, term, reason', when: 'the duty is in mode \'observe\': a failover would have started' },
   'feed.behind': { level: 'info', fields: 'table, version, told, peer', when: 'a peer reported a change that did not arrive here in time; the whole table is read' },
   'feed.history-lost': { level: 'warn', fields: 'table, version', when: 'the store no longer has the changes since a version; the whole table is read' },
--- a/src/core/time/stall-meter.ts
+++ b/src/core/time/stall-meter.ts
@@ -7,6 +7,8 @@
 export interface StallMeter {
   /** Time since the start in which the process did not run its timers, in milliseconds. */
   readonly stalledMs: number
+  /** Clock of the time in which the process runs, in milliseconds. */
+  readonly runningMs: number
   close: () => void
 }
 
@@ -26,11 +28,13 @@
   }
   const timer = setInterval(checkClock, CHECK_INTERVAL_MS)
   timer.unref()
+  const readStalls = (): number => {
+    checkClock()
+    return stalledMs
+  }
   return {
-    get stalledMs () {
-      checkClock()
-      return stalledMs
-    },
+    get stalledMs () { return readStalls() },
+    get runningMs () { return performance.now() - readStalls() },
     close: () => clearInterval(timer)
   }
 }
--- a/src/mysql-proxy/failover/election.ts
+++ b/src/mysql-proxy/failover/election.ts
@@ -11,7 +11,7 @@
 /** Outcome of an election. */
 type ElectionResult =
   | { type: 'promoted', term: number, primary: string }
-  | { type: 'failed', term: number, reason: string }
+  | { type: 'failed', term: number, reason: string, mayHaveFenced: boolean }
 
 /** Options of {@link electPrimary}. */
 interface ElectionOptions {
@@ -37,14 +37,16 @@
   const term = nextTerm(view.leadership.term, statuses)
   const fence = { view, term, preferred, logger }
   const fencedPrimary = planned ? await fencePrimary(fence) : undefined
-  const fenced = await fenceMajority(fence, fencedPrimary)
+  const { fenced, mayHaveFenced } = await fenceMajority(fence, fencedPrimary)
   if (fenced.length < view.majority) {
-    return { type: 'failed', term, reason: `only ${fenced.length} of ${view.upstreams.size} upstreams were fenced` }
+    const reason = `only ${fenced.length} of ${view.upstreams.size} upstreams were fenced`
+    return { type: 'failed', term, reason, mayHaveFenced }
   }
   const successor = chooseSuccessor(fenced, { preferred, isLeaving: (upstream) => view.isDraining(upstream) })
   const primary = successor.view.declaration.name
   if (!await promote(successor.view, term)) {
-    return { type: 'failed', term, reason: `${primary} did not take the promotion, or another term came first` }
+    const reason = `${primary} did not take the promotion, or another term came first`
+    return { type: 'failed', term, reason, mayHaveFenced: true }
   }
   repointOthers(view, primary, term)
   return { type: 'promoted', term, primary }
--- a/src/mysql-proxy/failover/elections.ts
+++ b/src/mysql-proxy/failover/elections.ts
@@ -1,16 +1,18 @@
 /** Runs the elections of a group one at a time, logs their outcome and announces new primaries. */
 import type { Logger } from '../../core/logger/index.ts'
-import { pause } from '../../core/time/deadline.ts'
 import type { GroupView, Leadership } from '../upstreams/group-view.ts'
+import type { ElectionPace } from './election-pace.ts'
 import { electPrimary } from './election.ts'
+import { holdPreVote } from './pre-vote.ts'
 
 /** Options of {@link createElections}. */
 interface ElectionsOptions {
   name: string
   view: GroupView
   logger: Logger
-  /** Maximum random pause after a failed election, in milliseconds; the setting `watch.staggerMs`. */
-  staggerMs: number
+  pace: ElectionPace
+  /** Called when the primary answers the questions before an election. */
+  onPrimaryAnswer: () => void
   /** Announces a new primary to homes and other keepers. */
   announce: (leadership: Leadership) => void
 }
@@ -23,6 +25,8 @@
   preferred?: string
   /** Whether the old primary is fenced first, so that the preferred upstream can catch up with it. */
   planned: boolean
+  /** Returns whether the election is still needed after the upstreams were asked; always if absent. */
+  isNeeded?: () => boolean
 }
 
 /** Elections of a group. */
@@ -31,7 +35,7 @@
   /** Number of successful elections run by this keeper. */
   readonly promotions: number
   /**
-   * Runs an election, unless one is in progress.
+   * Runs an election, unless one is in progress or can't succeed.
    *
    * @param request - the reason and the preferred upstream
    * @returns description of the outcome for the operator
@@ -45,16 +49,49 @@
  * @param options - the group and the announcement callback
  * @returns the elections
  */
-export function createElections ({ name, view, logger, staggerMs, announce }: ElectionsOptions): Elections {
+export function createElections (
+  { name, view, logger, pace, onPrimaryAnswer, announce }: ElectionsOptions
+): Elections {
   let inProgress = false
   let promotions = 0
+  let loggedObstacle = ''
 
-  const elect = async ({ reason, preferred, planned }: ElectionRequest): Promise<string> => {
+  /** Returns why an election must not begin now; undefined if it may. */
+  const findObstacle = async ({ isNeeded }: ElectionRequest): Promise<string | undefined> => {
+    const preVote = await holdPreVote(view)
+    if (preVote === undefined) {
+      return 'a majority of the upstreams does not answer'
+    }
+    if (preVote.primaryAnswers) {
+      onPrimaryAnswer()
+    }
+    if (isNeeded?.() === false) {
+      return 'the group has a primary that answers'
+    }
+    return pace.yieldsTo(preVote.openTerm) ? `an election for term ${preVote.openTerm} may be in progress` : undefined
+  }
+
+  /** Logs an obstacle once, since it is found again with each round of probes. */
+  const logObstacle = (obstacle: string): void => {
+    if (obstacle !== loggedObstacle) {
+      loggedObstacle = obstacle
+      logger.log('info', 'failover.withheld', { group: name, term: view.leadership.term, reason: obstacle })
+    }
+  }
+
+  const elect = async (request: ElectionRequest): Promise<string> => {
+    const { reason, preferred, planned } = request
+    const obstacle = await findObstacle(request)
+    if (obstacle !== undefined) {
+      logObstacle(obstacle)
+      return obstacle
+    }
+    loggedObstacle = ''
     logger.log('warn', 'failover.started', { group: name, reason, term: view.leadership.term })
     const result = await electPrimary({ view, preferred, planned, logger })
     if (result.type === 'failed') {
       logger.log('warn', 'failover.failed', { group: name, term: result.term, reason: result.reason })
-      await pause(Math.random() * staggerMs)
+      pace.failed(result.mayHaveFenced ? result.term : 0)
       return result.reason
     }
     promotions++
--- a/src/mysql-proxy/failover/fencing.ts
+++ b/src/mysql-proxy/failover/fencing.ts
@@ -53,18 +53,27 @@
   }
 }
 
+/** Outcome of a fence of all upstreams. */
+interface FenceResult {
+  /** Upstreams that accepted in time; may be less than a majority. */
+  fenced: FencedUpstream[]
+  /** Whether an upstream accepted, or may have, since it did not answer. */
+  mayHaveFenced: boolean
+}
+
 /**
  * Fences all upstreams and waits until a majority and the preferred upstream have accepted, for at most
  * {@link FENCE_TIMEOUT_MS}.
  *
  * @param request - group, term and successor
  * @param fencedPrimary - the old primary, if it is already fenced
- * @returns upstreams that accepted in time; may be less than a majority
+ * @returns the outcome
  */
 export async function fenceMajority (
   request: FenceRequest, fencedPrimary: FencedUpstream | undefined
-): Promise<FencedUpstream[]> {
+): Promise<FenceResult> {
   const { view, preferred } = request
+  let refused = 0
   const fenced: FencedUpstream[] = fencedPrimary === undefined ? [] : [fencedPrimary]
   const others = [...view.upstreams.values()].filter((upstream) => upstream !== fencedPrimary?.view)
   const hasPreferred = (): boolean =>
@@ -72,7 +81,9 @@
   const sufficient = new Promise<void>((resolve) => {
     const attempts = others.map(async (upstream) => {
       const accepted = await fenceUpstream(request, upstream)
-      if (accepted !== undefined) {
+      if (accepted === undefined) {
+        refused++
+      } else {
         fenced.push(accepted)
       }
       if (fenced.length >= view.majority && hasPreferred()) {
@@ -82,7 +93,7 @@
     void Promise.allSettled(attempts).then(() => resolve())
   })
   await withTimeout(sufficient, FENCE_TIMEOUT_MS)
-  return [...fenced]
+  return { fenced: [...fenced], mayHaveFenced: refused < view.upstreams.size }
 }
 
 /**
--- a/src/mysql-proxy/failover/group-watch.ts
+++ b/src/mysql-proxy/failover/group-watch.ts
@@ -5,9 +5,11 @@
 import type { Group, KeeperSettings } from '../../core/config/index.ts'
 import type { Logger } from '../../core/logger/index.ts'
 import { pause } from '../../core/time/deadline.ts'
+import type { StallMeter } from '../../core/time/stall-meter.ts'
 import type { Dialer } from '../../core/wire/dialer.ts'
 import { GroupView, type Leadership } from '../upstreams/group-view.ts'
 import { preferredReplica } from './choose-successor.ts'
+import { createElectionPace } from './election-pace.ts'
 import { createElections } from './elections.ts'
 import { createPrimaryHealth } from './primary-health.ts'
 import { createProbeLog } from './probe-log.ts'
@@ -22,6 +24,8 @@
   settings: KeeperSettings
   dialer: Dialer
   logger: Logger
+  /** Measures the time in which this keeper does not run. */
+  stalls: StallMeter
   /** Rank of this keeper among the keepers of the group; 0 acts first. */
   rank: () => number
   /** Sends a failure observation to the other keepers of the group. */
@@ -56,9 +60,9 @@
  * @returns the watch
  */
 export function createGroupWatch (options: GroupWatchOptions): GroupWatch {
-  const { name, dialer, logger, settings, rank, announce } = options
+  const { name, dialer, logger, stalls, settings, rank, announce } = options
   const { probeMs, timeoutMs, failures: failuresNeeded, staggerMs } = settings.watch
-  const health = createPrimaryHealth({ failuresNeeded, log: createProbeLog(name, logger) })
+  const health = createPrimaryHealth({ failuresNeeded, log: createProbeLog(name, logger, stalls) })
   const state = { group: options.group, closed: false }
 
   const view = new GroupView({
@@ -69,14 +73,16 @@
     onFailure: (upstream, error) => recordFailure(upstream, error),
     onLeadership: ({ term, primary }) => {
       health.reset()
+      pace.reset()
       probes.requestFullRound()
       logger.log('info', 'failover.leadership', { group: name, term, primary })
     }
   })
   const probes = createProbes(view, health.recordAnswer)
-  const elections = createElections({ name, view, logger, staggerMs, announce })
+  const pace = createElectionPace({ firstWaitMs: staggerMs, now: () => stalls.runningMs, random: Math.random })
+  const elections = createElections({ name, view, logger, pace, onPrimaryAnswer: health.recordAnswer, announce })
   const actions = createWatchActions({
-    name, view, health, elections, logger, staggerMs, rank, group: () => state.group, isClosed: () => state.closed
+    name, view, health, elections, pace, logger, staggerMs, rank, group: () => state.group, isClosed: () => state.closed
   })
 
   const recordFailure = (upstream: string, error: Error): void => {
@@ -126,7 +132,6 @@
     }),
     close: () => {
       state.closed = true
-      health.close()
       view.close()
     }
   }
--- a/src/mysql-proxy/failover/index.ts
+++ b/src/mysql-proxy/failover/index.ts
@@ -5,6 +5,7 @@
 import { RequestError } from '../../core/errors/index.ts'
 import type { Group, KeeperSettings } from '../../core/config/index.ts'
 import { registerPlugin, type PluginContext } from '../../core/kernel/index.ts'
+import { startStallMeter } from '../../core/time/stall-meter.ts'
 import { createGroupWatch, type GroupWatch } from './group-watch.ts'
 import { createNotices } from './notices.ts'
 import { evidenceSchema, leadershipNoticeSchema, promotionWishSchema } from './types.ts'
@@ -30,6 +31,7 @@
     const settings = context.settings as KeeperSettings
     const configuration = context.use('configuration')
     const membership = context.use('membership')
+    const stalls = startStallMeter()
     const notices = createNotices(membership, context.use('peers'))
 
     const startWatch = (name: string, group: Group): GroupWatch => createGroupWatch({
@@ -38,6 +40,7 @@
       settings,
       dialer: context.dialer,
       logger: context.logger,
+      stalls,
       rank: () => Math.max(0, notices.keepersOf(name).findIndex(({ host }) => host === settings.host.name)),
       broadcastObservation: (observation) => notices.broadcastObservation(name, observation),
       announce: (leadership) => notices.announce(name, leadership)
@@ -62,6 +65,7 @@
       dump: () => Object.fromEntries([...watches].map(([name, watch]) => [name, watch.dump()])),
       close: () => {
         clearInterval(timer)
+        stalls.close()
         close()
       }
     }
--- a/src/mysql-proxy/failover/primary-health.ts
+++ b/src/mysql-proxy/failover/primary-health.ts
@@ -36,7 +36,6 @@
   isUnreachable: (primary: string, term: number) => boolean
   /** Discards failures and observations after a change of primary. */
   reset: () => void
-  close: () => void
 }
 
 /**
@@ -65,7 +64,6 @@
     reset: () => {
       failures = 0
       suspicion.clear()
-    },
-    close: log.close
+    }
   }
 }
--- a/src/mysql-proxy/failover/probe-log.ts
+++ b/src/mysql-proxy/failover/probe-log.ts
@@ -1,6 +1,6 @@
 /** Logs the failed probes of a primary, with the time in which this keeper itself did not run. */
 import type { Logger } from '../../core/logger/index.ts'
-import { startStallMeter } from '../../core/time/stall-meter.ts'
+import type { StallMeter } from '../../core/time/stall-meter.ts'
 
 /** A failed probe. */
 interface FailedProbe {
@@ -16,7 +16,6 @@
   failed: (probe: FailedProbe) => void
   /** Restarts the measurement of the time in which this keeper did not run. */
   answered: () => void
-  close: () => void
 }
 
 /**
@@ -24,10 +23,10 @@
  *
  * @param group - name of the group
  * @param logger - receives the lines
+ * @param stalls - measures the time in which this keeper does not run
  * @returns the log
  */
-export function createProbeLog (group: string, logger: Logger): ProbeLog {
-  const stalls = startStallMeter()
+export function createProbeLog (group: string, logger: Logger, stalls: StallMeter): ProbeLog {
   let countedMs = 0
   return {
     failed: ({ upstream, failures, error }) => {
@@ -37,7 +36,6 @@
       })
       countedMs = stalledMs
     },
-    answered: () => { countedMs = stalls.stalledMs },
-    close: stalls.close
+    answered: () => { countedMs = stalls.stalledMs }
   }
 }
--- a/src/mysql-proxy/failover/watch-actions.ts
+++ b/src/mysql-proxy/failover/watch-actions.ts
@@ -7,6 +7,7 @@
 import { pause } from '../../core/time/deadline.ts'
 import type { GroupView } from '../upstreams/group-view.ts'
 import { preferredReplica } from './choose-successor.ts'
+import type { ElectionPace } from './election-pace.ts'
 import type { Elections } from './elections.ts'
 import type { PrimaryHealth } from './primary-health.ts'
 import { repointReplicas } from './repoint-replicas.ts'
@@ -18,6 +19,7 @@
   view: GroupView
   health: PrimaryHealth
   elections: Elections
+  pace: ElectionPace
   logger: Logger
   /** Election delay per rank, in milliseconds. */
   staggerMs: number
@@ -47,7 +49,7 @@
  * @returns the actions
  */
 export function createWatchActions (options: WatchActionsOptions): WatchActions {
-  const { name, view, health, elections, logger, staggerMs, rank, group } = options
+  const { name, view, health, elections, pace, logger, staggerMs, rank, group } = options
   let stalledRounds = 0
   let isElecting = false
   let reportedTerm = -1
@@ -55,7 +57,10 @@
   const findReason = (): string | undefined => {
     const { primary, term } = view.leadership
     const deposed = view.upstreams.get(primary)?.deposed === true
-    return findElectionReason({ term, deposed, stalledRounds, unreachable: health.isUnreachable(primary, term) })
+    const unfinished = pace.unfinishedTerm > term
+    return findElectionReason({
+      term, deposed, unfinished, stalledRounds, unreachable: health.isUnreachable(primary, term)
+    })
   }
 
   const logOncePerTerm = (term: number, reason: string): void => {
@@ -67,7 +72,7 @@
 
   const elect = async (): Promise<void> => {
     const reason = findReason()
-    if (reason === undefined || elections.inProgress) {
+    if (reason === undefined || elections.inProgress || !pace.isRested) {
       return
     }
     const { term } = view.leadership
@@ -76,8 +81,10 @@
       return
     }
     await pause(computeElectionDelay(rank(), staggerMs, Math.random()))
-    if (!options.isClosed() && view.leadership.term === term && findReason() !== undefined) {
-      await elections.run({ reason, planned: false })
+    const isNeeded = (): boolean =>
+      !options.isClosed() && view.leadership.term === term && findReason() !== undefined
+    if (isNeeded()) {
+      await elections.run({ reason, planned: false, isNeeded })
     }
   }
 
--- a/src/mysql-proxy/failover/when-to-act.ts
+++ b/src/mysql-proxy/failover/when-to-act.ts
@@ -17,6 +17,8 @@
   term: number
   /** Whether the primary is fenced and has no known successor. */
   deposed: boolean
+  /** Whether an election of this keeper failed after it had fenced an upstream. */
+  unfinished?: boolean
   /** Consecutive full rounds in which an upstream was fenced with a higher term. */
   stalledRounds: number
   unreachable: boolean
@@ -37,11 +39,13 @@
  * @param state - state of the primary
  * @returns the reason for the log; undefined when no election is needed
  */
-export function findElectionReason ({ term, deposed, stalledRounds, unreachable }: PrimaryState): string | undefined {
+export function findElectionReason (
+  { term, deposed, unfinished = false, stalledRounds, unreachable }: PrimaryState
+): string | undefined {
   if (term === 0) {
     return 'first start: the group has no primary yet'
   }
-  if (deposed && isElectionStalled(stalledRounds)) {
+  if (deposed && (unfinished || isElectionStalled(stalledRounds))) {
     return 'the primary was fenced and has no successor'
   }
   if (unreachable) {
--- a/src/mysql-proxy/upstreams/lazy-client.ts
+++ b/src/mysql-proxy/upstreams/lazy-client.ts
@@ -1,4 +1,8 @@
-/** Connection to an upstream that is opened on first use and reopened after it has failed. */
+/**
+ * Connection for the status and the commands of an upstream, which is opened on first use and reopened after it has
+ * failed. Its timeouts count against the upstream, so they don't count time in which this process did not run.
+ */
+import { startRunningTimer } from '../../core/time/running-timer.ts'
 import type { Dialer } from '../../core/wire/dialer.ts'
 import { openClient, type Client, type UpstreamAccess } from '../../mysql/client.ts'
 
@@ -26,7 +30,8 @@
       if (client?.usable === true) {
         return client
       }
-      opening ??= openClient({ access, dialer, connectTimeoutMs: timeoutMs }).finally(() => { opening = undefined })
+      opening ??= openClient({ access, dialer, connectTimeoutMs: timeoutMs, startTimer: startRunningTimer })
+        .finally(() => { opening = undefined })
       client = await opening
       if (closed) {
         client.close()
--- a/src/mysql/client.ts
+++ b/src/mysql/client.ts
@@ -2,6 +2,7 @@
 import type { Socket } from 'node:net'
 import mysql, { type Connection, type FieldPacket, type QueryError } from 'mysql2'
 import { RequestError, type Verdict } from '../core/errors/index.ts'
+import { startTimer as startElapsedTimer, type TimerStarter } from '../core/time/running-timer.ts'
 import type { Dialer, Endpoint } from '../core/wire/dialer.ts'
 import { ConnectionLostError, lossCauseOf } from './connection-lost.ts'
 import type { Answer, Cell, Column, Statement } from './types.ts'
@@ -21,6 +22,8 @@
   dialer: Dialer
   /** Time to connect and log in, in milliseconds. */
   connectTimeoutMs: number
+  /** Starts the timers of the login and of statements; they count elapsed time when absent. */
+  startTimer?: TimerStarter
 }
 
 /** A connection to an upstream. */
@@ -49,35 +52,40 @@
  *
  * @throws RequestError `ConnectionLost` with verdict `not-run`
  */
-export async function openClient ({ access, dialer, connectTimeoutMs }: ClientOptions): Promise<Client> {
+export async function openClient (
+  { access, dialer, connectTimeoutMs, startTimer = startElapsedTimer }: ClientOptions
+): Promise<Client> {
   const connection = mysql.createConnection({
     user: access.user,
     password: access.password,
     database: access.database,
     stream: () => dialer(access),
-    connectTimeout: connectTimeoutMs,
+    // The driver's own timer is off, since it counts time in which this process did not run.
+    connectTimeout: 0,
     maxPreparedStatements: MAXIMUM_PREPARED_STATEMENTS,
     supportBigNumbers: true,
     bigNumberStrings: true,
     dateStrings: true,
     disableEval: false
   } as mysql.ConnectionOptions)
-  await logIn(connection, access.name, connectTimeoutMs)
-  return wrapConnection(connection, access.name)
+  await logIn(connection, access.name, (fail) => startTimer(fail, connectTimeoutMs))
+  return wrapConnection(connection, access.name, startTimer)
 }
 
 /** Waits for the login; destroys the connection if the login fails or times out. */
-async function logIn (connection: Connection, upstream: string, timeoutMs: number): Promise<void> {
+async function logIn (
+  connection: Connection, upstream: string, startTimeout: (fail: () => void) => () => void
+): Promise<void> {
   await new Promise<void>((resolve, reject) => {
-    const timer = setTimeout(() => fail(new Error('no answer to the connection attempt')), timeoutMs)
+    const cancelTimeout = startTimeout(() => fail(new Error('no answer to the connection attempt')))
     const fail = (error: Error): void => {
-      clearTimeout(timer)
+      cancelTimeout()
       connection.destroy()
       reject(new ConnectionLostError('not-run', upstream, error.message, lossCauseOf(error)))
     }
     connection.once('error', fail)
     connection.connect((error) => {
-      clearTimeout(timer)
+      cancelTimeout()
       if (error !== null && error !== undefined) {
         fail(error)
         return
@@ -88,7 +96,7 @@
   })
 }
 
-function wrapConnection (connection: Connection, upstream: string): Client {
+function wrapConnection (connection: Connection, upstream: string, startTimer: TimerStarter): Client {
   let usable = true
   const listeners: Array<() => void> = []
   const disconnect = (): void => {
@@ -115,7 +123,7 @@
     const reason = 'it broke before the answer'
     const onLost = (): void =>
       finish(() => reject(new ConnectionLostError(lostVerdict, upstream, reason, 'broken')))
-    const timer = setTimeout(() => {
+    const cancelTimeout = startTimer(() => {
       finish(() => reject(new RequestError(lostVerdict, 'DeadlineExceeded', {
         deadlineMs: timeoutMs, stage: `waiting for upstream ${upstream}`
       })))
@@ -127,7 +135,7 @@
         return
       }
       finished = true
-      clearTimeout(timer)
+      cancelTimeout()
       listeners.splice(listeners.indexOf(onLost), 1)
       settle()
     }
