Promote the upstream that the operator named, or none

What operators saw: 'promote G to member-a-1' made member-a-2 the primary and reported it as a success; writes stopped for a second on the way.

Cause: the primary was fenced first, and when the named replica did not catch up within a second the change went on as an unplanned failover, in which the named one is preferred only among equally advanced logs. A handover of a draining primary took the same path. Besides, an upstream restored just before was still draining for the keeper, which moved the primary away again.

Change: the named replica catches up while the primary serves, then the primary is fenced; if the replica lacks the last writes, the old primary leads again in a new term (failover.not-preferred). Anything but the named upstream is an error, also an unknown or draining one. Without a name the replica with the most advanced log is taken.

--- a/src/core/logger/events.ts
+++ b/src/core/logger/events.ts
@@ -30,6 +30,7 @@
   'failover.leadership': { level: 'info', fields: 'group, term, primary', when: 'a keeper sees a new primary' },
   'failover.no-effect': { level: 'warn', fields: 'group, upstream', when: 'a promotion did not take effect in time' },
   'failover.no-successor': { level: 'warn', fields: 'group, candidates, fit', when: 'no upstream could be promoted' },
+  'failover.not-preferred': { level: 'warn', fields: 'group, term, primary, upstream', when: 'the upstream wanted as primary did not catch up in time; another one, usually the old primary, leads in the new term' },
   'failover.not-running': { level: 'warn', fields: 'group, upstream', when: 'the platform reports that an upstream is not running' },
   'failover.not-opened': { level: 'warn', fields: 'group, upstream, primary, epoch, term', when: 'a primary leads, but the group\'s row does not show its epoch as open after the write; the failover is repeated' },
   'failover.order-pending': { level: 'info', fields: 'group, upstream, ordered, pending', when: 'an upstream leads, and an order to promote another one may take effect or may have done so; the epoch stays closed until that is settled' },
--- a/src/mysql-proxy/failover/choose-successor.ts
+++ b/src/mysql-proxy/failover/choose-successor.ts
@@ -56,8 +56,9 @@
  * Finds the default successor for a planned change of primary.
  *
  * @param view - the group
- * @returns name of the first replica that accepts work; undefined when there is none
+ * @returns name of the replica with the most advanced log among those that accept work; undefined when there is none
  */
 export function preferredReplica (view: GroupView): string | undefined {
-  return view.replicaNames.find((replica) => view.isAvailable(replica))
+  return view.replicaNames.filter((replica) => view.isAvailable(replica))
+    .sort((left, right) => comparePositions(view.lastKnownLogEnd(right), view.lastKnownLogEnd(left)))[0]
 }
--- a/src/mysql-proxy/failover/election.ts
+++ b/src/mysql-proxy/failover/election.ts
@@ -6,7 +6,8 @@
 import { silentLogger, type Logger } from '../../core/logger/index.ts'
 import type { GroupView, UpstreamView } from '../upstreams/group-view.ts'
 import { chooseSuccessor, nextTerm } from './choose-successor.ts'
-import { fenceMajority, fencePrimary } from './fencing.ts'
+import { fenceMajority, type FenceRequest } from './fencing.ts'
+import { prepareChange, type PreparedElection } from './planned-change.ts'
 
 /** Outcome of an election. */
 type ElectionResult =
@@ -18,7 +19,7 @@
   view: GroupView
   /** Upstream to promote when no other log is more advanced. */
   preferred?: string
-  /** Whether the old primary is fenced first, so that the preferred upstream can catch up with it. */
+  /** Whether a primary that serves is replaced, which the preferred upstream has to catch up with first. */
   planned: boolean
   /** Receives the outcome of each fence. */
   logger?: Logger
@@ -35,16 +36,15 @@
 ): Promise<ElectionResult> {
   const statuses = [...view.upstreams.values()].map(({ channel }) => channel.latest?.status)
   const term = nextTerm(view.leadership.term, statuses)
-  const fence = { view, term, preferred, logger }
-  const fencedPrimary = planned ? await fencePrimary(fence) : undefined
-  const { fenced, mayHaveFenced } = await fenceMajority(fence, fencedPrimary)
-  if (fenced.length < view.majority) {
-    const reason = `only ${fenced.length} of ${view.upstreams.size} upstreams were fenced`
-    return { type: 'failed', term, reason, mayHaveFenced }
+  const [oldPrimary, successor] = [view.usablePrimary, view.upstreams.get(preferred ?? '')]
+  const prepared = planned && oldPrimary !== undefined && successor !== undefined
+    ? await prepareChange({ view, term, oldPrimary, successor, logger })
+    : await prepareFailover({ view, term, preferred, logger })
+  if (prepared.type === 'failed') {
+    return { ...prepared, term }
   }
-  const successor = chooseSuccessor(fenced, { preferred, isLeaving: (upstream) => view.isDraining(upstream) })
-  const primary = successor.view.declaration.name
-  if (!await promote(successor.view, term)) {
+  const primary = prepared.primary.declaration.name
+  if (!await promote(prepared.primary, term)) {
     const reason = `${primary} did not take the promotion, or another term came first`
     return { type: 'failed', term, reason, mayHaveFenced: true }
   }
@@ -52,6 +52,18 @@
   return { type: 'promoted', term, primary }
 }
 
+/** Fences a majority and chooses the upstream with the most advanced log. */
+async function prepareFailover (request: FenceRequest): Promise<PreparedElection> {
+  const { view, preferred } = request
+  const { fenced, mayHaveFenced } = await fenceMajority(request)
+  if (fenced.length < view.majority) {
+    const reason = `only ${fenced.length} of ${view.upstreams.size} upstreams were fenced`
+    return { type: 'failed', reason, mayHaveFenced }
+  }
+  const successor = chooseSuccessor(fenced, { preferred, isLeaving: (upstream) => view.isDraining(upstream) })
+  return { type: 'ready', primary: successor.view }
+}
+
 /**
  * Tells an upstream to replicate from the primary. Errors are ignored.
  *
--- a/src/mysql-proxy/failover/elections.ts
+++ b/src/mysql-proxy/failover/elections.ts
@@ -23,12 +23,22 @@
   reason: string
   /** Upstream to promote when no other log is more advanced. */
   preferred?: string
-  /** Whether the old primary is fenced first, so that the preferred upstream can catch up with it. */
+  /** Whether a primary that serves is replaced, which the preferred upstream has to catch up with first. */
   planned: boolean
   /** Returns whether the election is still needed after the upstreams were asked; always if absent. */
   isNeeded?: () => boolean
 }
 
+/** Outcome of an election. */
+interface ElectionOutcome {
+  /** The primary that was promoted; undefined if none was. */
+  primary?: string
+  /** Whether upstreams may have been fenced without a promotion. */
+  mayHaveFenced: boolean
+  /** Description for the operator. */
+  description: string
+}
+
 /** Elections of a group. */
 export interface Elections {
   readonly inProgress: boolean
@@ -38,9 +48,9 @@
    * Runs an election, unless one is in progress or can't succeed.
    *
    * @param request - the reason and the preferred upstream
-   * @returns description of the outcome for the operator
+   * @returns the outcome
    */
-  run: (request: ElectionRequest) => Promise<string>
+  run: (request: ElectionRequest) => Promise<ElectionOutcome>
 }
 
 /**
@@ -79,33 +89,48 @@
     }
   }
 
-  const elect = async (request: ElectionRequest): Promise<string> => {
+  const elect = async (request: ElectionRequest): Promise<ElectionOutcome> => {
     const { reason, preferred, planned } = request
     const obstacle = await findObstacle(request)
     if (obstacle !== undefined) {
       logObstacle(obstacle)
-      return obstacle
+      return { mayHaveFenced: false, description: obstacle }
     }
     loggedObstacle = ''
     logger.log('warn', 'failover.started', { group: name, reason, term: view.leadership.term })
     const result = await electPrimary({ view, preferred, planned, logger })
     if (result.type === 'failed') {
+      const { mayHaveFenced } = result
       logger.log('warn', 'failover.failed', { group: name, term: result.term, reason: result.reason })
-      pace.failed(result.mayHaveFenced ? result.term : 0)
-      return result.reason
+      if (mayHaveFenced || !planned) {
+        pace.failed(mayHaveFenced ? result.term : 0)
+      }
+      return { mayHaveFenced, description: result.reason }
     }
     promotions++
     view.adoptLeadership(result)
     announce(result)
-    logger.log('info', 'failover.done', { group: name, term: result.term, primary: result.primary })
-    return `${result.primary} is primary in term ${result.term}`
+    return describePromotion(result, request)
   }
+
+  const describePromotion = (
+    { term, primary }: Leadership, { preferred, planned }: ElectionRequest
+  ): ElectionOutcome => {
+    const description = `${primary} is primary in term ${term}`
+    logger.log('info', 'failover.done', { group: name, term, primary })
+    if (!planned || preferred === undefined || preferred === primary) {
+      return { primary, mayHaveFenced: false, description }
+    }
+    logger.log('warn', 'failover.not-preferred', { group: name, term, primary, upstream: preferred })
+    return { primary, mayHaveFenced: false, description: `${preferred} lacks the end of the log; ${description}` }
+  }
+
   return {
     get inProgress () { return inProgress },
     get promotions () { return promotions },
     run: async (request) => {
       if (inProgress) {
-        return 'another change of primary is in progress'
+        return { mayHaveFenced: false, description: 'another change of primary is in progress' }
       }
       inProgress = true
       return await elect(request).finally(() => { inProgress = false })
--- a/src/mysql-proxy/failover/fencing.ts
+++ b/src/mysql-proxy/failover/fencing.ts
@@ -4,19 +4,15 @@
  */
 import type { LogFields, Logger } from '../../core/logger/index.ts'
 import { describeThrown } from '../../core/errors/index.ts'
-import { Deadline, withTimeout } from '../../core/time/deadline.ts'
-import { comparePositions } from '../../positions/position.ts'
+import { withTimeout } from '../../core/time/deadline.ts'
 import type { GroupView, UpstreamView } from '../upstreams/group-view.ts'
-import { logEnd } from '../upstreams/status.ts'
 import type { FencedUpstream } from './choose-successor.ts'
 
 /** Time limit for fencing a majority, in milliseconds. */
 const FENCE_TIMEOUT_MS = 500
-/** Time limit for a planned successor to catch up with the old primary, in milliseconds. */
-const CATCH_UP_TIMEOUT_MS = 1000
 
 /** Parameters of a fence. */
-interface FenceRequest {
+export interface FenceRequest {
   view: GroupView
   term: number
   /** Preferred successor, if any. */
@@ -24,35 +20,6 @@
   logger: Logger
 }
 
-/**
- * Fences the old primary and waits until the preferred successor has replicated its log. Otherwise the old primary
- * would have the most advanced log and win the election.
- *
- * @param request - group, term and successor
- * @returns the old primary; undefined when it rejects the fence, or when either upstream is unknown or times out
- */
-export async function fencePrimary (request: FenceRequest): Promise<FencedUpstream | undefined> {
-  const { view, preferred } = request
-  const oldPrimary = view.usablePrimary
-  const successor = view.upstreams.get(preferred ?? '')
-  if (oldPrimary === undefined || successor === undefined) {
-    return undefined
-  }
-  try {
-    const fenced = await fenceUpstream(request, oldPrimary)
-    if (fenced === undefined) {
-      return undefined
-    }
-    const end = logEnd(fenced.status)
-    await successor.channel.waitUntil(
-      (candidate) => comparePositions(logEnd(candidate), end) >= 0, new Deadline(CATCH_UP_TIMEOUT_MS))
-    return fenced
-  } catch {
-    // The election continues without the old primary, as in an unplanned failover.
-    return undefined
-  }
-}
-
 /** Outcome of a fence of all upstreams. */
 interface FenceResult {
   /** Upstreams that accepted in time; may be less than a majority. */
@@ -70,7 +37,7 @@
  * @returns the outcome
  */
 export async function fenceMajority (
-  request: FenceRequest, fencedPrimary: FencedUpstream | undefined
+  request: FenceRequest, fencedPrimary?: FencedUpstream
 ): Promise<FenceResult> {
   const { view, preferred } = request
   let refused = 0
@@ -101,7 +68,7 @@
  *
  * @returns the upstream; undefined when it refused the fence
  */
-async function fenceUpstream (
+export async function fenceUpstream (
   { view: { name: group }, term, logger }: FenceRequest, upstream: UpstreamView
 ): Promise<FencedUpstream | undefined> {
   const startedAt = performance.now()
--- a/src/mysql-proxy/failover/group-watch.ts
+++ b/src/mysql-proxy/failover/group-watch.ts
@@ -8,12 +8,12 @@
 import type { StallMeter } from '../../core/time/stall-meter.ts'
 import type { Dialer } from '../../core/wire/dialer.ts'
 import { GroupView, type Leadership } from '../upstreams/group-view.ts'
-import { preferredReplica } from './choose-successor.ts'
 import { createElectionPace } from './election-pace.ts'
 import { createElections } from './elections.ts'
 import { createPrimaryHealth } from './primary-health.ts'
 import { createProbeLog } from './probe-log.ts'
 import { createProbes } from './probes.ts'
+import { promoteOnRequest } from './requested-promotion.ts'
 import type { Observation } from './suspicion.ts'
 import { createWatchActions } from './watch-actions.ts'
 
@@ -43,8 +43,9 @@
   /**
    * Changes the primary at an operator's request.
    *
-   * @param upstream - the new primary; by default the first replica that accepts work
-   * @returns description of the outcome for the operator
+   * @param upstream - the new primary; by default the replica with the most advanced log
+   * @returns description of the new primary
+   * @throws RequestError `InvalidCommand` when the requested upstream does not lead then
    */
   promote: (upstream?: string) => Promise<string>
   /** Applies changed declarations of the group. */
@@ -115,9 +116,7 @@
       void actions.electIfNeeded()
     },
     recordLeadership: (leadership) => view.adoptLeadership(leadership),
-    promote: async (upstream) => await elections.run({
-      reason: 'requested by an operator', preferred: upstream ?? preferredReplica(view), planned: true
-    }),
+    promote: async (upstream) => await promoteOnRequest({ view, elections, upstream }),
     update: (group) => {
       state.group = group
       view.update(group)
--- a/test/mysql-proxy/failover/election.test.ts
+++ b/test/mysql-proxy/failover/election.test.ts
@@ -84,6 +84,29 @@
     view.close()
   })
 
+  // Guards against a change of primary to an upstream that lacks what was written until the fence.
+  it('lets the old primary lead in a new term when the successor lacks writes from before the fence', async () => {
+    const view = createView()
+    await view.refreshAndWait()
+    await deployment.waitForPrimaries()
+    const oldPrimary = deployment.primaryOf(GROUP).upstream
+    const replicas = [...deployment.standins.groups.get(GROUP)!.values()].map(({ upstream }) => upstream)
+      .filter((upstream) => upstream !== oldPrimary)
+    const { channel } = view.upstreams.get(oldPrimary.name)!
+    const command = channel.command.bind(channel)
+    channel.command = async (name, values) => {
+      if (name === 'fence') {
+        replicas.forEach((replica) => deployment.standins.cutReplication(replica.name, oldPrimary.name))
+        await oldPrimary.run({ sql: "INSERT INTO records (session, request, amount) VALUES ('last', 'last', 1)" })
+      }
+      return await command(name, values)
+    }
+    const result = await electPrimary({ view, preferred: replicas[0]!.name, planned: true })
+    deployment.standins.mendReplication()
+    expect(result.type === 'promoted' ? result.primary : result.reason).toEqual(oldPrimary.name)
+    view.close()
+  })
+
   it('fails when a majority cannot be fenced', async () => {
     const view = createView()
     const [first, second] = [...deployment.standins.groups.get(GROUP)!.values()]
--- a/test/mysql-proxy/operators/console.test.ts
+++ b/test/mysql-proxy/operators/console.test.ts
@@ -108,6 +108,43 @@
     expect(deployment.primaryOf(GROUP).upstream.name).toEqual(target)
   })
 
+  // Guards against the promotion of another upstream than the one that the operator named.
+  it('refuses to promote a named upstream that lags, and leaves the primary in its term', async () => {
+    const [last] = await query('show history order by revision desc limit 1')
+    await waitForRevision(Number(last!['revision']))
+    await until(() => deployment.keepers.every(({ kernel }) =>
+      !(kernel.use('failover').watches().get(GROUP)!.dump() as { electing: boolean }).electing))
+    await deployment.waitForPrimaries()
+    const primary = deployment.primaryOf(GROUP).upstream
+    const { term } = primary.status()
+    const lagging = deployment.upstream(GROUP, [...deployment.standins.groups.get(GROUP)!.keys()]
+      .find((name) => name !== primary.name)!).upstream
+    lagging.lagMs = 60_000
+    const connection = await deployment.connect(1)
+    await purchase(connection, 'lagging', 'p1')
+    await expect(query(`promote ${GROUP} to ${lagging.name}`))
+      .toBeRejectedWith(`${lagging.name} did not reach the log of ${primary.name}`)
+    expect([deployment.primaryOf(GROUP).upstream.name, primary.status().term]).toEqual([primary.name, term])
+    await purchase(connection, 'lagging', 'p2')
+    lagging.lagMs = 5
+    await expect(query(`promote ${GROUP} to nobody`)).toBeRejectedWith("no upstream 'nobody'")
+  })
+
+  // Guards against a handover right after the promotion of an upstream that was restored just before.
+  it('promotes no upstream that is draining, and one that was restored for good', async () => {
+    await deployment.waitForPrimaries()
+    const target = [...deployment.standins.groups.get(GROUP)!.keys()]
+      .find((name) => name !== deployment.primaryOf(GROUP).upstream.name)!
+    const [drained] = await query(`drain upstream ${target}`)
+    await waitForRevision(Number(drained!['revision']))
+    await expect(query(`promote ${GROUP} to ${target}`)).toBeRejectedWith(`${target} is draining`)
+    const [restored] = await query(`restore upstream ${target}`)
+    await query(`promote ${GROUP} to ${target}`)
+    await waitForRevision(Number(restored!['revision']))
+    await deployment.waitForPrimaries()
+    expect(deployment.primaryOf(GROUP).upstream.name).toEqual(target)
+  })
+
   it('drains a proxy, which is then not ready and not a home of any group', async () => {
     await query('drain proxy proxy-3')
     await until(() => !deployment.proxies[0]!.kernel.use('routing').homesOf(GROUP).some(({ host }) => host === 'proxy-3'))
