Refuse a read at a stop whose answer its caller can't read in the time that remains

What callers saw: a caller that reads slowly got a large answer cut off when its host stopped, without a verdict.

Cause: a stopping host wrote each answer until 0.3 s before the end of its grace period, but took requests without asking whether their answers can be read until then.

Change: the port records how fast each caller reads large answers (1 MB/s until it has read one). At a stop a single read whose answer takes longer than the time that remains is refused as not run, so its caller repeats it elsewhere. Answers up to 256 KiB, writes and transactions are as before.

Measured: the unit tests (refused reads; the estimate after a slow reading).

--- a/src/entry/ports/statements.ts
+++ b/src/entry/ports/statements.ts
@@ -73,6 +73,8 @@
   keyDigest: string
   /** Ends the connection as soon as every request that was read has an answer, and the answers are written. */
   end: () => void
+  /** Estimates how long the caller takes to read an answer, in milliseconds; 0 for a small one. */
+  estimateReadMs: (answer: StatementAnswer) => number
   /**
    * Answers the start of the session with a failure, and ends the connection; only while the session is being accepted.
    * None of its requests are served.
--- a/src/entry/requests/caller-requests.ts
+++ b/src/entry/requests/caller-requests.ts
@@ -16,7 +16,9 @@
   session: Pick<
     Session, 'serve' | 'refuse' | 'interrupt' | 'idleMs' | 'inTransaction' | 'abortTransaction' | 'close'
   >
-  link: Pick<CallerLink, 'end'>
+  link: Pick<CallerLink, 'end' | 'estimateReadMs'>
+  /** Time until this host closes the connection, in milliseconds; Infinity while it does not stop. */
+  remainingMs: () => number
   onClose: () => void
 }
 
@@ -35,13 +37,19 @@
   endNow: () => void
 }
 
+function isRead ({ statement }: CallerRequest): boolean {
+  return statement.type === 'data' && statement.access === 'read'
+}
+
 /**
  * Creates the owner of a connection's requests.
  *
  * @param options - the session that serves them, and the connection
  * @returns the owner
  */
-export function createCallerRequests ({ session, link, onClose }: CallerRequestsOptions): CallerRequests {
+export function createCallerRequests (
+  { session, link, remainingMs, onClose }: CallerRequestsOptions
+): CallerRequests {
   const waiting: UnservedRequest[] = []
   let isServing = false
   let endsAfterAnswer = false
@@ -53,10 +61,19 @@
   }
   const mayServe = ({ statement }: CallerRequest): boolean =>
     !isEnded && !(endsAfterAnswer && statement.type === 'begin' && !session.inTransaction)
+  const serve = async (request: CallerRequest): Promise<StatementAnswer> => {
+    if (!mayServe(request)) {
+      return session.refuse(request)
+    }
+    const answer = await session.serve(request)
+    // A read leaves nothing behind, so its caller can have the answer whole from another host.
+    const isRepeatable = isRead(request) && answer.failure === undefined && !session.inTransaction
+    return isRepeatable && link.estimateReadMs(answer) > remainingMs() ? session.refuse(request) : answer
+  }
   const serveWaiting = async (): Promise<void> => {
     isServing = true
     for (let next = waiting.shift(); next !== undefined; next = waiting.shift()) {
-      next.answer(mayServe(next.request) ? await session.serve(next.request) : session.refuse(next.request))
+      next.answer(await serve(next.request))
       if (endsAfterAnswer && !session.inTransaction) {
         end()
       }
--- a/src/entry/requests/index.ts
+++ b/src/entry/requests/index.ts
@@ -1,7 +1,7 @@
 /** Plug-in `entry`: serves callers' sessions and the statements that other hosts forward to this one. */
 import type { EntrySettings } from '../../core/config/entry-settings.ts'
 import { RequestError } from '../../core/errors/index.ts'
-import { registerPlugin } from '../../core/kernel/index.ts'
+import { registerPlugin, type PluginContext } from '../../core/kernel/index.ts'
 import { parseEndpoint } from '../../core/wire/dialer.ts'
 import type { Metrics } from '../../metrics/index.ts'
 import { createRetryBudget } from '../../retries/retry-budget.ts'
@@ -33,6 +33,30 @@
   }
 }
 
+function createEntryContext (context: PluginContext): EntryContext {
+  const settings = context.settings as EntrySettings
+  return {
+    pools: context.use('pools'),
+    homes: context.use('homes'),
+    directory: context.use('directory'),
+    leadership: context.use('leadership'),
+    limits: context.use('limits'),
+    freshness: context.use('freshness'),
+    logger: context.logger,
+    retryBudget: createRetryBudget(),
+    costs: createStatementCosts(),
+    metrics: createEntryMetrics(context.use('metrics')),
+    host: settings.host.name,
+    failureDomain: settings.host.failureDomain,
+    get drainMs () { return settings.drainMs }
+  }
+}
+
+/** Returns the time until the connections are closed, in milliseconds; 0 without a planned stop. */
+function flushTime (flushBy: number): number {
+  return Number.isFinite(flushBy) ? Math.max(0, flushBy - performance.now()) : 0
+}
+
 /** Tells a caller before its first request that this host is stopping, and ends its connection. */
 function refuseSession (link: CallerLink, connection: CallerRequests, host: string): void {
   link.refuseStart(failureOf(new RequestError('not-run', 'Stopping', { host }), true))
@@ -54,21 +78,8 @@
     const connections = new Set<CallerRequests>()
     let areCallersEnded = false
     let refused = 0
-    const entryContext: EntryContext = {
-      pools: context.use('pools'),
-      homes: context.use('homes'),
-      directory: context.use('directory'),
-      leadership: context.use('leadership'),
-      limits: context.use('limits'),
-      freshness: context.use('freshness'),
-      logger,
-      retryBudget: createRetryBudget(),
-      costs: createStatementCosts(),
-      metrics: createEntryMetrics(metrics),
-      host: settings.host.name,
-      failureDomain: settings.host.failureDomain,
-      get drainMs () { return settings.drainMs }
-    }
+    let flushBy = Infinity
+    const entryContext = createEntryContext(context)
     metrics.registerGauge('worksward_sessions', 'Sessions that are open', () => ({ open: connections.size }))
     entryContext.freshness.setProver(createPositionProver(entryContext).prove)
     const forwarded = serveForwarded({
@@ -90,7 +101,9 @@
         onDone: metrics.recordRequest,
         onStopped: () => { refused++ }
       })
-      const connection = createCallerRequests({ session, link, onClose: () => connections.delete(connection) })
+      const connection = createCallerRequests({
+        session, link, remainingMs: () => flushBy - performance.now(), onClose: () => connections.delete(connection)
+      })
       connections.add(connection)
       if (areCallersEnded) {
         refused++
@@ -98,7 +111,6 @@
       }
       return connection
     })
-    let flushBy = 0
     return {
       service: {},
       dump: () => ({
@@ -121,7 +133,7 @@
         logger.log('info', 'callers.drained', { left: connections.size, refused, forwarded: forwarded.inProgress })
       },
       close: async () => {
-        logCutRequests(logger, await listener.close(Math.max(0, flushBy - performance.now())))
+        logCutRequests(logger, await listener.close(flushTime(flushBy)))
       }
     }
   }
--- a/test/entry/requests/caller-requests.test.ts
+++ b/test/entry/requests/caller-requests.test.ts
@@ -24,13 +24,18 @@
     abortTransaction: () => {},
     close: () => { events.push('closed') }
   }
-  const link = { end: () => { events.push(`ended after ${answered.length} answers`) } }
-  const requests = createCallerRequests({ session, link, onClose: () => events.push('forgotten') })
+  const times = { readMs: 0, remainingMs: Infinity }
+  const link = {
+    end: () => { events.push(`ended after ${answered.length} answers`) }, estimateReadMs: () => times.readMs
+  }
+  const requests = createCallerRequests({
+    session, link, remainingMs: () => times.remainingMs, onClose: () => events.push('forgotten')
+  })
   const send = (id: string, statement = READ): void => {
     void requests.serve({ id, statement }).then(({ rows }) => answered.push(rows[0]!))
   }
   const settle = async (): Promise<void> => await new Promise((resolve) => { setImmediate(resolve) })
-  return { requests, session, served, answered, events, finish, send, settle }
+  return { requests, session, served, answered, events, finish, send, settle, times }
 }
 
 describe('requests of a connection', () => {
@@ -50,6 +55,24 @@
     expect([answered, requests.unanswered, requests.idleMs]).toEqual([['a done', 'b done', 'c done'], 0, 7])
   })
 
+  // Guards against answers that are cut off because their caller reads slowly while the host stops.
+  it('are refused when they only read and the answer can not be read before the host closes', async () => {
+    const { answered, finish, send, settle, times } = setUp()
+    times.readMs = 900
+    const answer = async (id: string, statement = READ): Promise<void> => {
+      send(id, statement)
+      finish.get(id)!()
+      await settle()
+    }
+    await answer('a')
+    times.remainingMs = 1000
+    await answer('b')
+    times.remainingMs = 800
+    await answer('c')
+    await answer('d', { type: 'data', access: 'write', text: 'WRITE x y' })
+    expect(answered).toEqual(['a done', 'b done', 'c refused', 'd done'])
+  })
+
   it('end with an answer, and those behind it are refused', async () => {
     const { requests, served, answered, events, finish, send, settle } = setUp()
     send('a')
--- a/test/platform/caller-port.test.ts
+++ b/test/platform/caller-port.test.ts
@@ -243,6 +243,21 @@
     expect(await closing).toEqual([])
   })
 
+  it('estimates the time in which a caller reads an answer by how it has read an earlier one', async () => {
+    const large = { ...done, rows: Array.from({ length: 200 }, () => 'x'.repeat(1e5)) }
+    const { port, links } = await listen(async () => large)
+    const caller = await call(port)
+    caller.socket.write('START d1 u1\r\n')
+    await caller.until('READY')
+    expect([links[0]!.estimateReadMs(done), links[0]!.estimateReadMs(large) > 10_000]).toEqual([0, true])
+    caller.socket.pause()
+    caller.socket.write('QUERY 7a READ k\r\n')
+    await new Promise((resolve) => { setTimeout(resolve, 100) })
+    caller.socket.resume()
+    await caller.until('3.9')
+    expect(links[0]!.estimateReadMs(large) >= 80).toEqual(true)
+  })
+
   it('closes connections when the time for answers is over, and names the requests without a whole one', async () => {
     const { port, close } = await listen(async ({ id }) => id === '7b'
       ? await new Promise<StatementAnswer>(() => {})
