Connect links in the test of a busy peer that are accepted late

Seen: 'keeps opening a link after a request stopped waiting' had no answer in 100 attempts, beside load.

Cause, of the test: it connected to the peer only the links that its server had accepted when the first request gave up, after 20 ms; one accepted later waited for ever.

Change: a link that is accepted later is connected as well. The check is the same: one connection, whose link later requests use. A client that opened a new link after giving up would have more than one.

--- a/test/peers/peer-client.test.ts
+++ b/test/peers/peer-client.test.ts
@@ -23,16 +23,24 @@
   let endpoint: Endpoint
   let pendingSockets: Socket[]
   let connections: number
+  let isPeerReady: boolean
   const dial = createDialer()
+  const connectToPeer = (socket: Socket): void => {
+    const peerSocket = dial({ address: ADDRESS, port: peer.port })
+    socket.pipe(peerSocket).pipe(socket)
+  }
 
   beforeEach(async () => {
     const handlers = new Map<string, PeerHandler>([['echo', async (body) => body]])
     peer = await listenForPeers({ host: 'busy', key: KEY, handlers, address: ADDRESS, port: 0, logger: silentLogger })
     pendingSockets = []
     connections = 0
+    isPeerReady = false
     delayingServer = createServer((socket) => {
       connections++
       pendingSockets.push(socket)
+      // On a busy machine a link may be accepted after the request has stopped waiting for it.
+      isPeerReady && connectToPeer(socket)
     })
     await new Promise<void>((resolve) => { delayingServer.listen(0, ADDRESS, resolve) })
     endpoint = { address: ADDRESS, port: (delayingServer.address() as AddressInfo).port }
@@ -42,10 +50,6 @@
     await new Promise((resolve) => { delayingServer.close(resolve) })
     await peer.close()
   })
-  const connectToPeer = (): void => pendingSockets.forEach((socket) => {
-    const peerSocket = dial({ address: ADDRESS, port: peer.port })
-    socket.pipe(peerSocket).pipe(socket)
-  })
 
   it('keeps opening a link after a request stopped waiting, and uses it for later requests', async () => {
     const client = createPeerClient({
@@ -54,7 +58,8 @@
     const ask = async (): Promise<unknown> => await client.request(endpoint, 'echo', { value: 1 }, REQUEST_MS)
     const first = await ask().catch((thrown: unknown) => thrown)
     expect((first as RequestError).verdict).toEqual('not-run')
-    connectToPeer()
+    isPeerReady = true
+    pendingSockets.forEach(connectToPeer)
     let answer: unknown
     for (let attempts = 0; answer === undefined && attempts < MAXIMUM_ATTEMPTS; attempts++) {
       answer = await ask().catch(() => undefined)
