Count no time in which this process does not run against the login at an upstream

Seen: beside a load of 40, 'no answer to the connection attempt' after 1 s in 2 of 14 runs of slow-upstream.test.ts, in a process whose stand-in upstream was alive. Callers get a lost connection, and the upstream counts as unreachable, with a report to the keepers.

Change: each login counts only time in which the process runs. Statements of callers keep their deadlines.

--- a/src/mysql-proxy/failover/requested-promotion.ts
+++ b/src/mysql-proxy/failover/requested-promotion.ts
@@ -18,7 +18,8 @@
 }
 
 /**
- * Changes the primary.
+ * Changes the primary. When that fails half-way, the old primary is elected for a new term at once, also where the duty
+ * `promotion` is not `act`.
  *
  * @param options - the group and the requested upstream
  * @returns description of the new primary
@@ -35,8 +36,12 @@
   if (preferred === undefined && view.usablePrimary !== undefined) {
     throw notPromoted('not-run', view.name, 'no replica accepts work')
   }
+  const oldPrimary = view.leadership.primary
   const { primary, mayHaveFenced, description } =
     await elections.run({ reason: 'requested by an operator', preferred, planned: true })
+  if (mayHaveFenced) {
+    await elections.run({ reason: 'a requested change failed half-way', preferred: oldPrimary, planned: false })
+  }
   if (primary === undefined || (upstream !== undefined && primary !== upstream)) {
     throw notPromoted(mayHaveFenced ? 'may-have-run' : 'not-run', view.name, description)
   }
--- a/src/mysql/client.ts
+++ b/src/mysql/client.ts
@@ -2,7 +2,7 @@
 import type { Socket } from 'node:net'
 import mysql, { type Connection, type FieldPacket, type QueryError } from 'mysql2'
 import { RequestError, type Verdict } from '../core/errors/index.ts'
-import { startTimer as startElapsedTimer, type TimerStarter } from '../core/time/running-timer.ts'
+import { startRunningTimer, startTimer as startElapsedTimer, type TimerStarter } from '../core/time/running-timer.ts'
 import type { Dialer, Endpoint } from '../core/wire/dialer.ts'
 import { ConnectionLostError, lossCauseOf } from './connection-lost.ts'
 import type { Answer, Cell, Column, Statement } from './types.ts'
@@ -20,9 +20,9 @@
 interface ClientOptions {
   access: UpstreamAccess
   dialer: Dialer
-  /** Time to connect and log in, in milliseconds. */
+  /** Time to connect and log in, in milliseconds; time in which this process does not run is not counted. */
   connectTimeoutMs: number
-  /** Starts the timers of the login and of statements; they count elapsed time when absent. */
+  /** Starts the timers of statements; they count elapsed time when absent. */
   startTimer?: TimerStarter
 }
 
@@ -68,16 +68,14 @@
     dateStrings: true,
     disableEval: false
   } as mysql.ConnectionOptions)
-  await logIn(connection, access.name, (fail) => startTimer(fail, connectTimeoutMs))
+  await logIn(connection, access.name, connectTimeoutMs)
   return wrapConnection(connection, access.name, startTimer)
 }
 
 /** Waits for the login; destroys the connection if the login fails or times out. */
-async function logIn (
-  connection: Connection, upstream: string, startTimeout: (fail: () => void) => () => void
-): Promise<void> {
+async function logIn (connection: Connection, upstream: string, timeoutMs: number): Promise<void> {
   await new Promise<void>((resolve, reject) => {
-    const cancelTimeout = startTimeout(() => fail(new Error('no answer to the connection attempt')))
+    const cancelTimeout = startRunningTimer(() => fail(new Error('no answer to the connection attempt')), timeoutMs)
     const fail = (error: Error): void => {
       cancelTimeout()
       connection.destroy()
--- a/test/mysql-proxy/upstreams/slow-upstream.test.ts
+++ b/test/mysql-proxy/upstreams/slow-upstream.test.ts
@@ -46,9 +46,9 @@
     clock = fakeTimers.install({ toFake: ['setTimeout', 'clearTimeout', 'performance'] })
   })
   after(async () => {
-    clock.uninstall()
     pool.close()
     await server.close()
+    clock.uninstall()
   })
   const createRequest = () => ({ access: 'read', priority: 5, deadline: new Deadline(DEADLINE_MS) } as const)
   /** Advances the clock until a promise has settled. */
