Promote only the most advanced log in a planned change

The fallback of a planned change is the fenced upstream with the most advanced log, the old primary among equals, in place of the old primary as such. Found by reading the change once more: with a keeper whose view is behind, the old primary might not have had every acknowledged write. Not shown by a run; the tests of planned changes pass.

--- a/src/mysql-proxy/failover/planned-change.ts
+++ b/src/mysql-proxy/failover/planned-change.ts
@@ -59,8 +59,10 @@
   if (fenced.length < view.majority) {
     return failed(`only ${fenced.length} of ${view.upstreams.size} upstreams were fenced`, true)
   }
-  const furthest = chooseSuccessor(fenced, { preferred: newName, isLeaving: () => false })
-  return { type: 'ready', primary: furthest.view === successor ? successor : oldPrimary }
+  // Always one with the most advanced log, which has every acknowledged write.
+  const [furthest, fallback] = [newName, oldName].map((preferred) =>
+    chooseSuccessor(fenced, { preferred, isLeaving: () => false }).view)
+  return { type: 'ready', primary: furthest === successor ? successor : fallback! }
 }
 
 /** Waits until an upstream has reached a log position; returns whether it did in time. */
