Show how old the copies of followed tables are, and who confirmed them

The logs could not tell a host whose own copy was outdated from one whose source was, nor which state decided a route. Followers, other hosts and restarted ones failed with the same lines.

Each copy now has a confirmation: the time of the request to the store that it goes back to, and its source. Responses between hosts carry the age. Nothing is decided by it yet.

--- a/src/entry/desired-state/index.ts
+++ b/src/entry/desired-state/index.ts
@@ -13,6 +13,8 @@
 export interface DesiredStateInForce {
   /** The state in force; undefined until the first one has been read. */
   readonly current: DesiredState | undefined
+  /** Time since the request to the store that confirmed the state in force last, in milliseconds. */
+  readonly ageMs: number
   onChange: (listener: (state: DesiredState) => void) => void
   /**
    * Waits until a first state is in force.
@@ -61,7 +63,11 @@
         }
         current = next
         logger.log('info', 'desired-state.in-force', {
-          version: next.version, routes: next.routes.size, rowVersion: row.version
+          version: next.version,
+          routes: next.routes.size,
+          rowVersion: row.version,
+          source: follower.confirmation.source,
+          ageMs: Math.round(ageMs())
         })
         listeners.forEach((listener) => listener(next))
         waiters.notify()
@@ -71,8 +77,9 @@
         return false
       }
     }
+    const ageMs = (): number => performance.now() - follower.confirmation.confirmedAt
     let requestRead = (): void => {}
-    const stop = followTable({
+    const follower = followTable({
       store,
       table: port.table,
       logger,
@@ -86,6 +93,7 @@
     return {
       service: {
         get current () { return current },
+        get ageMs () { return ageMs() },
         onChange: (listener) => { listeners.push(listener) },
         waitForFirst: async (timeoutMs) => await waiters.until(() => isInForce(0) || undefined, timeoutMs) ?? false,
         ensureVersion: async (version, timeoutMs) => {
@@ -96,8 +104,8 @@
           return await waiters.until(() => isInForce(version) || undefined, timeoutMs) ?? false
         }
       },
-      dump: () => ({ version: current?.version, routes: current?.routes.size }),
-      close: stop
+      dump: () => ({ version: current?.version, routes: current?.routes.size, ageMs: ageMs() }),
+      close: follower.close
     }
   }
 })
--- a/src/entry/directory/index.ts
+++ b/src/entry/directory/index.ts
@@ -42,7 +42,7 @@
       listeners.forEach((listener) => listener(change))
     })
     let requestRead = (): void => {}
-    const stop = followTable({
+    const follower = followTable({
       store,
       table: port.table,
       logger: context.logger,
@@ -75,7 +75,7 @@
       dump: () => ({ upstreams: directory.all() }),
       close: () => {
         clearInterval(expiryCheck)
-        stop()
+        follower.close()
       }
     }
   }
--- a/src/entry/registry/follow-table.ts
+++ b/src/entry/registry/follow-table.ts
@@ -10,7 +10,7 @@
 import { repeat } from '../../core/time/repeat.ts'
 import type { StorePort } from '../ports/index.ts'
 import type { ChangeNotifications } from './change-notifications.ts'
-import { createFollowedTable, type FollowedTableOptions } from './followed-table.ts'
+import { createFollowedTable, type FollowedTableOptions, type TableConfirmation } from './followed-table.ts'
 import type { TableExchange } from './table-exchange.ts'
 import { createTableReads } from './table-reads.ts'
 
@@ -49,13 +49,21 @@
   onReadRequest?: (listener: () => void) => void
 }
 
+/** A table that is followed until it is closed. */
+export interface TableFollower {
+  /** The last confirmation that the rows are current. */
+  readonly confirmation: TableConfirmation
+  /** Stops following. */
+  close: () => void
+}
+
 /**
  * Follows a table until stopped.
  *
  * @param options - the table, its sources, and the callbacks for changes
- * @returns a function that stops following
+ * @returns the follower
  */
-export function followTable (options: FollowOptions): () => void {
+export function followTable (options: FollowOptions): TableFollower {
   const { store, table, logger, notifications, exchange, batchMs = 0 } = options
   const followed = createFollowedTable(options)
   const reads = createTableReads({ store, table, logger, followed, notifications, exchange, batchMs })
@@ -67,7 +75,10 @@
   const readsStoreFirst = (): boolean => exchange.isFollower() || performance.now() < fallbackFollowerUntil
 
   exchange.serve(table, {
-    copy: followed.copy, requestFreshRead: reads.requestFreshRead, isFollowing: () => reads.isFollowing
+    copy: followed.copy,
+    confirmation: () => followed.confirmation,
+    requestFreshRead: reads.requestFreshRead,
+    isFollowing: () => reads.isFollowing
   })
   exchange.onFollowerRoleEnd(reads.interrupt)
   options.onStoreUnavailable(() => {
@@ -121,9 +132,12 @@
     followed.invalidate()
     failures.failed(thrown)
   }, RETRY_MS.minimum, RETRY_MS.maximum)
-  return () => {
-    stop()
-    reads.interrupt()
+  return {
+    get confirmation () { return followed.confirmation },
+    close: () => {
+      stop()
+      reads.interrupt()
+    }
   }
 }
 
--- a/src/entry/registry/followed-table.ts
+++ b/src/entry/registry/followed-table.ts
@@ -13,10 +13,24 @@
   onChanges: (changed: StoreRow[], removed: string[]) => void
 }
 
+/** When a copy was last confirmed as current, and by whom. */
+export interface TableConfirmation {
+  /** Time of the request to the store that the confirmation goes back to, on the monotonic clock; -Infinity if none. */
+  confirmedAt: number
+  /** `store`, or the name of the host whose response confirmed the copy. */
+  source: string
+}
+
+/** Source of a confirmation by the store itself. */
+export const STORE_SOURCE = 'store'
+
 export interface FollowedTable {
   /** Store version of the rows; undefined if the next read must be a full read. */
   readonly version: number | undefined
   readonly copy: TableCopy
+  readonly confirmation: TableConfirmation
+  /** Records that the copy is current as of a time; ignores one that is not newer than the last. */
+  confirm: (confirmation: TableConfirmation) => void
   /**
    * Replaces all rows, and notifies peers if that changed anything.
    *
@@ -41,12 +55,19 @@
   const { table, notifications, onRows, onChanges } = options
   const copy = createTableCopy()
   let version: number | undefined
+  let confirmation: TableConfirmation = { confirmedAt: -Infinity, source: STORE_SOURCE }
   /** Whether the table has been read before. The first read notifies no peers, since they have these rows already. */
   let hasBeenRead = false
 
   return {
     get version () { return version },
     copy,
+    get confirmation () { return confirmation },
+    confirm: (next) => {
+      if (next.confirmedAt > confirmation.confirmedAt) {
+        confirmation = next
+      }
+    },
     replace: (rows, asOfVersion, askedAt) => {
       version = asOfVersion
       copy.replace(rows, asOfVersion, askedAt)
--- a/src/entry/registry/table-answers.ts
+++ b/src/entry/registry/table-answers.ts
@@ -4,6 +4,7 @@
  * confirm outdated copies to each other.
  */
 import type { TableResponse, TableRequest } from './table-messages.ts'
+import type { TableConfirmation } from './followed-table.ts'
 import type { TableChanges, TableCopy } from './table-copy.ts'
 
 /** Time that a request is held while nothing changes, in milliseconds. */
@@ -17,6 +18,8 @@
 
 export interface ServedTable {
   copy: TableCopy
+  /** The last confirmation of the copy. */
+  confirmation: () => TableConfirmation
   /** Requests a full read from the store. */
   requestFreshRead: () => void
   /** Whether the store answers this host, so that an empty response is reliable. */
@@ -45,7 +48,9 @@
       if (served === undefined || registryAgeMs() >= MAXIMUM_REGISTRY_AGE_MS) {
         return { changes: undefined }
       }
-      return { changes: anew ? await waitForFreshRead(served) : await waitForChanges(served, after) }
+      const changes = anew ? await waitForFreshRead(served) : await waitForChanges(served, after)
+      const ageMs = performance.now() - served.confirmation().confirmedAt
+      return { changes, ageMs: Number.isFinite(ageMs) ? ageMs : undefined }
     }
   }
 }
--- a/src/entry/registry/table-exchange.ts
+++ b/src/entry/registry/table-exchange.ts
@@ -5,6 +5,7 @@
 import { registerPlugin } from '../../core/kernel/index.ts'
 import { createWaiters } from '../../core/time/waiters.ts'
 import { followersOf, orderFor } from './readers.ts'
+import { reportTableAges } from './table-ages.ts'
 import { createTableServer, type ServedTable } from './table-answers.ts'
 import { tableRequestSchema } from './table-messages.ts'
 import { createTableClient, type TableClient } from './table-questions.ts'
@@ -29,7 +30,7 @@
 
 registerPlugin({
   name: 'tableRelay',
-  dependencies: ['registry', 'peers'],
+  dependencies: ['registry', 'peers', 'metrics'],
   start: (context) => {
     const registry = context.use('registry')
     const peers = context.use('peers')
@@ -48,6 +49,7 @@
         roleEndListeners.forEach((listener) => listener())
       }
     })
+    const ages = reportTableAges({ logger, metrics: context.use('metrics') })
     const tableServer = createTableServer(() => performance.now() - registry.current.askedAt)
     peers.handle('table-changes', async (body) => await tableServer.respond(tableRequestSchema.parse(body)))
     const tableClient = createTableClient({
@@ -66,8 +68,12 @@
         },
         isFollower,
         onFollowerRoleEnd: (listener) => { roleEndListeners.push(listener) },
-        serve: tableServer.serve
-      }
+        serve: (table, served) => {
+          ages.add(table, served.confirmation)
+          tableServer.serve(table, served)
+        }
+      },
+      close: ages.close
     }
   }
 })
--- a/src/entry/registry/table-messages.ts
+++ b/src/entry/registry/table-messages.ts
@@ -18,5 +18,9 @@
 })
 
 /** Response to a {@link TableRequest}; without `changes` the host cannot answer reliably. */
-export const tableResponseSchema = z.object({ changes: changesSchema.optional() })
+export const tableResponseSchema = z.object({
+  changes: changesSchema.optional(),
+  /** Age of the responder's confirmation of its copy, in milliseconds; absent if there is none. */
+  ageMs: z.number().optional()
+})
 export type TableResponse = z.infer<typeof tableResponseSchema>
--- a/src/entry/registry/table-questions.ts
+++ b/src/entry/registry/table-questions.ts
@@ -5,6 +5,7 @@
 import { describeThrown } from '../../core/errors/index.ts'
 import type { Logger } from '../../core/logger/index.ts'
 import type { Peers } from '../../peers/index.ts'
+import type { TableConfirmation } from './followed-table.ts'
 import { createRecentFailures } from './recent-failures.ts'
 import type { KnownHost } from './snapshot.ts'
 import { RESPONSE_TIMEOUT_MS, TABLE_LONG_POLL_MS } from './table-answers.ts'
@@ -26,6 +27,12 @@
   followers: () => KnownHost[]
 }
 
+/** Changes from another host, with the confirmation of that host's copy. */
+interface ConfirmedChanges {
+  changes: TableChanges
+  confirmation: TableConfirmation
+}
+
 /** Requests tables from other hosts. */
 export interface TableClient {
   /**
@@ -36,7 +43,7 @@
    * @param atLeast - minimum version of the response
    * @returns the changes; undefined if no host could answer
    */
-  requestChanges: (table: string, after: number | undefined, atLeast: number) => Promise<TableChanges | undefined>
+  requestChanges: (table: string, after: number | undefined, atLeast: number) => Promise<ConfirmedChanges | undefined>
   /**
    * Requests all rows of a table, read from the store on behalf of this request.
    *
@@ -44,7 +51,7 @@
    * @param atLeast - minimum version of the response
    * @returns all rows; undefined if no host could answer
    */
-  requestFreshRows: (table: string, atLeast: number) => Promise<TableChanges | undefined>
+  requestFreshRows: (table: string, atLeast: number) => Promise<ConfirmedChanges | undefined>
 }
 
 /**
@@ -80,13 +87,15 @@
   }
   const requestInTurn = async (
     tableRequest: TableRequest, timeoutMs: number, atLeast: number
-  ): Promise<TableChanges | undefined> => {
+  ): Promise<ConfirmedChanges | undefined> => {
     const isFirst = tableRequest.after === undefined && tableRequest.anew !== true
     let timeoutsLeft = isFirst ? 1 : MAXIMUM_TIMEOUTS
     for (const host of recentFailures.sortFailedLast(followers())) {
+      const askedAt = performance.now()
       const response = await requestFromHost(host, tableRequest, timeoutMs)
       if (response?.changes !== undefined && isRecentEnough(host.name, tableRequest.table, response.changes, atLeast)) {
-        return response.changes
+        const { changes, ageMs = Infinity } = response
+        return { changes, confirmation: { confirmedAt: askedAt - ageMs, source: host.name } }
       }
       recentFailures.record(host)
       timeoutsLeft -= response === undefined ? 1 : 0
--- a/src/entry/registry/table-reads.ts
+++ b/src/entry/registry/table-reads.ts
@@ -3,7 +3,7 @@
 import { pause } from '../../core/time/deadline.ts'
 import type { StorePort } from '../ports/index.ts'
 import type { ChangeNotifications } from './change-notifications.ts'
-import type { FollowedTable } from './followed-table.ts'
+import { STORE_SOURCE, type FollowedTable } from './followed-table.ts'
 import type { TableExchange } from './table-exchange.ts'
 
 interface TableReadsOptions {
@@ -72,12 +72,14 @@
       const askedAt = performance.now()
       const snapshot = await store.list(table)
       lastAnswerAt = performance.now()
+      followed.confirm({ confirmedAt: askedAt, source: STORE_SOURCE })
       followed.replace(snapshot.rows, snapshot.version, askedAt)
     },
     readChanges: async (after, waitMs) => {
       longPoll = new AbortController()
       const { signal } = longPoll
       isLongPolling = true
+      const askedAt = performance.now()
       const changes = await store.follow(table, after, waitMs, signal).catch((thrown: unknown) => {
         if (!signal.aborted) {
           throw thrown
@@ -92,6 +94,7 @@
         followed.invalidate()
         return
       }
+      followed.confirm({ confirmedAt: askedAt, source: STORE_SOURCE })
       followed.update(changes.changed, changes.removed, changes.version)
       if (changes.changed.length + changes.removed.length > 0) {
         notifications.notify(table, changes.newest)
@@ -102,13 +105,15 @@
       const versionBefore = followed.version
       const isFresh = mustReadFresh
       mustReadFresh = false
-      const changes = isFresh
+      const response = isFresh
         ? await exchange.requestFreshRows(table, atLeast)
         : await exchange.requestChanges(table, followed.copy.version, atLeast)
       // A version that changed during the request makes the response outdated.
-      if (changes === undefined || followed.version !== versionBefore) {
-        return changes !== undefined
+      if (response === undefined || followed.version !== versionBefore) {
+        return response !== undefined
       }
+      const { changes, confirmation } = response
+      followed.confirm(confirmation)
       changes.isWhole
         ? followed.replace(changes.rows, changes.version)
         : followed.update(changes.rows, changes.removed, changes.version)
--- a/src/entry/requests/index.ts
+++ b/src/entry/requests/index.ts
@@ -97,6 +97,7 @@
         context: entryContext,
         link,
         desiredState: () => desiredState.current,
+        desiredStateAgeMs: () => desiredState.ageMs,
         waitForDesiredState: desiredState.waitForFirst,
         onDone: metrics.recordRequest,
         onStopped: () => { refused++ }
--- a/src/entry/requests/request-log.ts
+++ b/src/entry/requests/request-log.ts
@@ -12,6 +12,14 @@
   floor?: string
 }
 
+/** The desired state in force when a request began. */
+export interface StateAtStart {
+  /** Version of the state; undefined if none was known. */
+  version?: number
+  /** Time since the store confirmed it, in milliseconds. */
+  ageMs: number
+}
+
 /**
  * Logs a finished request and records its duration. Requests that succeed without an upstream are not logged.
  *
@@ -20,12 +28,13 @@
  * @param request - the request
  * @param answer - its answer
  * @param trace - details of how it was served
+ * @param stateAtStart - the desired state in force when it began
  * @param durationMs - duration of the request, in milliseconds
  */
 export function reportRequest (
   { logger, metrics }: Pick<EntryContext, 'logger' | 'metrics'>, database: string,
   { id, statement }: CallerRequest, answer: StatementAnswer, { scope, upstream, floor }: RequestTrace,
-  durationMs: number
+  stateAtStart: StateAtStart, durationMs: number
 ): void {
   const { failure, signature, state, position } = answer
   const outcome = failure?.kind ?? 'done'
@@ -48,6 +57,8 @@
     reason: failure?.message,
     state,
     position: formatPosition(position),
+    version: stateAtStart.version,
+    ageMs: Math.round(stateAtStart.ageMs),
     ms: Math.round(durationMs)
   })
 }
--- a/src/entry/requests/session.ts
+++ b/src/entry/requests/session.ts
@@ -4,7 +4,7 @@
   CallerHandler, CallerLink, CallerRequest, CallerStatement, DesiredState, StatementAnswer
 } from '../ports/index.ts'
 import { doneAnswer, failureAnswer, failureOf } from './answers.ts'
-import { reportRequest } from './request-log.ts'
+import { reportRequest, type StateAtStart } from './request-log.ts'
 import { MAXIMUM_NAMES } from './session-names.ts'
 import { createSessionState, type SessionState } from './session-state.ts'
 import { createSessionTransaction, type SessionTransaction } from './session-transaction.ts'
@@ -24,6 +24,8 @@
   context: EntryContext
   link: CallerLink
   desiredState: () => DesiredState | undefined
+  /** Time since the store confirmed the desired state, in milliseconds. */
+  desiredStateAgeMs: () => number
   /** Waits for the first desired state until a timeout; returns whether one is known. */
   waitForDesiredState: (timeoutMs: number) => Promise<boolean>
   /** Called after each request with its outcome. */
@@ -140,14 +142,19 @@
       return { rows: [], failure: failureOf(thrown, true), state: transaction.state }
     }
   }
+  const describeState = (): StateAtStart => ({
+    version: options.desiredState()?.version, ageMs: options.desiredStateAgeMs()
+  })
   const report = (
-    request: CallerRequest, answer: StatementAnswer, trace: SessionState['trace'], durationMs: number
+    request: CallerRequest, answer: StatementAnswer, trace: SessionState['trace'], stateAtStart: StateAtStart,
+    durationMs: number
   ): void => {
     options.onDone(answer.failure?.kind ?? 'done', durationMs)
-    reportRequest(context, link.database, request, answer, trace, durationMs)
+    reportRequest(context, link.database, request, answer, trace, stateAtStart, durationMs)
   }
   const serve = async (request: CallerRequest): Promise<StatementAnswer> => {
     const startedAt = performance.now()
+    const stateAtStart = describeState()
     busy = true
     session.trace = {}
     const answer = await new Promise<StatementAnswer>((resolve) => {
@@ -163,7 +170,7 @@
     if (answer.state === 'failed') {
       transaction.failureReported()
     }
-    report(request, answer, session.trace, performance.now() - startedAt)
+    report(request, answer, session.trace, stateAtStart, performance.now() - startedAt)
     if (closed) {
       transaction.abandon()
     }
@@ -183,7 +190,7 @@
     abortTransaction: transaction.abort,
     refuse: (request) => {
       const answer = answerStopped(options, transaction)
-      report(request, answer, {}, 0)
+      report(request, answer, {}, describeState(), 0)
       return answer
     },
     interrupt: () => {
