Replace links to peers that have gone silent

Callers saw changes come late and, in the MySQL product, peers that stayed lost: a link that stopped carrying bytes without a close was never replaced by request, and the retry of requestOrDisconnect took the link that was just being closed, since its entry was removed only with the event close. disconnect also closed whatever link had the name of the peer by then, also one opened since.

peer-links.ts now owns which link a new request takes, for both products. A request without an answer replaces all links that have received nothing since it was sent, because connections often go silent together; those that wait on an old link keep their timeouts, so a slow peer loses nothing. disconnect removes the entry before it closes, and closes only links that have been silent since a given time. The links for callers' statements keep their own detector (entry/homes/).

--- a/src/peers/index.ts
+++ b/src/peers/index.ts
@@ -14,15 +14,15 @@
   /** Sends a request; see {@link PeerClient.request}. */
   request: (endpoint: Endpoint, type: string, body: unknown, timeoutMs: number) => Promise<unknown>
   /**
-   * Sends a request like {@link Peers.request}, and closes the link on timeout: after a network partition an old
+   * Sends a request like {@link Peers.request}, and closes a silent link on timeout: after a network partition an old
    * connection may stall for many seconds while a new one works.
    */
   requestOrDisconnect: (endpoint: Endpoint, type: string, body: unknown, timeoutMs: number) => Promise<unknown>
   /** Closes the link to a peer; see {@link PeerClient.disconnect}. */
-  disconnect: (endpoint: Endpoint) => void
+  disconnect: PeerClient['disconnect']
   /**
    * Links for callers' statements. They are separate from the links for control requests, since closing those on a
-   * timeout must not leave the outcome of a statement unknown.
+   * timeout must not leave the outcome of a statement unknown. Their owner detects silent links (`entry/homes/`).
    */
   work: Pick<PeerClient, 'request' | 'disconnect'>
   /** Registers the handler of a request type. */
@@ -57,7 +57,12 @@
     })
     const client = createPeerClient({ host, key, dialer: context.dialer })
     const work = createPeerClient({
-      host, key, dialer: context.dialer, connectTimeoutMs: WORK_CONNECT_MS, linkWaitMs: WORK_LINK_WAIT_MS
+      host,
+      key,
+      dialer: context.dialer,
+      connectTimeoutMs: WORK_CONNECT_MS,
+      linkWaitMs: WORK_LINK_WAIT_MS,
+      replaceSilentLinks: false
     })
     return {
       service: {
--- a/src/peers/open-link.ts
+++ b/src/peers/open-link.ts
@@ -34,6 +34,8 @@
   socket: Socket
   frames: FrameStream
   pending: Map<number, PendingRequest>
+  /** Time of the last frame from the peer, on the monotonic clock, in milliseconds. */
+  lastReceivedAt: number
 }
 
 /**
@@ -84,8 +86,11 @@
       },
       open: (value) => onReply(link, replyFrameSchema.parse(value))
     }
-    const frames = attachFrames(socket, (value) => frameHandlers[stage](value))
-    const link: OpenLink = { socket, frames, pending }
+    const frames = attachFrames(socket, (value) => {
+      link.lastReceivedAt = performance.now()
+      frameHandlers[stage](value)
+    })
+    const link: OpenLink = { socket, frames, pending, lastReceivedAt: performance.now() }
   })
 }
 
--- a/src/peers/peer-client.ts
+++ b/src/peers/peer-client.ts
@@ -1,9 +1,9 @@
 /** Client side of peer links: one link to each peer, with concurrent requests. */
-import type { Socket } from 'node:net'
 import { RequestError, type ErrorDetails, type ErrorName } from '../core/errors/index.ts'
 import { TIMED_OUT, withTimeout } from '../core/time/deadline.ts'
 import { formatEndpoint, type Dialer, type Endpoint } from '../core/wire/dialer.ts'
-import { openLink, peerUnavailableError, type OpenLink } from './open-link.ts'
+import { peerUnavailableError, type OpenLink } from './open-link.ts'
+import { createPeerLinks, type LinkEntry, type PeerLinks } from './peer-links.ts'
 import type { ReplyFrame } from './types.ts'
 
 /** Options of {@link createPeerClient}. */
@@ -18,6 +18,11 @@
    * an aborted attempt costs a busy peer as much as a successful one.
    */
   linkWaitMs?: number
+  /**
+   * Whether requests without an answer replace the links that are silent (`peer-links.ts`). Otherwise the owner of the
+   * client detects silent links itself.
+   */
+  replaceSilentLinks?: boolean
 }
 
 /** Sends requests to peers. */
@@ -33,12 +38,8 @@
    * @throws RequestError with verdict `not-run` when it was not sent, `may-have-run` when no reply arrived
    */
   request: (endpoint: Endpoint, type: string, body: unknown, timeoutMs: number) => Promise<unknown>
-  /**
-   * Closes the link to a peer; its pending requests fail immediately.
-   *
-   * @param endpoint - the peer
-   */
-  disconnect: (endpoint: Endpoint) => void
+  /** Closes the links to a peer; see {@link PeerLinks.disconnect}. */
+  disconnect: PeerLinks['disconnect']
   /** Number of replies that arrived after their request had timed out. */
   readonly lateAnswers: number
   /** Number of links that are open or being opened. */
@@ -48,19 +49,11 @@
 
 /** Default timeout to connect and authenticate, in milliseconds. */
 const CONNECT_TIMEOUT_MS = 500
-
 /**
- * Maximum number of links; beyond it the least recently used ones are closed when idle. It exceeds the number of homes
- * that a host forwards statements to: an idle link costs 13 KB at each end, opening one costs 1.3 ms of processor time.
+ * Minimum time without an answer from which a link counts as silent, in milliseconds. A busy peer may need longer than
+ * the shortest timeouts of requests.
  */
-const MAXIMUM_LINKS = 160
-
-/** A link that is open or being opened. */
-interface LinkEntry {
-  opening: Promise<OpenLink>
-  /** Set once the link is open. */
-  opened?: OpenLink
-}
+const SILENT_AFTER_MS = 250
 
 /**
  * Creates a client.
@@ -69,46 +62,13 @@
  * @returns the client; links are opened on demand
  */
 export function createPeerClient (options: PeerClientOptions): PeerClient {
-  const { connectTimeoutMs = CONNECT_TIMEOUT_MS, linkWaitMs = connectTimeoutMs } = options
-  const links = new Map<string, LinkEntry>()
-  const sockets = new Set<Socket>()
+  const { host, key, dialer, connectTimeoutMs = CONNECT_TIMEOUT_MS, replaceSilentLinks = true } = options
+  const { linkWaitMs = connectTimeoutMs } = options
   let nextId = 1
   let lateAnswers = 0
-
-  const open = async (endpoint: Endpoint, name: string): Promise<OpenLink> => {
-    const socket = options.dialer(endpoint)
-    sockets.add(socket)
-    socket.once('close', () => sockets.delete(socket))
-    return await openLink(socket, {
-      host: options.host,
-      key: options.key,
-      peer: name,
-      connectTimeoutMs,
-      onReply: (link, reply) => { lateAnswers += settleRequest(link, reply) ? 0 : 1 }
-    })
-  }
-
-  const getOrOpenLink = (endpoint: Endpoint, name: string): LinkEntry => {
-    const existingEntry = links.get(name)
-    if (existingEntry !== undefined) {
-      links.delete(name)
-      links.set(name, existingEntry)
-      return existingEntry
-    }
-    const link: LinkEntry = { opening: open(endpoint, name) }
-    links.set(name, link)
-    const removeEntry = (): void => {
-      if (links.get(name) === link) {
-        links.delete(name)
-      }
-    }
-    link.opening.then((opened) => {
-      link.opened = opened
-      opened.socket.once('close', removeEntry)
-    }, removeEntry)
-    void closeIdleLinks(links)
-    return link
-  }
+  const links = createPeerLinks({
+    host, key, dialer, connectTimeoutMs, onReply: (link, reply) => { lateAnswers += settleRequest(link, reply) ? 0 : 1 }
+  })
 
   const waitForLink = async ({ opening }: LinkEntry, name: string): Promise<OpenLink> => {
     const link = await withTimeout(opening, linkWaitMs)
@@ -117,44 +77,38 @@
     }
     return link
   }
+  const reportNoAnswer = (sentAt: number): void => {
+    if (replaceSilentLinks && performance.now() - sentAt >= SILENT_AFTER_MS) {
+      links.replaceQuiet(sentAt)
+    }
+  }
 
   return {
     get lateAnswers () { return lateAnswers },
     get links () { return links.size },
     request: async (endpoint, type, body, timeoutMs) => {
       const name = formatEndpoint(endpoint)
-      const known = getOrOpenLink(endpoint, name)
+      const known = links.get(endpoint)
       const link = known.opened ?? await waitForLink(known, name)
       return await new Promise((resolve, reject) => {
         const id = nextId++
+        const sentAt = performance.now()
         const timer = setTimeout(() => {
           link.pending.delete(id)
+          if (link.lastReceivedAt <= sentAt) {
+            reportNoAnswer(sentAt)
+          }
           reject(peerUnavailableError(name, 'no answer in time', 'may-have-run'))
         }, timeoutMs)
         link.pending.set(id, { resolve, reject, timer })
         link.frames.send({ id, type, body })
       })
     },
-    disconnect: (endpoint) => {
-      links.get(formatEndpoint(endpoint))?.opening.then(({ socket }) => socket.destroy(), ignoreFailedLink)
-    },
-    close: () => sockets.forEach((socket) => socket.destroy())
-  }
-}
-
-async function closeIdleLinks (links: Map<string, LinkEntry>): Promise<void> {
-  for (const { opening } of [...links.values()].slice(0, Math.max(0, links.size - MAXIMUM_LINKS))) {
-    // A link that failed to open has no connection to close, and its requests have already failed.
-    const link = await opening.catch(() => undefined)
-    if (link?.pending.size === 0) {
-      link.socket.destroy()
-    }
+    disconnect: links.disconnect,
+    close: links.close
   }
 }
 
-/** Ignores the error of a link that failed to open: its requests have already failed. */
-function ignoreFailedLink (): void {}
-
 /** Settles the request of a reply; returns false if the request has timed out. */
 function settleRequest (link: OpenLink, { id, body, failure }: ReplyFrame): boolean {
   const pending = link.pending.get(id)
