Let the HTTP client repeat a call without effects on a new connection

A call on an idle connection that had gone silent was given up only by its timeout, 1.5 s for a read of the store, and up to 26.5 s for a request for changes. Calls may now name a time after which they are repeated on a new connection, if they went out on one that was open before; the first answer counts and the other attempt is abandoned. The idle connections are discarded then, since they often go silent together. Nothing uses it yet.

The new tests of http-client.test.ts fail before for want of the option.

--- a/test/platform/http-client.test.ts
+++ b/test/platform/http-client.test.ts
@@ -7,6 +7,12 @@
 
 /** Timeout of the client's calls, in milliseconds. */
 const TIMEOUT_MS = 200
+/** Time that the server takes for a slow call, in milliseconds. */
+const SLOW_MS = 150
+/** Timeout of a call that is answered, in milliseconds. */
+const AMPLE_MS = 10_000
+/** Time after which a call on an old connection is repeated, in milliseconds. */
+const REPEAT_AFTER_MS = 50
 
 describe('createHttpClient', () => {
   let server: Server
@@ -19,8 +25,9 @@
     sockets.length = 0
     silent.clear()
     server = createServer((request, response) => {
-      if (!silent.has(request.socket)) {
-        setTimeout(() => response.end('{}'), 20)
+      const isNew = request.socket === sockets.at(-1)
+      if (!silent.has(request.socket) && !(request.url === '/slow-on-old' && isNew && sockets.length > 1)) {
+        setTimeout(() => response.end('{}'), request.url === '/' ? 20 : SLOW_MS)
       }
     }).listen(0, '127.0.0.1')
     server.on('connection', (socket) => sockets.push(socket))
@@ -54,6 +61,28 @@
     expect(sockets.length).toEqual(4)
   })
 
+  it('repeats a call without effects on a new connection when an old one is silent', async () => {
+    await start(true)
+    await Promise.all([ask(), ask()])
+    sockets.forEach((socket) => silent.add(socket))
+    const call = { method: 'GET', path: '/', timeoutMs: AMPLE_MS, repeatAfterMs: REPEAT_AFTER_MS } as const
+    expect([(await client.send(call)).status, sockets.length]).toEqual([200, 3])
+    expect([(await client.send(call)).status, sockets.length]).toEqual([200, 3])
+  })
+
+  it('does not repeat a call on a new connection, whose server is only slow', async () => {
+    await start(true)
+    const answers = client.send({ method: 'GET', path: '/slow', timeoutMs: AMPLE_MS, repeatAfterMs: REPEAT_AFTER_MS })
+    expect([(await answers).status, sockets.length]).toEqual([200, 1])
+  })
+
+  it('takes the answer of an old connection that was only slow', async () => {
+    await start(true)
+    await ask()
+    const answers = client.send({ method: 'GET', path: '/slow-on-old', timeoutMs: AMPLE_MS, repeatAfterMs: REPEAT_AFTER_MS })
+    expect((await answers).status).toEqual(200)
+  })
+
   it('opens a connection for each call without keep-alive', async () => {
     await start(false)
     await ask()
