Bound the age of what a host decides by

Cause: the way of a change consisted of waits on open connections, each with a timeout of its own (26.5 s for a follower's long poll, 6.5 s for a host that fell back to the store, 1.9 s for a request to a follower), and nothing bounded their sum. That they would not hang together was argued by a probability for each connection, but connections go silent together. A host answered 'nothing has changed' as long as its own request was pending, also if that one hung.

A host that hears of a newer version fetches it from the host that told it, beside whatever it waits for. Whatever else fails, a host whose knowledge is older than STALE_AFTER_MS reads the store itself, on a new connection if the old one does not answer. A follower says that nothing has changed, and hands out a whole copy to a host that starts, only while its copy is confirmed.

--- a/src/core/logger/events.ts
+++ b/src/core/logger/events.ts
@@ -44,6 +44,7 @@
   'feed.behind': { level: 'info', fields: 'table, version, told, peer', when: 'a peer reported a change that did not arrive here in time; the whole table is read' },
   'feed.current': { level: 'info', fields: 'table, source, ageMs', when: 'the copy of a table is confirmed again; `source` is the store or the host that confirmed it' },
   'feed.history-lost': { level: 'warn', fields: 'table, version', when: 'the store no longer has the changes since a version; the whole table is read' },
+  'feed.not-confirmed': { level: 'debug', fields: 'table, reason', when: 'the store did not answer whether a table has changed; it is asked again with the next read of the registry' },
   'feed.unavailable': { level: 'warn', fields: 'table, reason', when: 'changes of a table cannot be read from the store; the query is repeated' },
   'feed.peer-behind': { level: 'info', fields: 'table, peer, version, told', when: 'a host that follows a table returned an older version than another host reported; the next host is queried' },
   'feed.stale': { level: 'warn', fields: 'table, source, ageMs', when: 'the copy of a table has not been confirmed in the time in which a change must be in force; `source` confirmed it last' },
--- a/src/entry/desired-state/index.ts
+++ b/src/entry/desired-state/index.ts
@@ -87,7 +87,7 @@
       exchange: context.use('tableRelay'),
       onRows: apply,
       onChanges: apply,
-      onStoreUnavailable: context.use('registry').onStoreUnavailable,
+      registry: context.use('registry'),
       onReadRequest: (listener) => { requestRead = listener }
     })
     return {
--- a/src/entry/directory/index.ts
+++ b/src/entry/directory/index.ts
@@ -55,7 +55,7 @@
         return changes.length > 0
       },
       onChanges: (changed, removed) => notify(directory.update(decodeRows(changed), removed)),
-      onStoreUnavailable: context.use('registry').onStoreUnavailable,
+      registry: context.use('registry'),
       batchMs: CHANGE_BATCH_MS,
       onReadRequest: (listener) => { requestRead = listener }
     })
--- a/src/entry/registry/follow-table.ts
+++ b/src/entry/registry/follow-table.ts
@@ -1,22 +1,25 @@
 /**
  * Follows a table of the store. Followers read the store first, and other followers if that fails. All other hosts
  * read from followers first, to save calls to the store; if none can answer, they act as followers for
- * {@link FALLBACK_FOLLOWER_MS}. A host that misses a change of which a peer has notified it reads from peers, because
- * its own connection to the store may hang. A peer's answer must include the newest version that any peer has reported.
+ * {@link FALLBACK_FOLLOWER_MS}. A host that misses a change of which another host has told reads from that host,
+ * because its own request may hang. A peer's answer must include the newest version that any peer has reported.
  */
 import { describeThrown } from '../../core/errors/index.ts'
 import type { Logger } from '../../core/logger/index.ts'
-import { pause } from '../../core/time/deadline.ts'
 import { repeat } from '../../core/time/repeat.ts'
 import type { StorePort } from '../ports/index.ts'
+import type { Registry } from './service.ts'
+import { createCatchUp } from './catch-up.ts'
 import type { ChangeNotifications } from './change-notifications.ts'
+import { createConfirmedTable } from './confirmed-table.ts'
 import { createFollowedTable, type FollowedTableOptions, type TableConfirmation } from './followed-table.ts'
 import type { TableExchange } from './table-exchange.ts'
 import { createTableReads } from './table-reads.ts'
+import { createSideReads } from './table-side-reads.ts'
 
 /**
  * Time that the store holds a request for changes, in milliseconds; it permits at most 30 s. A long time saves calls to
- * the store, and notifications from peers reveal a request that hangs.
+ * the store. It need not reveal a request that hangs, since the confirmations do (`table-confirmations.ts`).
  */
 const LONG_POLL_MS = 25_000
 /** Pause after changes, in milliseconds, so that changes in quick succession share one answer. */
@@ -26,23 +29,21 @@
  * longest pauses must fit into the time that a host may take to recover from an outage.
  */
 const RETRY_MS = { minimum: 150, maximum: 1200 } as const
-/** Time within which this host's own request must return a change after a peer's notification, in milliseconds. */
-const CHANGE_GRACE_MS = 250
 /**
  * Time that a host acts as a follower after no peer could answer it, in milliseconds. Otherwise a host cut off
  * from its peers would read the full table in each turn.
  */
 const FALLBACK_FOLLOWER_MS = 5000
 
-interface FollowOptions extends Omit<FollowedTableOptions, 'notifications'> {
+interface FollowOptions extends Omit<FollowedTableOptions, 'notifications' | 'onTableChanged'> {
   store: StorePort
   logger: Logger
   /** Notifies peers of changes, and receives their notifications. */
   notifications: ChangeNotifications
   /** Reads the table from other hosts, and serves it to them. */
   exchange: TableExchange
-  /** Adds a listener that is called when the store stops answering this host; a pending long poll may hang. */
-  onStoreUnavailable: (listener: () => void) => void
+  /** Confirms the copy, and tells when the store stops answering this host. */
+  registry: Pick<Registry, 'followTable' | 'onTableChanged' | 'onStoreUnavailable'>
   /** Pause after changes before the next request, in milliseconds; 0 to receive each change at once. */
   batchMs?: number
   /** Receives a callback that requests a full read of the table. */
@@ -65,13 +66,25 @@
  */
 export function followTable (options: FollowOptions): TableFollower {
   const { store, table, logger, notifications, exchange, batchMs = 0 } = options
-  const followed = createFollowedTable(options)
+  const followed = createFollowedTable({ ...options, onTableChanged: options.registry.onTableChanged })
   const reads = createTableReads({ store, table, logger, followed, notifications, exchange, batchMs })
+  const { interrupt, requestFullRead } = reads
+  const sideReads = createSideReads({
+    store, table, logger, followed, notifications, exchange, interrupt, requestFullRead
+  })
   /** Whether a peer has reported a change that this host lacks, so that the next read prefers peers. */
   let preferPeers = false
-  /** Newest version that peers have reported; kept when the followed version is invalidated. */
-  let newestNotified = -1
   let fallbackFollowerUntil = -Infinity
+  const catchUp = createCatchUp({
+    table,
+    logger,
+    followed,
+    readFromHost: sideReads.readFromHost,
+    onStillBehind: () => {
+      preferPeers = true
+      reads.requestFreshRead()
+    }
+  })
   const readsStoreFirst = (): boolean => exchange.isFollower() || performance.now() < fallbackFollowerUntil
 
   exchange.serve(table, {
@@ -81,24 +94,14 @@
     isFollowing: () => reads.isFollowing
   })
   exchange.onFollowerRoleEnd(reads.interrupt)
-  options.onStoreUnavailable(() => {
+  options.registry.onStoreUnavailable(() => {
     if (readsStoreFirst()) {
       reads.requestFullRead()
     }
   })
   options.onReadRequest?.(reads.requestFreshRead)
-  notifications.onNotified(table, (notifiedVersion, peer) => {
-    newestNotified = Math.max(newestNotified, notifiedVersion)
-    void pause(CHANGE_GRACE_MS).then(() => {
-      // Uses the version of the copy, because a failure of the store invalidates the followed version.
-      const { version } = followed.copy
-      if (version !== undefined && version < notifiedVersion) {
-        logger.log('info', 'feed.behind', { table, version, told: notifiedVersion, peer })
-        preferPeers = true
-        reads.requestFreshRead()
-      }
-    })
-  })
+  notifications.onNotified(table, catchUp.learn)
+  options.registry.followTable(table, createConfirmedTable({ table, logger, followed, catchUp, sideReads }))
 
   const readFromStore = async (): Promise<void> => {
     if (followed.version === undefined) {
@@ -112,14 +115,14 @@
     await exchange.waitForHosts()
     if (!readsStoreFirst() || preferPeers) {
       preferPeers = false
-      await reads.readFromPeer(newestNotified) || await readFromStore()
+      await reads.readFromPeer(catchUp.newest) || await readFromStore()
       return
     }
     try {
       await readFromStore()
     } catch (thrown) {
       fallbackFollowerUntil = -Infinity
-      if (!await reads.readFromPeer(newestNotified)) {
+      if (!await reads.readFromPeer(catchUp.newest)) {
         throw thrown
       }
     }
--- a/src/entry/registry/followed-table.ts
+++ b/src/entry/registry/followed-table.ts
@@ -11,6 +11,8 @@
   onRows: (rows: StoreRow[]) => boolean
   /** Called with changed rows and the keys of removed rows. */
   onChanges: (changed: StoreRow[], removed: string[]) => void
+  /** Called after the rows may have changed. */
+  onTableChanged: () => void
 }
 
 /** When a copy was last confirmed as current, and by whom. */
@@ -28,6 +30,8 @@
   /** Store version of the rows; undefined if the next read must be a full read. */
   readonly version: number | undefined
   readonly copy: TableCopy
+  /** Store version of the newest change to the rows; undefined before the first read. */
+  readonly changedVersion: number | undefined
   readonly confirmation: TableConfirmation
   /** Records that the copy is current as of a time; ignores one that is not newer than the last. */
   confirm: (confirmation: TableConfirmation) => void
@@ -41,6 +45,8 @@
   replace: (rows: StoreRow[], asOfVersion: number, askedAt?: number) => void
   /** Applies changed and removed rows. */
   update: (changed: StoreRow[], removed: string[], asOfVersion: number) => void
+  /** Like `update`, but a full read that has been required stays so. */
+  amend: (changed: StoreRow[], removed: string[], asOfVersion: number) => void
   /** Discards the version, which requires a full read next; the copy stays available to other hosts. */
   invalidate: () => void
 }
@@ -52,16 +58,24 @@
  * @returns the state
  */
 export function createFollowedTable (options: FollowedTableOptions): FollowedTable {
-  const { table, notifications, onRows, onChanges } = options
+  const { table, notifications, onRows, onChanges, onTableChanged } = options
   const copy = createTableCopy()
   let version: number | undefined
   let confirmation: TableConfirmation = { confirmedAt: -Infinity, source: STORE_SOURCE }
   /** Whether the table has been read before. The first read notifies no peers, since they have these rows already. */
   let hasBeenRead = false
 
+  const apply = (changed: StoreRow[], removed: string[], asOfVersion: number): void => {
+    copy.update(changed, removed, asOfVersion)
+    if (changed.length + removed.length > 0) {
+      onChanges(changed, removed)
+      onTableChanged()
+    }
+  }
   return {
     get version () { return version },
     copy,
+    get changedVersion () { return copy.changedVersion },
     get confirmation () { return confirmation },
     confirm: (next) => {
       if (next.confirmedAt > confirmation.confirmedAt) {
@@ -72,6 +86,7 @@
       version = asOfVersion
       copy.replace(rows, asOfVersion, askedAt)
       const changed = onRows(rows)
+      onTableChanged()
       if (changed && hasBeenRead) {
         notifications.notify(table, Math.max(0, ...rows.map((row) => row.version)))
       }
@@ -79,10 +94,11 @@
     },
     update: (changed, removed, asOfVersion) => {
       version = asOfVersion
-      copy.update(changed, removed, asOfVersion)
-      if (changed.length + removed.length > 0) {
-        onChanges(changed, removed)
-      }
+      apply(changed, removed, asOfVersion)
+    },
+    amend: (changed, removed, asOfVersion) => {
+      version = version === undefined ? undefined : asOfVersion
+      apply(changed, removed, asOfVersion)
     },
     invalidate: () => { version = undefined }
   }
--- a/src/entry/registry/index.ts
+++ b/src/entry/registry/index.ts
@@ -17,6 +17,7 @@
 import type { Registry } from './service.ts'
 import { createSnapshotExchange } from './snapshot-exchange.ts'
 import { keepSnapshotFresh } from './snapshot-refresh.ts'
+import { createTableConfirmations } from './table-confirmations.ts'
 
 export type { KnownHost } from './snapshot.ts'
 export type { RowStanding } from './row-standing.ts'
@@ -47,8 +48,9 @@
     const registryStore = createRegistryStore({ store, state, logger, onUnavailable: answerPendingRequests })
     const { refresh, isReading } = registryStore
     const ownRow = createOwnRow({ self, row, store, state, registryStore, logger })
+    const tables = createTableConfirmations()
     const exchange = createSnapshotExchange({
-      peers, logger, current: () => state.current, isReading, accept: state.accept
+      peers, logger, current: () => state.current, isReading, accept: state.accept, tables
     })
     const requestPeerRefresh = createRefreshRequests({ self, peers, state, exchange, refresh, logger })
     const stopRefreshing = keepSnapshotFresh({
@@ -57,7 +59,15 @@
       confirmedAgeMs: state.confirmedAgeMs,
       registeredMs: EXTENDED_LEASE_MS,
       exchange,
-      readAndRegister: async () => await refresh() && await ownRow.register(),
+      tablesAgeMs: () => tables.ageMs,
+      readAndRegister: async () => {
+        const hasRead = await refresh()
+        if (hasRead) {
+          // Not waited for, because a hanging request must not delay the registration or the next read.
+          void tables.confirm()
+        }
+        return hasRead && await ownRow.register()
+      },
       onError: (thrown) => logger.log('debug', 'registry.register-failed', { reason: describeThrown(thrown) })
     })
     // The exchange logs the peers that do not answer.
@@ -83,6 +93,8 @@
       onChange: state.onChange,
       onStoreUnavailable: registryStore.onStoreUnavailable,
       requestPeerRefresh,
+      followTable: tables.add,
+      onTableChanged: answerPendingRequests,
       storeNowAtLeastMs: registryStore.storeNowAtLeastMs,
       storeNowAtMostMs: registryStore.storeNowAtMostMs
     }
--- a/src/entry/registry/service.ts
+++ b/src/entry/registry/service.ts
@@ -2,6 +2,7 @@
 import type { StoreTransaction } from '../ports/index.ts'
 import type { RowStanding } from './row-standing.ts'
 import type { KnownHost, RegistrySnapshot } from './snapshot.ts'
+import type { TableConfirmations } from './table-confirmations.ts'
 
 export interface Registry {
   readonly self: { name: string, process: string }
@@ -42,6 +43,10 @@
   onStoreUnavailable: (listener: () => void) => void
   /** Requests that the followers refresh their snapshots; does not wait for them. */
   requestPeerRefresh: () => void
+  /** Adds a followed table, whose version travels with the snapshots. */
+  followTable: TableConfirmations['add']
+  /** Passes the version of a followed table on after it has changed. */
+  onTableChanged: () => void
   /** Lower bound of the current time on the store's clock, in milliseconds. */
   storeNowAtLeastMs: () => number
   /** Upper bound of the current time on the store's clock, in milliseconds. */
--- a/src/entry/registry/snapshot-exchange.ts
+++ b/src/entry/registry/snapshot-exchange.ts
@@ -8,6 +8,7 @@
 import type { Logger } from '../../core/logger/index.ts'
 import { createWaiters } from '../../core/time/waiters.ts'
 import type { Peers } from '../../peers/index.ts'
+import type { TableConfirmations } from './table-confirmations.ts'
 import { createSnapshot, type KnownHost, type RegistrySnapshot } from './snapshot.ts'
 import { snapshotReplySchema, snapshotRequestSchema, type SnapshotReply } from './types.ts'
 
@@ -29,11 +30,13 @@
   /** Whether this host reads the registry from the store successfully. */
   isReading: () => boolean
   accept: (snapshot: RegistrySnapshot) => void
+  /** Copies of followed tables, whose versions travel with the snapshots. */
+  tables: Pick<TableConfirmations, 'describe' | 'versions' | 'isNewerThan' | 'hear'>
 }
 
 /** Requests snapshots from peers, and serves this host's snapshot. */
 export interface SnapshotExchange {
-  /** Answers pending requests after a change of the snapshot or of `isReading`. */
+  /** Answers pending requests after a change of the snapshot, of a followed table or of `isReading`. */
   answerPending: () => void
   /**
    * Requests the snapshot of a reader.
@@ -79,18 +82,21 @@
  * @returns the exchange
  */
 export function createSnapshotExchange (options: SnapshotExchangeOptions): SnapshotExchange {
-  const { peers, logger, current, isReading, accept } = options
+  const { peers, logger, current, isReading, accept, tables } = options
   let round = 0
   const waiters = createWaiters()
 
   peers.handle('registry-snapshot', async (body): Promise<SnapshotReply> => {
-    const { digest: knownDigest, version: sinceVersion, holdMs = 0 } = snapshotRequestSchema.parse(body)
-    const hasNewer = (): boolean =>
-      current().digest !== knownDigest && current().version >= (sinceVersion ?? 0)
+    const request = snapshotRequestSchema.parse(body)
+    const { digest: knownDigest, version: sinceVersion, holdMs = 0, tables: known = {} } = request
+    const hasNewer = (): boolean => tables.isNewerThan(known) ||
+      (current().digest !== knownDigest && current().version >= (sinceVersion ?? 0))
     await waiters.until(() => hasNewer() || !isReading() || undefined, Math.min(LONG_POLL_MS, holdMs))
     const { version, rows, digest, askedAt } = current()
     if (sinceVersion !== undefined && sinceVersion > version) {
-      return { version, digest, ageMs: performance.now() - askedAt, isReading: isReading() }
+      return {
+        version, digest, ageMs: performance.now() - askedAt, isReading: isReading(), tables: tables.describe()
+      }
     }
     const isChange = sinceVersion !== undefined && sinceVersion >= 0 && sinceVersion <= version
     return {
@@ -100,7 +106,8 @@
         isChange, rows: isChange ? rows.filter((row) => row.version > sinceVersion) : rows
       },
       ageMs: version < 0 ? Number.MAX_SAFE_INTEGER : performance.now() - askedAt,
-      isReading: isReading()
+      isReading: isReading(),
+      tables: tables.describe()
     }
   })
   const requestSnapshot = async (peer: KnownHost, timeoutMs: number, holdMs = 0): Promise<boolean> => {
@@ -110,7 +117,10 @@
     const sendRequest = async (request: z.infer<typeof snapshotRequestSchema>): Promise<SnapshotReply> =>
       snapshotReplySchema.parse(await peers.requestOrDisconnect(peer, 'registry-snapshot', request, timeoutMs + holdMs))
     try {
-      const reply = await sendRequest({ digest: previous.digest, version: previous.version, holdMs })
+      const reply = await sendRequest({
+        digest: previous.digest, version: previous.version, holdMs, tables: tables.versions()
+      })
+      tables.hear(reply.tables ?? {}, askedAt, peer.name)
       if (reply.version < previous.version) {
         return reply.isReading
       }
--- a/src/entry/registry/snapshot-refresh.ts
+++ b/src/entry/registry/snapshot-refresh.ts
@@ -2,12 +2,15 @@
  * Refreshes the registry's snapshot. Readers read the store, and request the snapshot from other hosts while the store
  * rejects them. All other hosts request it from up to {@link READERS_PER_TURN} readers and backup readers, and read the
  * store only if none has a fresh one. This saves calls to the store, and keeps the leases of hosts that it rejects.
+ * Whatever delays these requests, a host whose knowledge has become stale reads the store itself.
  */
 import { pause } from '../../core/time/deadline.ts'
 import { repeat } from '../../core/time/repeat.ts'
+import { STALE_AFTER_MS } from '../ports/change-bound.ts'
 import { createRecentFailures } from './recent-failures.ts'
 import { followersOf, readersOf, registrySourcesFor } from './readers.ts'
 import type { SnapshotExchange } from './snapshot-exchange.ts'
+import { readWhenStale } from './stale-read.ts'
 import type { KnownHost, RegistrySnapshot } from './snapshot.ts'
 
 /** Interval between a reader's reads of the store, in milliseconds; keeps relayed snapshots younger than a lease. */
@@ -18,8 +21,6 @@
 const MAXIMUM_LONG_POLL_AGE_MS = 1000
 /** Pause after no host had a fresh snapshot, in milliseconds; lets a backup reader start to read. */
 const FAILURE_PAUSE_MS = 300
-/** Maximum age of a relayed snapshot, in milliseconds; for an older one the next host is tried. */
-const MAXIMUM_RELAYED_AGE_MS = 1900
 /** Hosts tried in one turn. Each may be silent for 0.3 s, and all of them must fit into a lease of 3 s. */
 const READERS_PER_TURN = 3
 /**
@@ -35,6 +36,8 @@
   current: () => RegistrySnapshot
   /** Age of the last confirmation that this process is registered, in milliseconds. */
   confirmedAgeMs: () => number
+  /** Age of the oldest confirmation of a followed table, in milliseconds. */
+  tablesAgeMs: () => number
   /** Maximum age of a confirmation for which this process counts as registered, in milliseconds. */
   registeredMs: number
   exchange: Pick<SnapshotExchange, 'requestFromReader'>
@@ -56,7 +59,9 @@
   const isReader = (): boolean => readersOf(current().liveHosts).some((reader) => reader.name === name)
   const isFollower = (): boolean => followersOf(current().liveHosts).some((follower) => follower.name === name)
   const ageMs = (): number => performance.now() - current().askedAt
-  const isFresh = (): boolean => ageMs() < MAXIMUM_RELAYED_AGE_MS && confirmedAgeMs() < MAXIMUM_RELAYED_AGE_MS
+  /** Age of the oldest part of what this host decides by, in milliseconds. */
+  const knowledgeAgeMs = (): number => Math.max(ageMs(), confirmedAgeMs(), options.tablesAgeMs())
+  const isFresh = (): boolean => knowledgeAgeMs() < STALE_AFTER_MS
   let lastStoreReadAt = -Infinity
   let isRejected = false
   /** Hosts to try in this turn; those that failed recently come last. */
@@ -100,7 +105,20 @@
     }
     await pause(FAILURE_PAUSE_MS)
   }
-  return repeat(REQUEST_PAUSE_MS, async () => {
+  const stopTurns = repeat(REQUEST_PAUSE_MS, async () => {
     current().version < 0 || isReader() ? await takeReaderTurn() : await takeTurn()
   }, options.onError)
+  const stopStaleReads = readWhenStale({
+    ageMs: knowledgeAgeMs,
+    read: async () => {
+      if (isDue(isFollower() ? READ_INTERVAL_MS : FALLBACK_READ_INTERVAL_MS)) {
+        await readStore()
+      }
+    },
+    onError: options.onError
+  })
+  return () => {
+    stopTurns()
+    stopStaleReads()
+  }
 }
--- a/src/entry/registry/table-answers.ts
+++ b/src/entry/registry/table-answers.ts
@@ -1,8 +1,9 @@
 /**
- * Serves this host's copies of store tables to other hosts. Changes are always returned. An empty response is sent only
- * while the store answers this host; otherwise the request is refused, since two hosts that the store rejects would
- * confirm outdated copies to each other.
+ * Serves this host's copies of store tables to other hosts. Changes are always returned. An empty response, or a whole
+ * copy, is sent only while the copy is confirmed; otherwise the request is refused, since two hosts that the store
+ * rejects would confirm outdated copies to each other.
  */
+import { STALE_AFTER_MS } from '../ports/change-bound.ts'
 import type { TableResponse, TableRequest } from './table-messages.ts'
 import type { TableConfirmation } from './followed-table.ts'
 import type { TableChanges, TableCopy } from './table-copy.ts'
@@ -22,10 +23,15 @@
   confirmation: () => TableConfirmation
   /** Requests a full read from the store. */
   requestFreshRead: () => void
-  /** Whether the store answers this host, so that an empty response is reliable. */
+  /** Whether the store answers this host. */
   isFollowing: () => boolean
 }
 
+/** Whether the copy is confirmed, so that a response without changes, and all rows of the copy, are reliable. */
+function isConfirmed ({ confirmation }: ServedTable): boolean {
+  return performance.now() - confirmation().confirmedAt < STALE_AFTER_MS
+}
+
 /** Responds to requests for tables. */
 interface TableServer {
   /** Makes a table available to other hosts. */
@@ -69,10 +75,11 @@
 }
 
 async function waitForChanges (
-  { copy, isFollowing }: ServedTable, after: number | undefined
+  served: ServedTable, after: number | undefined
 ): Promise<TableChanges | undefined> {
+  const { copy } = served
   const isFirst = after === undefined
-  const changes = await copy.changesSince(after, isFirst || isFollowing() ? TABLE_LONG_POLL_MS : 0)
-  const isNew = changes !== undefined && (isFirst || changes.version > after)
-  return isNew || isFollowing() ? changes : undefined
+  const changes = await copy.changesSince(after, isFirst || isConfirmed(served) ? TABLE_LONG_POLL_MS : 0)
+  const isNew = changes !== undefined && !isFirst && changes.version > after
+  return isNew || isConfirmed(served) ? changes : undefined
 }
--- a/src/entry/registry/table-copy.ts
+++ b/src/entry/registry/table-copy.ts
@@ -34,6 +34,8 @@
   changesSince: (after: number | undefined, holdMs: number) => Promise<TableChanges | undefined>
   /** Store version of the copy; undefined before the first read. */
   readonly version: number | undefined
+  /** Store version of the newest change to the rows, or a later one; undefined before the first read. */
+  readonly changedVersion: number | undefined
   /** Time of this host's last request to the store for all rows, on the monotonic clock. */
   readonly fullReadAt: number
   /**
@@ -62,6 +64,7 @@
   /** Version from which all removals are available. */
   let removalsFrom = 0
   let lastFullReadAt = -Infinity
+  let changedVersion: number | undefined
 
   const changedSince = (after: number): TableChanges => ({
     version: version!,
@@ -81,10 +84,14 @@
     isWhole || rows.length > 0 || removed.length > 0
   return {
     get version () { return version },
+    get changedVersion () { return changedVersion },
     get fullReadAt () { return lastFullReadAt },
     waitForRead: async (since, timeoutMs) =>
       await waiters.until(() => lastFullReadAt >= since || undefined, timeoutMs) ?? false,
     replace: (newRows, newVersion, askedAt = lastFullReadAt) => {
+      const keys = new Set(newRows.map(({ key }) => key))
+      const hasRemovals = [...rows.keys()].some((key) => !keys.has(key))
+      changedVersion = hasRemovals ? newVersion : Math.max(changedVersion ?? 0, ...newRows.map((row) => row.version))
       rows.clear()
       newRows.forEach((row) => rows.set(row.key, row))
       removals = []
@@ -94,6 +101,9 @@
       waiters.notify()
     },
     update: (changed, removed, newVersion) => {
+      changedVersion = removed.length > 0
+        ? newVersion
+        : Math.max(changedVersion ?? 0, ...changed.map((row) => row.version))
       changed.forEach((row) => rows.set(row.key, row))
       removed.forEach((key) => {
         rows.delete(key)
--- a/src/entry/registry/table-exchange.ts
+++ b/src/entry/registry/table-exchange.ts
@@ -55,6 +55,7 @@
     const tableClient = createTableClient({
       peers,
       logger,
+      hostOf: (name) => registry.current.liveHosts.find((host) => host.name === name),
       followers: () => {
         const { liveHosts } = registry.current
         return orderFor(self.name, liveHosts, followersOf(liveHosts)).filter(({ name }) => name !== self.name)
--- a/src/entry/registry/table-questions.ts
+++ b/src/entry/registry/table-questions.ts
@@ -25,6 +25,8 @@
   logger: Logger
   /** The other hosts that follow the tables, ordered by preference. */
   followers: () => KnownHost[]
+  /** Returns a host by name. */
+  hostOf: (name: string) => KnownHost | undefined
 }
 
 /** Changes from another host, with the confirmation of that host's copy. */
@@ -52,6 +54,15 @@
    * @returns all rows; undefined if no host could answer
    */
   requestFreshRows: (table: string, atLeast: number) => Promise<ConfirmedChanges | undefined>
+  /**
+   * Requests the changes that a host is known to have.
+   *
+   * @param name - name of the host
+   * @param table - the table
+   * @param after - version that this host has; undefined to request all rows
+   * @returns the changes; undefined if the host did not answer in time
+   */
+  requestFromHost: (name: string, table: string, after: number | undefined) => Promise<ConfirmedChanges | undefined>
 }
 
 /**
@@ -60,7 +71,7 @@
  * @param options - the links and the followers
  * @returns the client
  */
-export function createTableClient ({ peers, logger, followers }: TableClientOptions): TableClient {
+export function createTableClient ({ peers, logger, followers, hostOf }: TableClientOptions): TableClient {
   const recentFailures = createRecentFailures()
 
   /** Requests all rows by `peers.request`, because its short timeout must not break the shared link. */
@@ -68,11 +79,16 @@
     tableRequest.after === undefined
       ? await peers.request(host, 'table-changes', tableRequest, timeoutMs)
       : await peers.requestOrDisconnect(host, 'table-changes', tableRequest, timeoutMs)
-  const requestFromHost = async (
+  const ask = async (
     host: KnownHost, tableRequest: TableRequest, timeoutMs: number
-  ): Promise<TableResponse | undefined> => {
+  ): Promise<ConfirmedChanges | 'no-changes' | undefined> => {
+    const askedAt = performance.now()
     try {
-      return tableResponseSchema.parse(await send(host, tableRequest, timeoutMs))
+      const { changes, ageMs = Infinity }: TableResponse =
+        tableResponseSchema.parse(await send(host, tableRequest, timeoutMs))
+      return changes === undefined
+        ? 'no-changes'
+        : { changes, confirmation: { confirmedAt: askedAt - ageMs, source: host.name } }
     } catch (thrown) {
       logger.log('debug', 'registry.peer-silent', { peer: host.name, reason: describeThrown(thrown) })
       return undefined
@@ -91,11 +107,9 @@
     const isFirst = tableRequest.after === undefined && tableRequest.anew !== true
     let timeoutsLeft = isFirst ? 1 : MAXIMUM_TIMEOUTS
     for (const host of recentFailures.sortFailedLast(followers())) {
-      const askedAt = performance.now()
-      const response = await requestFromHost(host, tableRequest, timeoutMs)
-      if (response?.changes !== undefined && isRecentEnough(host.name, tableRequest.table, response.changes, atLeast)) {
-        const { changes, ageMs = Infinity } = response
-        return { changes, confirmation: { confirmedAt: askedAt - ageMs, source: host.name } }
+      const response = await ask(host, tableRequest, timeoutMs)
+      if (typeof response === 'object' && isRecentEnough(host.name, tableRequest.table, response.changes, atLeast)) {
+        return response
       }
       recentFailures.record(host)
       timeoutsLeft -= response === undefined ? 1 : 0
@@ -110,6 +124,12 @@
       await requestInTurn(
         { table, after }, after === undefined ? FIRST_RESPONSE_MS : TABLE_LONG_POLL_MS + RESPONSE_TIMEOUT_MS, atLeast
       ),
-    requestFreshRows: async (table, atLeast) => await requestInTurn({ table, anew: true }, RESPONSE_TIMEOUT_MS, atLeast)
+    requestFreshRows: async (table, atLeast) =>
+      await requestInTurn({ table, anew: true }, RESPONSE_TIMEOUT_MS, atLeast),
+    requestFromHost: async (name, table, after) => {
+      const host = hostOf(name)
+      const response = host === undefined ? undefined : await ask(host, { table, after }, RESPONSE_TIMEOUT_MS)
+      return typeof response === 'object' ? response : undefined
+    }
   }
 }
--- a/src/entry/registry/types.ts
+++ b/src/entry/registry/types.ts
@@ -79,6 +79,11 @@
   promotionLease: 'duty/promotion'
 } as const
 
+/** Versions and ages, in milliseconds, of a host's copies of followed tables, by table. */
+const knownTablesSchema = z.record(z.string(), z.object({ version: z.number(), ageMs: z.number() }))
+
+export type KnownTables = z.infer<typeof knownTablesSchema>
+
 /** Request for a peer's snapshot. */
 export const snapshotRequestSchema = z.object({
   /** Digest of the rows that the requester has; absent to request all rows. */
@@ -86,7 +91,9 @@
   /** Store version of the requester's snapshot. */
   version: z.number().optional(),
   /** Time to hold the request while there is nothing new, in milliseconds. */
-  holdMs: z.number().optional()
+  holdMs: z.number().optional(),
+  /** Versions of the requester's copies of followed tables, by table. */
+  tables: z.record(z.string(), z.number()).optional()
 })
 
 /** Snapshot of the registry, or the changes to it, as sent to a peer. */
@@ -100,7 +107,9 @@
   /** Time since the store was asked for these rows, in milliseconds. */
   ageMs: z.number(),
   /** Whether the responding host has recently read the rows from the store itself. */
-  isReading: z.boolean()
+  isReading: z.boolean(),
+  /** Copies of followed tables that lack no change known to the responding host. */
+  tables: knownTablesSchema.optional()
 })
 
 export type SnapshotReply = z.infer<typeof snapshotReplySchema>
--- a/test/entry/registry/snapshot-refresh.test.ts
+++ b/test/entry/registry/snapshot-refresh.test.ts
@@ -31,6 +31,7 @@
       name,
       current: () => this.snapshot,
       confirmedAgeMs: () => this.ageMs(),
+      tablesAgeMs: () => 0,
       registeredMs: 15_000,
       exchange: { requestFromReader: async (reader) => this.request(reader, reading) },
       readAndRegister: async () => false,
