Discard the idle connections of a pool after a statement without an answer

Callers of the MySQL product saw one failure for each idle connection that had gone silent: a pool took the next silent one for the next statement, each with its own deadline. After a statement without an answer the idle connections are closed now, unless one of the pool has returned an answer since the statement began.

silent-pool.test.ts silences all connections of a pool of four: on the second statement fails as well ('the deadline of 10000 ms passed'), now only the first.

--- a/src/mysql-proxy/upstreams/client-set.ts
+++ b/src/mysql-proxy/upstreams/client-set.ts
@@ -41,6 +41,13 @@
    * @param reuse - whether the connection may be reused; otherwise it is closed
    */
   release: (client: Client, reuse: boolean) => void
+  /**
+   * Closes the idle connections if none of the set has been returned for reuse since a time: after a statement without
+   * an answer the others may be silent as well.
+   *
+   * @param since - time on the monotonic clock, in milliseconds
+   */
+  closeIdleIfQuiet: (since: number) => void
   setShare: (share: number) => void
   /** Closes all connections, which fails the work in progress. */
   abort: () => void
@@ -59,6 +66,8 @@
   const share = createConnectionShare(declaredShare, onShareChange)
   let opening = 0
   let closed = false
+  /** Time at which a connection was last returned for reuse, on the monotonic clock. */
+  let lastReturnedAt = -Infinity
   /** Number of calls of `abort`; a connection attempt that was in progress during one of them is discarded. */
   let abortCount = 0
 
@@ -93,8 +102,7 @@
   }
   const abort = (): void => {
     abortCount++
-    const open = [...clients]
-    open.forEach((client) => client.close())
+    closeAll(clients)
   }
   return {
     get share () { return share.current },
@@ -113,10 +121,16 @@
         client.close()
         return
       }
+      lastReturnedAt = performance.now()
       if (client.usable) {
         idle.push(client)
       }
     },
+    closeIdleIfQuiet: (since) => {
+      if (lastReturnedAt <= since) {
+        closeAll(idle)
+      }
+    },
     setShare: share.setDeclared,
     abort,
     close: () => {
@@ -126,3 +140,8 @@
     }
   }
 }
+
+/** Closes connections, which remove themselves from the collection. */
+function closeAll (clients: Iterable<Client>): void {
+  [...clients].forEach((client) => client.close())
+}
--- a/src/mysql-proxy/upstreams/pool-connections.ts
+++ b/src/mysql-proxy/upstreams/pool-connections.ts
@@ -105,6 +105,9 @@
         return result
       } catch (thrown) {
         reuse = thrown instanceof RequestError && thrown.entry === 'StatementFailed'
+        if (thrown instanceof RequestError && thrown.entry === 'DeadlineExceeded') {
+          clients.closeIdleIfQuiet(startedAt)
+        }
         throw thrown
       } finally {
         limit.record(performance.now() - startedAt)
