Give every wait on the platform's services a timeout, and discard silent connections

A response of the table service or the object store that stopped in the middle of its body was waited for without limit: the request's timeout ends with its headers. The loop that polls the configuration then stood still for good, and with it the changes that operators apply. And each idle connection that had gone silent cost a call of its own.

silent-platform.test.ts: on the second call after a silence fails too, and the call whose body stops is not ended within 30 s. Both pass now: an idle timeout holds for the whole response, and a failed request discards the idle connections.

--- a/src/mysql-proxy/storage/index.ts
+++ b/src/mysql-proxy/storage/index.ts
@@ -41,12 +41,7 @@
     credentials: { accessKeyId: settings.accessKey, secretAccessKey: settings.secretKey },
     maxAttempts: 1
   }
-  const createRequestHandler = (): NodeHttpHandler => new NodeHttpHandler({
-    httpAgent: createAgent(dialer),
-    connectionTimeout: settings.timeoutMs,
-    requestTimeout: settings.timeoutMs,
-    throwOnRequestTimeout: true
-  })
+  const createRequestHandler = (): NodeHttpHandler => createHandler(createAgent(dialer), settings.timeoutMs)
   const tables = new DynamoDBClient({
     ...clientOptions, endpoint: settings.tableEndpoint, requestHandler: createRequestHandler()
   })
@@ -66,6 +61,31 @@
 /** Maximum number of connections per service. */
 const MAXIMUM_SOCKETS = 4
 
+/**
+ * Creates a request handler that discards idle connections after a failed request, because connections often go silent
+ * together.
+ */
+function createHandler (agent: Agent, timeoutMs: number): NodeHttpHandler {
+  const handler = new NodeHttpHandler({
+    httpAgent: agent,
+    connectionTimeout: timeoutMs,
+    requestTimeout: timeoutMs,
+    // A response may also stop in the middle of its body.
+    socketTimeout: timeoutMs,
+    throwOnRequestTimeout: true
+  })
+  const handle = handler.handle.bind(handler)
+  handler.handle = async (...request) => {
+    try {
+      return await handle(...request)
+    } catch (thrown) {
+      Object.values(agent.freeSockets).forEach((sockets) => sockets?.forEach((socket) => socket.destroy()))
+      throw thrown
+    }
+  }
+  return handler
+}
+
 /** Creates an HTTP agent that opens its connections through the dialer of the process. */
 function createAgent (dialer: Dialer): Agent {
   const agent = new Agent({ keepAlive: true, maxSockets: MAXIMUM_SOCKETS })
