--- a/src/core/wire/listener.ts
+++ b/src/core/wire/listener.ts
@@ -1,7 +1,13 @@
 /** TCP listener that tracks its open connections. */
-import { createServer, type Socket } from 'node:net'
+import { createServer, type ServerOpts, type Socket } from 'node:net'
 import type { Endpoint } from './dialer.ts'
 
+/**
+ * Options of accepted sockets. Keep-alive probes drop connections whose other end is gone; a connection may be idle for
+ * any time.
+ */
+const SOCKET_OPTIONS: ServerOpts = { noDelay: true, keepAlive: true, keepAliveInitialDelay: 30_000 }
+
 /** A listening server. */
 export interface SocketListener {
   /** Port the server is bound to. */
@@ -30,7 +36,7 @@
   { address, port }: Endpoint, serve: (socket: Socket) => void
 ): Promise<SocketListener> {
   const sockets = new Set<Socket>()
-  const server = createServer({ noDelay: true }, (socket) => {
+  const server = createServer(SOCKET_OPTIONS, (socket) => {
     sockets.add(socket)
     socket.once('close', () => sockets.delete(socket))
     serve(socket)
--- a/src/emulation/embedded/network.ts
+++ b/src/emulation/embedded/network.ts
@@ -23,6 +23,8 @@
   cut: (left: string, right: string) => void
   /** Partitions a host from all others. */
   isolate: (host: string) => void
+  /** Silences all open connections without closing them; new ones work. */
+  silence: () => void
   /** Ends all partitions and closes the connections that were cut. */
   mend: () => void
 }
@@ -70,6 +72,7 @@
       cuts.add(pairOf(host, ALL_HOSTS))
       freezeCutLinks()
     },
+    silence: () => links.forEach(({ socket }) => freeze(socket)),
     mend: () => {
       cuts.clear()
       links.forEach(({ socket }) => {
--- a/src/peers/peer-server.ts
+++ b/src/peers/peer-server.ts
@@ -30,8 +30,6 @@
 
 /** Timeout of the handshake, in milliseconds. */
 const HANDSHAKE_TIMEOUT_MS = 2000
-/** Idle time after which the kernel probes whether the peer still exists, in milliseconds. */
-const KEEP_ALIVE_AFTER_MS = 30_000
 
 /**
  * Starts listening for peers.
@@ -53,7 +51,6 @@
 function serveLink (socket: Socket, options: PeerServerOptions, progress: { count: number }): void {
   const { logger, key, host } = options
   const nonce = createNonce()
-  socket.setKeepAlive(true, KEEP_ALIVE_AFTER_MS)
   let peerHost: string | undefined
   const link: PeerLink = {
     get host () { return peerHost ?? '' },
