Ignore reads of a followed table that are older than its copy

Since a copy is confirmed beside the loop that follows its table, two reads can be in progress at once, and an answer that was asked for earlier, or came late, could put older rows into the copy: for the upstreams also a draining one back among those that take work.

--- a/src/entry/registry/followed-table.ts
+++ b/src/entry/registry/followed-table.ts
@@ -1,4 +1,7 @@
-/** State of a followed table: its copy, its version and the callbacks for changes. */
+/**
+ * State of a followed table: its copy, its version and the callbacks for changes. Several reads may be in progress at
+ * once, and answers may be late, so one that is older than the copy is ignored.
+ */
 import type { StoreRow } from '../ports/index.ts'
 import type { ChangeNotifications } from './change-notifications.ts'
 import { createTableCopy, type TableCopy } from './table-copy.ts'
@@ -66,7 +69,11 @@
   /** Whether the table has been read before. The first read notifies no peers, since they have these rows already. */
   let hasBeenRead = false
 
+  const isOutdated = (asOfVersion: number): boolean => asOfVersion < (copy.version ?? -1)
   const apply = (changed: StoreRow[], removed: string[], asOfVersion: number): void => {
+    if (isOutdated(asOfVersion)) {
+      return
+    }
     copy.update(changed, removed, asOfVersion)
     if (changed.length + removed.length > 0) {
       onChanges(changed, removed)
@@ -84,6 +91,10 @@
       }
     },
     replace: (rows, asOfVersion, askedAt) => {
+      if (isOutdated(asOfVersion)) {
+        version = copy.version
+        return
+      }
       version = asOfVersion
       copy.replace(rows, asOfVersion, askedAt)
       const changed = onRows(rows)
@@ -94,12 +105,12 @@
       hasBeenRead = true
     },
     update: (changed, removed, asOfVersion) => {
-      version = asOfVersion
       apply(changed, removed, asOfVersion)
+      version = copy.version
     },
     amend: (changed, removed, asOfVersion) => {
-      version = version === undefined ? undefined : asOfVersion
       apply(changed, removed, asOfVersion)
+      version = version === undefined ? undefined : copy.version
     },
     invalidate: () => { version = undefined }
   }
