--- a/src/entry/registry/readers.ts
+++ b/src/entry/registry/readers.ts
@@ -9,8 +9,8 @@
 /** Number of hosts that one reader of the registry serves; each asks it 1.3 times a second, with some hundred bytes. */
 export const HOSTS_PER_READER = 25
 /**
- * Minimum number of hosts that follow the tables of the store. A long poll may hang on a silent connection; if each of
- * eight hangs with a probability of one half, one receives a change in 99.6 % of all cases, and notifies the others.
+ * Minimum number of hosts that follow the tables of the store. More followers bring a change to the others sooner when
+ * some long polls hang; that it comes in time rests on the confirmations of the copies (`table-confirmations.ts`).
  */
 export const MINIMUM_FOLLOWERS = 8
 
--- a/src/entry/registry/snapshot-exchange.ts
+++ b/src/entry/registry/snapshot-exchange.ts
@@ -8,8 +8,8 @@
 import type { Logger } from '../../core/logger/index.ts'
 import { createWaiters } from '../../core/time/waiters.ts'
 import type { Peers } from '../../peers/index.ts'
-import type { TableConfirmations } from './table-confirmations.ts'
 import { createSnapshot, type KnownHost, type RegistrySnapshot } from './snapshot.ts'
+import type { TableConfirmations } from './table-confirmations.ts'
 import { snapshotReplySchema, snapshotRequestSchema, type SnapshotReply } from './types.ts'
 
 /** Time that a reader has to respond beyond the long poll, in milliseconds. */
