--- a/src/entry/registry/change-notifications.ts
+++ b/src/entry/registry/change-notifications.ts
@@ -27,8 +27,8 @@
 }
 
 /**
- * Number of random peers that each host notifies. In a small deployment these are all others; in a large one a host that
- * nobody notifies hears of the change with the registry.
+ * Number of random peers that each host notifies. In a small deployment these are all others; in a large one, a host
+ * that nobody notifies hears of the change with the registry.
  */
 const FANOUT = 8
 /** Maximum delay of a notification, in milliseconds; peers that notify this host within it need none. */
