--- a/src/entry/directory/upstream-directory.ts
+++ b/src/entry/directory/upstream-directory.ts
@@ -57,8 +57,8 @@
     }
     const hasRestarted = previous?.bornAt !== undefined && bornAt > previousBornAt
     const previousDrainingSince = hasRestarted ? undefined : previous?.drainingSince
-    const drainsSinceAtMost = previous === undefined ? performance.now() : unchangedUntil
-    const drainingSince = entry.draining ? previousDrainingSince ?? drainsSinceAtMost : undefined
+    const earliestDrainingSince = previous === undefined ? performance.now() : unchangedUntil
+    const drainingSince = entry.draining ? previousDrainingSince ?? earliestDrainingSince : undefined
     const upstream: KnownUpstream = { ...entry, drainingSince }
     upstreams.set(entry.upstream, upstream)
     if (previous === undefined) {
--- a/src/entry/registry/table-ages.ts
+++ b/src/entry/registry/table-ages.ts
@@ -1,10 +1,9 @@
 /** Reports how old the confirmations of the followed tables are: a gauge, and a log line when one becomes too old. */
 import type { Logger } from '../../core/logger/index.ts'
 import type { Metrics } from '../../metrics/index.ts'
+import { CHANGE_IN_FORCE_MS } from '../ports/change-bound.ts'
 import type { TableConfirmation } from './followed-table.ts'
 
-/** Age from which a copy is reported as stale, in milliseconds: a change has to be in force on all hosts by then. */
-const STALE_AFTER_MS = 3000
 /** Interval between checks, in milliseconds. */
 const CHECK_INTERVAL_MS = 1000
 /** Value of the gauge before the first confirmation. */
@@ -41,7 +40,7 @@
 
   const check = (table: string, { confirmedAt, source }: TableConfirmation): void => {
     const ageMs = performance.now() - confirmedAt
-    const isStale = ageMs > STALE_AFTER_MS
+    const isStale = ageMs > CHANGE_IN_FORCE_MS
     if (!Number.isFinite(ageMs) || isStale === staleTables.has(table)) {
       return
     }
