Derive the interval between reads of a host that hears from nobody from the bound on ages

A host that reaches the store but no peer might read it each 2 s only, while its knowledge becomes stale after 1.9 s. The parts then add up to 3.1 s, over the bound of 3 s: the interval was a constant of its own that the test of the bound did not know.

The interval is STALE_AFTER_MS now. Two cases of silent-connections.test.ts, which pass before as well, cover such a host with changes at many moments, and the list of hosts.

--- a/src/entry/registry/snapshot-refresh.ts
+++ b/src/entry/registry/snapshot-refresh.ts
@@ -25,9 +25,9 @@
 const READERS_PER_TURN = 3
 /**
  * Minimum interval between store reads by a host that is not a follower, in milliseconds. During an outage of the store
- * the followers detect its recovery.
+ * the followers detect its recovery. A longer interval would exceed the bound on the age of what the host decides by.
  */
-const FALLBACK_READ_INTERVAL_MS = 2000
+const FALLBACK_READ_INTERVAL_MS = STALE_AFTER_MS
 /** Minimum interval between store reads by a reader or a follower, in milliseconds. */
 const READ_INTERVAL_MS = POLL_MS - REQUEST_PAUSE_MS
 
--- a/test/entry/registry/silent-connections.test.ts
+++ b/test/entry/registry/silent-connections.test.ts
@@ -87,6 +87,46 @@
   })
 }
 
+describe('a host that reaches the store only, by connections that go silent again and again', () => {
+  const names = namesOf(9)
+  const suite = setUpWorld(names)
+
+  it('has each change in force in time, whenever it comes', async () => {
+    const { liveHosts } = suite.world.hosts.get('h1')!.kernel.use('registry').current
+    const followers = followersOf(liveHosts).map(({ name }) => name)
+    const isolated = suite.world.hosts.get(names.find((name) => !followers.includes(name))!)!
+    suite.world.silent.add(isolated.name)
+    await suite.clock.tickAsync(5000)
+    const late: number[] = []
+    for (let version = 2; version < 42; version++) {
+      suite.world.silenceConnections()
+      suite.world.configure(MORE)
+      await suite.clock.tickAsync(CHANGE_IN_FORCE_MS)
+      if (isolated.kernel.use('desiredState').current?.version !== version) {
+        late.push(version)
+      }
+      await suite.clock.tickAsync(1000 + 53 * version)
+    }
+    expect(late).toEqual([])
+  })
+})
+
+describe('the list of hosts after all open connections have gone silent', () => {
+  const names = namesOf(9)
+  const suite = setUpWorld(names)
+
+  it('shows a host that has just registered to all others in time', async () => {
+    await suite.clock.tickAsync(5000)
+    suite.world.silenceConnections()
+    const starting = suite.world.startHost('late')
+    await suite.clock.tickAsync(500 + CHANGE_IN_FORCE_MS)
+    await starting
+    const unaware = names.filter((name) =>
+      !suite.world.hosts.get(name)!.kernel.use('registry').current.liveHosts.some((host) => host.name === 'late'))
+    expect(unaware).toEqual([])
+  })
+})
+
 describe('without faults', () => {
   const names = namesOf(9)
   const suite = setUpWorld(names)
--- a/test/entry/registry/snapshot-refresh.test.ts
+++ b/test/entry/registry/snapshot-refresh.test.ts
@@ -1,7 +1,9 @@
 import { afterEach, beforeEach, describe, it } from 'node:test'
 import fakeTimers, { type Clock } from '@sinonjs/fake-timers'
 import { expect } from 'earl'
+import { pause } from '../../../src/core/time/deadline.ts'
 import { EXTEND_AFTER_MS } from '../../../src/entry/leadership/extensions.ts'
+import { STALE_AFTER_MS } from '../../../src/entry/ports/change-bound.ts'
 import { keepSnapshotFresh, POLL_MS } from '../../../src/entry/registry/snapshot-refresh.ts'
 import { followersOf, readersOf } from '../../../src/entry/registry/readers.ts'
 import { EMPTY_SNAPSHOT, type KnownHost, type RegistrySnapshot } from '../../../src/entry/registry/snapshot.ts'
@@ -72,6 +74,31 @@
     expect(host.maximumAgeMs < EXTEND_AFTER_MS).toEqual(true)
   })
 
+  it('reads the store when the knowledge of a host that hears from nobody has become stale', async () => {
+    const [name] = NAMES.filter((host) => !FOLLOWERS.includes(host))
+    let snapshot: RegistrySnapshot = { ...EMPTY_SNAPSHOT, version: 1, liveHosts: HOSTS, askedAt: performance.now() }
+    const ageMs = (): number => performance.now() - snapshot.askedAt
+    const agesAtRead: number[] = []
+    const stop = keepSnapshotFresh({
+      name: name!,
+      current: () => snapshot,
+      confirmedAgeMs: ageMs,
+      tablesAgeMs: ageMs,
+      registeredMs: 15_000,
+      // Longer than the age at which the store has to be read.
+      exchange: { requestFromReader: async () => await pause(2 * STALE_AFTER_MS).then(() => false) },
+      readAndRegister: async () => {
+        agesAtRead.push(ageMs())
+        snapshot = { ...snapshot, askedAt: performance.now() }
+        return true
+      },
+      onError: () => {}
+    })
+    await clock.tickAsync(60_000)
+    stop()
+    expect(Math.max(...agesAtRead) <= STALE_AFTER_MS).toEqual(true)
+  })
+
   it('keeps the snapshot of a reader fresh while the store rejects it', async () => {
     const host = new RejectedHost(readersOf(HOSTS)[0]!.name, FOLLOWERS.at(-1)!)
     await clock.tickAsync(20_000)
