Confirm each followed table without waiting for the others

All tables shared one round of requests to the store: one that hung, up to 1.5 s on a connection that loses packets, kept the others from being confirmed, although each read of the registry asks again. Each table has its own pending request now. Found by reading; the first case of table-confirmations.test.ts fails before.

--- a/src/entry/registry/table-confirmations.ts
+++ b/src/entry/registry/table-confirmations.ts
@@ -33,7 +33,7 @@
    * @param askedAt - time of the request to the host, on the monotonic clock
    */
   hear: (tables: KnownTables, askedAt: number, peer: string) => void
-  /** Asks the store for changes of all tables; calls in the meantime share the requests. */
+  /** Asks the store for changes of all tables; a table whose request is still pending is left out. */
   confirm: () => Promise<void>
 }
 
@@ -44,7 +44,7 @@
  */
 export function createTableConfirmations (): TableConfirmations {
   const tables = new Map<string, ConfirmedTable>()
-  let confirming: Promise<unknown> | undefined
+  const pending = new Set<string>()
 
   const described = (): Array<[string, { version: number, confirmedAt: number }]> =>
     [...tables].flatMap(([table, { describe }]) => {
@@ -64,9 +64,11 @@
     hear: (known, askedAt, peer) => Object.entries(known).forEach(([table, { version, ageMs }]) =>
       tables.get(table)?.hear(version, askedAt - ageMs, peer)),
     confirm: async () => {
-      confirming ??= Promise.all([...tables.values()].map(async ({ confirm }) => await confirm()))
-        .finally(() => { confirming = undefined })
-      await confirming
+      const due = [...tables].filter(([table]) => !pending.has(table))
+      await Promise.all(due.map(async ([table, { confirm }]) => {
+        pending.add(table)
+        await confirm().finally(() => pending.delete(table))
+      }))
     }
   }
 }
