Log what a planned stop does with its time

Cause: a process that ended 50 to 200 ms after its grace period left no line between callers.drained and its end, so the step that took the time could not be named.

Change: process.stop-step, at most one line a step, for steps of 5 ms and more: its duration, and the time from the beginning of the stop to its end. callers.stopping tells the planned times.

--- a/src/core/kernel/index.ts
+++ b/src/core/kernel/index.ts
@@ -3,6 +3,7 @@
  * register themselves when their module is imported.
  */
 import { formatFields, type Logger } from '../logger/index.ts'
+import { createStepLog, runSilently, type StepRunner } from './step-log.ts'
 import type { Dialer } from '../wire/dialer.ts'
 
 /**
@@ -104,10 +105,11 @@
   const dump = (): Record<string, unknown> =>
     Object.fromEntries([...running].map(([name, plugin]) => [name, plugin.dump?.() ?? {}]))
   const context: PluginContext = { ...options, stopping: stopController.signal, use, dump }
-  const close = async (): Promise<void> => {
+  const inReverse = (): Array<[string, RunningPlugin<unknown>]> => [...running].reverse()
+  const close = async (runStep: StepRunner = runSilently): Promise<void> => {
     stopController.abort()
-    for (const plugin of [...running.values()].reverse()) {
-      await plugin.close?.()
+    for (const [name, plugin] of inReverse()) {
+      await runStep(`close ${name}`, async () => await plugin.close?.())
     }
     running.clear()
   }
@@ -124,15 +126,16 @@
   }
   return {
     use,
-    close,
+    close: async () => await close(),
     dump,
     stop: async () => {
+      const runStep = createStepLog(options.logger, performance.now())
       stopController.abort()
       running.forEach((plugin) => plugin.announceStop?.())
-      for (const plugin of [...running.values()].reverse()) {
-        await plugin.drain?.()
+      for (const [name, plugin] of inReverse()) {
+        await runStep(`drain ${name}`, async () => await plugin.drain?.())
       }
-      await close()
+      await close(runStep)
     }
   }
 }
--- a/src/entry/requests/index.ts
+++ b/src/entry/requests/index.ts
@@ -121,10 +121,11 @@
       }),
       drain: async () => {
         const transactions = [...connections].filter(({ inTransaction }) => inTransaction).length
+        const times = stopTimesOf(settings.graceSeconds * 1000)
+        const { endingMs, answersMs, flushMs } = times
         logger.log('info', 'callers.stopping', {
-          sessions: connections.size, transactions, ...countByStage(listener.unanswered())
+          sessions: connections.size, transactions, ...countByStage(listener.unanswered()), endingMs, answersMs, flushMs
         })
-        const times = stopTimesOf(settings.graceSeconds * 1000)
         flushBy = performance.now() + times.flushMs
         const endCallers = async (): Promise<void> => {
           await stopSessions({ connections, times, stopAccepting: listener.stopAccepting })
