Answer a read that has run and can't be read in time as aborted, not as not run

What callers saw: during a planned stop a read was answered ERR BUSY, which promises that it has not run, although an upstream had run it.

Cause: caller-requests.ts decided by the size of the answer, so after the upstream had run the read, and then gave the answer of a request that was never sent (session.refuse).

Evidence: three READ large sent together, SIGTERM 100 ms later: three times BUSY, and the upstream's record shows that all three ran.

Fix: ERR ABORTED, which promises only that nothing of it is kept. That is true of a read, and its caller repeats it elsewhere as before.

The new test of test/system/slow-callers.test.ts failed before with runs of all three. The case 'c refused' in caller-requests.test.ts expected the untrue answer; it now expects the true one, as strictly.

--- a/src/entry/requests/caller-requests.ts
+++ b/src/entry/requests/caller-requests.ts
@@ -3,6 +3,7 @@
  * at a time in their order. To end the connection is its decision, so none ends with a request that has no answer.
  */
 import type { CallerHandler, CallerLink, CallerRequest, StatementAnswer } from '../ports/index.ts'
+import { failureAnswer } from './answers.ts'
 import type { Session } from './session.ts'
 
 /** A request without an answer. */
@@ -68,7 +69,9 @@
     const answer = await session.serve(request)
     // A read leaves nothing behind, so its caller can have the answer whole from another host.
     const isRepeatable = isRead(request) && answer.failure === undefined && !session.inTransaction
-    return isRepeatable && link.estimateReadMs(answer) > remainingMs() ? session.refuse(request) : answer
+    return isRepeatable && link.estimateReadMs(answer) > remainingMs()
+      ? failureAnswer('aborted', 'this host is stopping, and the answer is too large to be read in time', 'idle')
+      : answer
   }
   const serveWaiting = async (): Promise<void> => {
     isServing = true
