Read the requests that have arrived before a connection is ended

What callers saw: beside load a request on a connection that was at rest got no answer; its connection ended 207 to 266 ms after the sending, and no upstream ran it (requests that crossed the end).

Cause: a process that was kept from running finds its timers due, and runs them before it reads its sockets. The check for idle connections counted that time as idle and ended connections whose requests were in the kernel's buffer; so did the last end of all connections.

Without load: a request is sent, and the event loop is held for 300 ms; the request got no answer.

--- a/src/entry/requests/stop-sessions.ts
+++ b/src/entry/requests/stop-sessions.ts
@@ -2,6 +2,7 @@
  * Ends callers' connections during a graceful shutdown: each one after an answer, or when it is idle. Open transactions
  * may finish for a part of the grace period. What is unanswered when the time for answers ends is answered then.
  */
+import { readArrivedInput } from '../../core/time/arrived-input.ts'
 import { pause } from '../../core/time/deadline.ts'
 import type { CallerRequests } from './caller-requests.ts'
 import type { StopTimes } from './stop-times.ts'
@@ -34,6 +35,12 @@
   }
 }
 
+/** Waits, and then reads the requests that have arrived meanwhile. */
+async function pauseAndRead (durationMs: number): Promise<void> {
+  await pause(durationMs)
+  await readArrivedInput()
+}
+
 /**
  * Ends all connections in the time for answers.
  *
@@ -42,11 +49,11 @@
 export async function stopSessions ({ connections, times, stopAccepting }: StopOptions): Promise<void> {
   const startedAt = performance.now()
   const elapsed = (): number => performance.now() - startedAt
-  await pause(times.endingMs)
+  await pauseAndRead(times.endingMs)
   stopAccepting()
   while (connections.size > 0 && elapsed() < times.answersMs) {
     connections.forEach((connection) => endConnection(connection, elapsed(), times))
-    await pause(STOP_POLL_MS)
+    await pauseAndRead(STOP_POLL_MS)
   }
   connections.forEach((connection) => connection.endNow())
 }
