Count the grace period from before a late signal was sent

Cause: the plan of a stop began when the process handled SIGTERM; the platform counts from the sending.

Fix: between two turns of its timers the event loop reads the signals that have arrived, so one that is handled after a turn was sent after the turn before. The process observes its turns every 20 ms, and the stop counts from that time, in a process that runs at most 40 ms too early. process.stopping tells lateMs. Session ends, forwarded work and the close of connections count from it.

The new case of run-until-stopped.test.ts (a real SIGTERM to a process held for 300 ms) fails if the time of the handling is taken.

--- a/src/cli/run-until-stopped.ts
+++ b/src/cli/run-until-stopped.ts
@@ -2,6 +2,7 @@
 import { describeThrown } from '../core/errors/index.ts'
 import type { Kernel } from '../core/kernel/index.ts'
 import type { Logger } from '../core/logger/index.ts'
+import { startSignalClock } from '../core/time/signal-clock.ts'
 
 /** Exit code after a stop that failed. */
 const EXIT_FAILED = 1
@@ -30,14 +31,17 @@
  */
 export async function runUntilStopped ({ logger, start, onStarted, exit = process.exit }: RunOptions): Promise<void> {
   const stopController = new AbortController()
+  const signalClock = startSignalClock()
   const stop = (signal: string): void => {
     if (stopController.signal.aborted) {
       return
     }
-    logger.log('info', 'process.stopping', { signal })
+    const requestedAt = signalClock.earliestSentAt()
+    signalClock.close()
+    logger.log('info', 'process.stopping', { signal, lateMs: Math.round(performance.now() - requestedAt) })
     stopController.abort()
     // A start that fails is reported by the caller of this function.
-    starting.then(async (kernel) => exit(await stopKernel(kernel, logger)), () => {})
+    starting.then(async (kernel) => exit(await stopKernel(kernel, requestedAt, logger)), () => {})
   }
   process.on('SIGTERM', () => stop('SIGTERM'))
   process.on('SIGINT', () => stop('SIGINT'))
@@ -53,9 +57,9 @@
 }
 
 /** Stops a kernel; returns the exit code. */
-async function stopKernel (kernel: Kernel, logger: Logger): Promise<number> {
+async function stopKernel (kernel: Kernel, requestedAt: number, logger: Logger): Promise<number> {
   try {
-    await kernel.stop()
+    await kernel.stop(requestedAt)
     logger.log('info', 'process.stopped')
     return 0
   } catch (thrown) {
--- a/src/core/kernel/index.ts
+++ b/src/core/kernel/index.ts
@@ -39,8 +39,12 @@
   service: Service
   /** Tells other processes that this one is stopping; called on all plug-ins before any of them drains. */
   announceStop?: () => void
-  /** Completes work in progress while all plug-ins still run; called in reverse order of startup. */
-  drain?: () => Promise<void>
+  /**
+   * Completes work in progress while all plug-ins still run; called in reverse order of startup.
+   *
+   * @param stopRequestedAt - beginning of the stop, on the monotonic clock, in milliseconds
+   */
+  drain?: (stopRequestedAt: number) => Promise<void>
   /** Releases the resources of the plug-in. */
   close?: () => Promise<void> | void
   /** Returns the state of the plug-in, for diagnostics. */
@@ -59,8 +63,12 @@
   use: <Name extends PluginName>(name: Name) => Services[Name]
   /** Returns the state of all plug-ins, for diagnostics. */
   dump: () => Record<string, unknown>
-  /** Stops gracefully: drains the plug-ins, then closes them. */
-  stop: () => Promise<void>
+  /**
+   * Stops gracefully: drains the plug-ins, then closes them.
+   *
+   * @param requestedAt - beginning of the stop, on the monotonic clock, in milliseconds; now by default
+   */
+  stop: (requestedAt?: number) => Promise<void>
   /** Closes the plug-ins without draining them. */
   close: () => Promise<void>
 }
@@ -128,12 +136,12 @@
     use,
     close: async () => await close(),
     dump,
-    stop: async () => {
-      const runStep = createStepLog(options.logger, performance.now())
+    stop: async (requestedAt = performance.now()) => {
+      const runStep = createStepLog(options.logger, requestedAt)
       stopController.abort()
       running.forEach((plugin) => plugin.announceStop?.())
       for (const [name, plugin] of inReverse()) {
-        await runStep(`drain ${name}`, async () => await plugin.drain?.())
+        await runStep(`drain ${name}`, async () => await plugin.drain?.(requestedAt))
       }
       await close(runStep)
     }
--- a/src/core/logger/events.ts
+++ b/src/core/logger/events.ts
@@ -89,7 +89,7 @@
   'process.stop-failed': { level: 'error', fields: 'reason', when: 'the graceful shutdown failed; the process exits with an error' },
   'process.stop-step': { level: 'info', fields: 'step, tookMs, endedMs', when: 'a step of the graceful shutdown has ended that took at least 5 ms; its duration, and the time from the beginning of the stop to its end' },
   'process.stopped': { level: 'info', fields: '', when: 'the process has completed the work in progress and exits' },
-  'process.stopping': { level: 'info', fields: 'signal', when: 'the process received a signal to stop' },
+  'process.stopping': { level: 'info', fields: 'signal, lateMs', when: 'the process handles a signal to stop, which was sent at most `lateMs` before; the stop counts from then' },
   'promotion-lease.answer-lost': { level: 'warn', fields: 'fence, reason', when: 'the store\'s answer about the lease was lost; the row is read to determine the outcome' },
   'promotion-lease.held': { level: 'info', fields: 'fence, before, renewed, ordering', when: 'this host holds the promotion lease' },
   'promotion-lease.not-taken': { level: 'info', fields: 'holder, fence', when: 'another host holds the promotion lease' },
--- /dev/null
+++ b/src/core/time/signal-clock.ts
@@ -0,0 +1,33 @@
+/** Bounds how long ago a signal was sent that this process handles only now, because it was kept from running. */
+
+/** Interval of the observations, in milliseconds; in a process that runs, the bound is at most twice as long. */
+const OBSERVATION_INTERVAL_MS = 20
+
+/** Observes when the event loop has read signals. */
+export interface SignalClock {
+  /**
+   * Returns a time before which the signal that is being handled was not sent, on the monotonic clock, in milliseconds.
+   */
+  earliestSentAt: () => number
+  close: () => void
+}
+
+/**
+ * Starts to observe. Between two turns of its timers the event loop reads the signals that have arrived, so one that is
+ * handled after a turn was sent after the turn before.
+ *
+ * @returns the clock
+ */
+export function startSignalClock (): SignalClock {
+  let observedAt = performance.now()
+  let observedBefore = observedAt
+  const timer = setInterval(() => {
+    observedBefore = observedAt
+    observedAt = performance.now()
+  }, OBSERVATION_INTERVAL_MS)
+  timer.unref()
+  return {
+    earliestSentAt: () => observedBefore,
+    close: () => clearInterval(timer)
+  }
+}
--- a/src/entry/requests/index.ts
+++ b/src/entry/requests/index.ts
@@ -119,19 +119,19 @@
         busy: [...connections].filter(({ unanswered }) => unanswered > 0).length,
         passedTransactions: forwarded.openTransactions
       }),
-      drain: async () => {
+      drain: async (stopRequestedAt) => {
         const transactions = [...connections].filter(({ inTransaction }) => inTransaction).length
         const times = stopTimesOf(settings.graceSeconds * 1000)
         const { endingMs, answersMs, flushMs } = times
         logger.log('info', 'callers.stopping', {
           sessions: connections.size, transactions, ...countByStage(listener.unanswered()), endingMs, answersMs, flushMs
         })
-        flushBy = performance.now() + times.flushMs
+        flushBy = stopRequestedAt + times.flushMs
         const endCallers = async (): Promise<void> => {
-          await stopSessions({ connections, times, stopAccepting: listener.stopAccepting })
+          await stopSessions({ connections, times, startedAt: stopRequestedAt, stopAccepting: listener.stopAccepting })
           areCallersEnded = true
         }
-        await Promise.all([endCallers(), forwarded.drain(times)])
+        await Promise.all([endCallers(), forwarded.drain(times, stopRequestedAt)])
         logger.log('info', 'callers.drained', { left: connections.size, refused, forwarded: forwarded.inProgress })
       },
       close: async () => {
--- a/src/entry/requests/serve-forwarded.ts
+++ b/src/entry/requests/serve-forwarded.ts
@@ -58,8 +58,11 @@
   /**
    * Waits until everything has ended: refuses new work once other hosts know of the stop, ends transactions when their
    * time is over, and gives statements in progress the time for answers.
+   *
+   * @param times - the times of the stop
+   * @param startedAt - its beginning, on the monotonic clock, in milliseconds
    */
-  drain: (times: StopTimes) => Promise<void>
+  drain: (times: StopTimes, startedAt: number) => Promise<void>
 }
 
 /**
@@ -84,12 +87,12 @@
   return {
     get openTransactions () { return transactions.size },
     get inProgress () { return inProgress.size },
-    drain: async ({ endingMs, transactionsMs, answersMs }) => {
-      const answersUntil = performance.now() + answersMs
-      await pause(endingMs)
+    drain: async ({ endingMs, transactionsMs, answersMs }, startedAt) => {
+      const elapsed = (): number => performance.now() - startedAt
+      await pause(endingMs - elapsed())
       server.refusesNew = true
-      await transactions.drain(transactionsMs - endingMs)
-      while (inProgress.size > 0 && performance.now() < answersUntil) {
+      await transactions.drain(transactionsMs - elapsed())
+      while (inProgress.size > 0 && elapsed() < answersMs) {
         await pause(STOP_POLL_MS)
       }
     }
--- a/src/entry/requests/stop-sessions.ts
+++ b/src/entry/requests/stop-sessions.ts
@@ -21,6 +21,8 @@
 interface StopOptions {
   connections: ReadonlySet<StoppingConnection>
   times: StopTimes
+  /** Beginning of the stop, on the monotonic clock, in milliseconds. */
+  startedAt: number
   /** Stops accepting connections. */
   stopAccepting: () => void
 }
@@ -46,10 +48,11 @@
  *
  * @param options - the connections and the times of the stop
  */
-export async function stopSessions ({ connections, times, stopAccepting }: StopOptions): Promise<void> {
-  const startedAt = performance.now()
+export async function stopSessions (
+  { connections, times, startedAt, stopAccepting }: StopOptions
+): Promise<void> {
   const elapsed = (): number => performance.now() - startedAt
-  await pauseAndRead(times.endingMs)
+  await pauseAndRead(times.endingMs - elapsed())
   stopAccepting()
   while (connections.size > 0 && elapsed() < times.answersMs) {
     connections.forEach((connection) => endConnection(connection, elapsed(), times))
--- a/test/cli/run-until-stopped.test.ts
+++ b/test/cli/run-until-stopped.test.ts
@@ -49,6 +49,26 @@
     expect(events).toEqual(['started', 'stopped', 'exit 0'])
   })
 
+  // Guards against a grace period that begins when a starved process reads the signal.
+  it('counts the stop from before the time in which it was kept from running', async () => {
+    const requested: number[] = []
+    const kernel = { stop: async (requestedAt: number) => { requested.push(requestedAt) } } as unknown as Kernel
+    await runUntilStopped({
+      logger: silentLogger,
+      start: async () => kernel,
+      onStarted: () => {},
+      exit: () => {}
+    })
+    await pause(100)
+    const sentAt = performance.now()
+    process.kill(process.pid, 'SIGTERM')
+    while (performance.now() < sentAt + 300) {
+      // The signal has arrived and is not handled.
+    }
+    await pause(20)
+    expect(requested.map((requestedAt) => requestedAt <= sentAt)).toEqual([true])
+  })
+
   it('starts no further plug-in, and closes those that run', async () => {
     const events: string[] = []
     const controller = new AbortController()
--- a/test/entry/requests/stop-input.test.ts
+++ b/test/entry/requests/stop-input.test.ts
@@ -79,7 +79,7 @@
       socket.on('data', (data) => { received += data.toString() })
       socket.write('START d1 u1\r\n')
       await once(socket, 'data')
-      const stopping = stopSessions({ connections, times, stopAccepting })
+      const stopping = stopSessions({ connections, times, startedAt: performance.now(), stopAccepting })
       await pause(100)
       // The event loop runs its timers next.
       await new Promise((resolve) => { setImmediate(resolve) })
--- a/test/entry/requests/stop-sessions.test.ts
+++ b/test/entry/requests/stop-sessions.test.ts
@@ -43,6 +43,7 @@
   const stop = async (graceMs: number): Promise<void> => await stopSessions({
     connections,
     times: stopTimesOf(graceMs),
+    startedAt: performance.now(),
     stopAccepting: () => record('accepts no more')
   })
   return { connections, events, add, stop }
