Close the plug-ins of a stopping process together

What callers saw: the end of the process came 50 to 200 ms after its grace period, so SIGKILL could come before it.

Cause: after the last answers the plug-ins were closed one after the other, each with a wait of its own: callers until 0.3 s before the end of the grace period, then links to other hosts up to 0.2 s, which left 0.1 s for the exit.

Evidence: three plays beside load with a process of 3 s each: callers.cut at 2873 ms after SIGTERM and the end at 3200 ms; callers.drained at 2184 and 2178 ms, the ends at 3142 and 3112 ms.

Fix: nothing is in progress once all plug-ins have drained, so none needs another one to close; the waits overlap, and the longest one counts.

The new case of test/core/stop-steps.test.ts failed before: 3000 ms in place of 2800.

--- a/src/core/kernel/index.ts
+++ b/src/core/kernel/index.ts
@@ -45,7 +45,10 @@
    * @param stopRequestedAt - beginning of the stop, on the monotonic clock, in milliseconds
    */
   drain?: (stopRequestedAt: number) => Promise<void>
-  /** Releases the resources of the plug-in. */
+  /**
+   * Releases the resources of the plug-in. Called on all plug-ins in reverse order of startup, without waiting for
+   * those before; nothing is in progress any more.
+   */
   close?: () => Promise<void> | void
   /** Returns the state of the plug-in, for diagnostics. */
   dump?: () => unknown
@@ -116,9 +119,9 @@
   const inReverse = (): Array<[string, RunningPlugin<unknown>]> => [...running].reverse()
   const close = async (runStep: StepRunner = runSilently): Promise<void> => {
     stopController.abort()
-    for (const [name, plugin] of inReverse()) {
-      await runStep(`close ${name}`, async () => await plugin.close?.())
-    }
+    const closing = inReverse().map(async ([name, plugin]) =>
+      await runStep(`close ${name}`, async () => await plugin.close?.()))
+    await Promise.all(closing)
     running.clear()
   }
   try {
