--- a/src/core/time/arrived-input.ts
+++ b/src/core/time/arrived-input.ts
@@ -3,18 +3,20 @@
  * a process that was kept from running would otherwise find everybody silent.
  */
 
-/** Longest turn of the event loop after which no more than a little input can have arrived unread, in milliseconds. */
+/** Longest turn of the event loop after which hardly any input can have arrived unread, in milliseconds. */
 const SHORT_TURN_MS = 5
-/** Number of turns after which a busy process no longer waits for a short one. */
-const MAXIMUM_TURNS = 10
+/** Time after which a busy process no longer waits for a short turn, in milliseconds. */
+const MAXIMUM_MS = 50
 
 /** Waits until the input that has arrived at this process has been read. */
 export async function readArrivedInput (): Promise<void> {
-  for (let turn = 0; turn < MAXIMUM_TURNS; turn++) {
-    const startedAt = performance.now()
+  const startedAt = performance.now()
+  let turnedAt = startedAt
+  let turnMs = Infinity
+  while (turnMs > SHORT_TURN_MS && turnedAt - startedAt < MAXIMUM_MS) {
     await new Promise<void>((resolve) => { setImmediate(resolve) })
-    if (performance.now() - startedAt <= SHORT_TURN_MS) {
-      return
-    }
+    const now = performance.now()
+    turnMs = now - turnedAt
+    turnedAt = now
   }
 }
