Exit before the grace period ends, whatever is still open

What callers saw: a process that a step of its stop kept from ending was killed.

Cause: nothing but the steps themselves bounded a stop, and a stop that comes during a slow start began to count after it.

Fix: a limit 0.2 s before the end of the grace period (a fifth of the reserve of a short one), counted from before the signal was sent; what the kernel has of the answers is delivered after the exit. process.stop-limit tells that it was met.

The new case of run-until-stopped.test.ts waits for ever without the limit.

--- a/src/cli/entry/index.ts
+++ b/src/cli/entry/index.ts
@@ -6,6 +6,7 @@
 import { createBoundedStream } from '../../core/logger/bounded-stream.ts'
 import { createLogger } from '../../core/logger/index.ts'
 import { createDialer } from '../../core/wire/dialer.ts'
+import { stopTimesOf } from '../../entry/requests/stop-times.ts'
 import { startEntry } from '../../entry/start-entry.ts'
 import { exitAfterCrash, runProgram } from '../run-command.ts'
 import { runUntilStopped } from '../run-until-stopped.ts'
@@ -29,6 +30,7 @@
       }))
       await runUntilStopped({
         logger,
+        stopLimitMs: stopTimesOf(settings.graceSeconds * 1000).limitMs,
         start: async (signal) =>
           await startEntry(settings, { logger, dialer: createDialer(settings.host.address), signal }),
         onStarted: () => logger.log('info', 'process.started', {
--- a/src/cli/run-until-stopped.ts
+++ b/src/cli/run-until-stopped.ts
@@ -18,6 +18,8 @@
   start: (signal: AbortSignal) => Promise<Kernel>
   /** Called once everything is started, unless the process is to stop. */
   onStarted: (kernel: Kernel) => void
+  /** Time from the beginning of a stop to its latest end, in milliseconds; unlimited by default. */
+  stopLimitMs?: number
   /** Ends the process. */
   exit?: (code: number) => void
 }
@@ -29,7 +31,9 @@
  * @param options - how to start it
  * @throws the error of the start
  */
-export async function runUntilStopped ({ logger, start, onStarted, exit = process.exit }: RunOptions): Promise<void> {
+export async function runUntilStopped (
+  { logger, start, onStarted, stopLimitMs, exit = process.exit }: RunOptions
+): Promise<void> {
   const stopController = new AbortController()
   const signalClock = startSignalClock()
   const stop = (signal: string): void => {
@@ -40,6 +44,12 @@
     signalClock.close()
     logger.log('info', 'process.stopping', { signal, lateMs: Math.round(performance.now() - requestedAt) })
     stopController.abort()
+    if (stopLimitMs !== undefined) {
+      setTimeout(() => {
+        logger.log('warn', 'process.stop-limit', { limitMs: stopLimitMs })
+        exit(0)
+      }, requestedAt + stopLimitMs - performance.now())
+    }
     // A start that fails is reported by the caller of this function.
     starting.then(async (kernel) => exit(await stopKernel(kernel, requestedAt, logger)), () => {})
   }
--- a/src/entry/requests/stop-times.ts
+++ b/src/entry/requests/stop-times.ts
@@ -13,6 +13,8 @@
 const RESERVE_SHARE = 1 / 3
 /** Share of the reserve in which answers may be written. */
 const FLUSH_SHARE = 0.7
+/** Share of the reserve after which the process ends whatever is still open; the rest is for the exit itself. */
+const LIMIT_SHARE = 0.8
 
 /** Times from the beginning of a planned stop, in milliseconds. */
 export interface StopTimes {
@@ -24,6 +26,8 @@
   answersMs: number
   /** Connections are closed although their callers have not read all answers. */
   flushMs: number
+  /** The process ends. */
+  limitMs: number
 }
 
 /**
@@ -40,6 +44,7 @@
     endingMs: Math.min(BALANCER_NOTICE_MS, transactionsMs),
     transactionsMs,
     answersMs,
-    flushMs: answersMs + reserveMs * FLUSH_SHARE
+    flushMs: answersMs + reserveMs * FLUSH_SHARE,
+    limitMs: answersMs + reserveMs * LIMIT_SHARE
   }
 }
--- a/test/cli/run-until-stopped.test.ts
+++ b/test/cli/run-until-stopped.test.ts
@@ -69,6 +69,27 @@
     expect(requested.map((requestedAt) => requestedAt <= sentAt)).toEqual([true])
   })
 
+  // Guards against a step of the stop that lasts until SIGKILL.
+  it('exits at the limit although its stop has not ended', async () => {
+    const kernel = { stop: async () => await new Promise(() => {}) } as unknown as Kernel
+    const exits: number[] = []
+    const exited = new Promise<void>((resolve) => {
+      void runUntilStopped({
+        logger: silentLogger,
+        start: async () => kernel,
+        onStarted: () => {},
+        stopLimitMs: 50,
+        exit: (code) => {
+          exits.push(code)
+          resolve()
+        }
+      })
+    })
+    process.emit('SIGTERM')
+    await exited
+    expect(exits).toEqual([0])
+  })
+
   it('starts no further plug-in, and closes those that run', async () => {
     const events: string[] = []
     const controller = new AbortController()
--- a/test/entry/requests/stop-input.test.ts
+++ b/test/entry/requests/stop-input.test.ts
@@ -68,8 +68,8 @@
 
   // Guards against the end of a connection whose request has arrived, and has not been read.
   for (const [times, when] of [
-    [{ endingMs: 50, transactionsMs: 5000, answersMs: 5000, flushMs: 6000 }, 'as idle'],
-    [{ endingMs: 50, transactionsMs: 100, answersMs: 200, flushMs: 6000 }, 'when the time for answers is over']
+    [{ endingMs: 50, transactionsMs: 5000, answersMs: 5000, flushMs: 6000, limitMs: 7000 }, 'as idle'],
+    [{ endingMs: 50, transactionsMs: 100, answersMs: 200, flushMs: 6000, limitMs: 7000 }, 'when the time for answers is over']
   ] as const) {
     it(`answers a request that has arrived before its connection is ended ${when}`, async () => {
       const { port, connections, stopAccepting } = await listen()
