Write large result sets in pieces, and end those that can't be written before the proxy closes

What callers of the MySQL product saw: a result set that was cut off, and the connection lost, when their proxy was stopped.

Cause: the same as for the entry process: all rows were written at once, so nothing but the whole set could end it when the time of the stop was over.

Fix: rows are written in pieces of 64 KiB as fast as the client reads, with the same rate and rule as in the entry process, which move to core/wire; an error packet ends the set in place of the rows that can't be written. The commands behind it are answered as before. A packet that arrives in between does not change the numbers of the set's packets.

--- a/platform/write-rate.ts
+++ b/src/core/wire/write-rate.ts
@@ -1,5 +1,17 @@
 /** Observes how much a connection takes at once, and how long it then takes until it has room again. */
-import type { WriteProgress } from '../src/entry/ports/index.ts'
+
+/** How the writing of an answer goes on. */
+export interface WriteProgress {
+  /** Bytes of the answer that are still to be written. */
+  remainingBytes: number
+  /** Bytes that the connection is expected to take at once. */
+  roomBytes: number
+  /**
+   * Longest of the last waits until the connection had room again, in milliseconds; undefined if there was none since
+   * the caller had read everything.
+   */
+  longestWaitMs: number | undefined
+}
 
 /** Size that a connection is expected to take at once if its caller has read everything, in bytes. */
 const EMPTY_ROOM_BYTES = 262_144
--- a/src/entry/requests/write-rules.ts
+++ b/src/core/wire/write-rules.ts
@@ -1,5 +1,5 @@
-/** Decides whether the rows of an answer are still written while this host stops. */
-import type { WriteProgress } from '../ports/index.ts'
+/** Decides whether the rows of an answer are still written while this process stops. */
+import type { WriteProgress } from './write-rate.ts'
 
 /**
  * Longest wait that is expected before one has been observed, in milliseconds: the time in which a caller that reads
@@ -10,11 +10,11 @@
 const WAIT_FACTOR = 2
 
 /**
- * Decides whether to write more rows. Afterwards the connection may be full, and then its answer can't be ended before
- * it has room again.
+ * Decides whether to write more rows of an answer. Afterwards the connection may be full, and then its answer can't be
+ * ended before it has room again.
  *
  * @param progress - how the connection has taken rows
- * @param remainingMs - time until this host closes the connection, in milliseconds; Infinity while it does not stop
+ * @param remainingMs - time until this process closes the connection, in milliseconds; Infinity while it does not stop
  * @returns whether the rest fits, or the connection will have room once more before it is closed
  */
 export function mayWriteOn ({ remainingBytes, roomBytes, longestWaitMs }: WriteProgress, remainingMs: number): boolean {
--- a/src/entry/ports/statements.ts
+++ b/src/entry/ports/statements.ts
@@ -1,5 +1,6 @@
 /** Statements of callers and the answers to them, independent of the protocol. */
 import type { Verdict } from '../../core/errors/index.ts'
+import type { WriteProgress } from '../../core/wire/write-rate.ts'
 import type { LogPosition } from '../../positions/position.ts'
 
 export type Access = 'read' | 'write'
@@ -57,19 +58,6 @@
   onWritten?: () => void
 }
 
-/** How the writing of an answer goes on. */
-export interface WriteProgress {
-  /** Bytes of the answer that are still to be written. */
-  remainingBytes: number
-  /** Bytes that the connection is expected to take at once. */
-  roomBytes: number
-  /**
-   * Longest of the last waits until the connection had room again, in milliseconds; undefined if there was none since
-   * the caller had read everything.
-   */
-  longestWaitMs: number | undefined
-}
-
 /** A statement from a caller, with the request id that identifies it in all logs. */
 export interface CallerRequest {
   id: string
--- a/src/entry/requests/caller-requests.ts
+++ b/src/entry/requests/caller-requests.ts
@@ -2,9 +2,9 @@
  * Owns the requests of a caller's connection from the time they are read until they have an answer, and serves them one
  * at a time in their order. To end the connection is its decision, so none ends with a request that has no answer.
  */
+import { mayWriteOn } from '../../core/wire/write-rules.ts'
 import type { CallerAnswer, CallerHandler, CallerLink, CallerRequest } from '../ports/index.ts'
 import type { Session } from './session.ts'
-import { mayWriteOn } from './write-rules.ts'
 
 /** A request without an answer. */
 interface UnservedRequest {
--- a/src/mysql-proxy/callers/index.ts
+++ b/src/mysql-proxy/callers/index.ts
@@ -3,7 +3,7 @@
  * and outside a transaction; the others are disconnected after `stopMs`, with errors for their unanswered commands.
  */
 import type { ProxySettings } from '../../core/config/index.ts'
-import { describeThrown, RequestError, WorkswardError } from '../../core/errors/index.ts'
+import { describeThrown, RequestError, WorkswardError, type Verdict } from '../../core/errors/index.ts'
 import { registerPlugin } from '../../core/kernel/index.ts'
 import { pause } from '../../core/time/deadline.ts'
 import { MYSQL_ERROR } from '../../mysql/consts.ts'
@@ -53,7 +53,10 @@
     const tokens = createSessionTokens(settings.peers.key)
     const callers = new Set<ConnectedCaller>()
     let stopping = false
+    let closesAt = Infinity
 
+    const stoppingError = (verdict: Verdict): RequestError =>
+      new RequestError(verdict, 'Stopping', { host: settings.host.name })
     const server = await listenMysql({
       address: settings.host.address,
       port: settings.listen.callers,
@@ -80,7 +83,8 @@
           }
         }
       },
-      toRefusal
+      toRefusal,
+      stopping: { remainingMs: () => closesAt - performance.now(), errorOf: stoppingError }
     })
 
     return {
@@ -90,9 +94,9 @@
         stopping = true
         server.stopAccepting()
         await membership.leave()
+        closesAt = performance.now() + settings.stopMs + ANSWER_FLUSH_MS
         await drainCallers(callers, settings.stopMs)
-        callers.forEach(({ client }) => client.endNow((verdict) =>
-          new RequestError(verdict, 'Stopping', { host: settings.host.name })))
+        callers.forEach(({ client }) => client.endNow(stoppingError))
         await drainCallers(callers, ANSWER_FLUSH_MS)
         context.logger.log('info', 'callers.drained', { left: callers.size })
       },
--- a/src/mysql/answer-writer.ts
+++ b/src/mysql/answer-writer.ts
@@ -1,6 +1,7 @@
 /** Writes answers to a client as MySQL packets. */
 import { COLUMN_TYPE } from './consts.ts'
-import type { Answer, Cell, Column, RowsAnswer } from './types.ts'
+import type { RowPacing } from './paced-rows.ts'
+import type { Answer, Cell, Column, DoneAnswer, RowsAnswer } from './types.ts'
 import type { ServerConnection } from './server-connection.ts'
 
 const HEADER_BYTES = 4
@@ -30,17 +31,33 @@
   }
 }
 
+/** Writes the answer to a statement that has no rows. */
+export function writeDone (connection: ServerConnection, { affectedRows, insertId }: DoneAnswer): void {
+  connection.writeOk({ affectedRows, insertId })
+}
+
+/** Options of {@link writeAnswer}. */
+interface AnswerOptions {
+  /** Whether to use the binary row format, as for prepared statements. */
+  binary: boolean
+  pacing: Pick<RowPacing, 'write'>
+}
+
 /**
  * Writes the answer to a statement.
  *
- * @param binary - whether to use the binary row format, as for prepared statements
+ * @param connection - the client's connection
+ * @param answer - the answer
+ * @param options - the row format and the pacing of the rows
  */
-export function writeAnswer (connection: ServerConnection, answer: Answer, binary: boolean): void {
+export async function writeAnswer (
+  connection: ServerConnection, answer: Answer, options: AnswerOptions
+): Promise<void> {
   if (answer.type === 'done') {
-    connection.writeOk({ affectedRows: answer.affectedRows, insertId: answer.insertId })
-    return
+    writeDone(connection, answer)
+  } else {
+    await writeRows(connection, answer, options)
   }
-  writeRows(connection, answer, binary)
 }
 
 /**
@@ -53,14 +70,15 @@
   header.writeUInt32LE(statementId, 1)
   header.writeUInt16LE(0, 5)
   header.writeUInt16LE(parameters, 7)
+  connection.stream.cork()
   connection.writePacket(new EncodedPacket([header]))
-  if (parameters === 0) {
-    return
-  }
   for (let index = 0; index < parameters; index++) {
     connection.writePacket(new EncodedPacket([encodeColumn(textColumn('?'))]))
   }
-  connection.writeEof()
+  if (parameters > 0) {
+    connection.writeEof()
+  }
+  connection.stream.uncork()
 }
 
 /** Creates the definition of a text column. */
@@ -68,14 +86,21 @@
   return { name, type: COLUMN_TYPE.varString, flags: 0, characterSet: 45, columnLength: 65535, decimals: 0 }
 }
 
-function writeRows (connection: ServerConnection, answer: RowsAnswer, binary: boolean): void {
+async function writeRows (
+  connection: ServerConnection, answer: RowsAnswer, { binary, pacing }: AnswerOptions
+): Promise<void> {
   const columns = binary ? answer.columns.map(toBinaryColumn) : answer.columns
   const encodeRow = binary ? encodeBinaryRow : encodeTextRow
-  connection.writePacket(new EncodedPacket([encodeLength(columns.length)]))
-  columns.forEach((column) => connection.writePacket(new EncodedPacket([encodeColumn(column)])))
-  connection.writeEof()
-  answer.rows.forEach((row) => connection.writePacket(new EncodedPacket(encodeRow(row, columns))))
-  connection.writeEof()
+  await pacing.write({
+    writeHead: () => {
+      connection.writePacket(new EncodedPacket([encodeLength(columns.length)]))
+      columns.forEach((column) => connection.writePacket(new EncodedPacket([encodeColumn(column)])))
+      connection.writeEof()
+    },
+    rows: answer.rows,
+    writeRow: (row) => connection.writePacket(new EncodedPacket(encodeRow(row, columns))),
+    writeEnd: () => connection.writeEof()
+  })
 }
 
 /** Declares integers as 64-bit and dates as text, so that binary rows need only three cell encodings. */
--- a/src/mysql/client-handler.ts
+++ b/src/mysql/client-handler.ts
@@ -39,6 +39,14 @@
   destroy: () => void
 }
 
+/** The stop of a server, as far as the writing of result sets depends on it. */
+interface StoppingServer {
+  /** Returns the time until the connections are closed, in milliseconds; Infinity while the server does not stop. */
+  remainingMs: () => number
+  /** Creates the error in place of the rows that can't be written any more. */
+  errorOf: (verdict: Verdict) => Error
+}
+
 /** Options for serving clients. */
 export interface ServeOptions {
   /** Maximum length of a command, in bytes; longer commands are answered with an error. */
@@ -60,4 +68,6 @@
   serve: (client: AuthenticatedClient) => ClientHandler | Promise<ClientHandler>
   /** Converts an error thrown by a handler into a MySQL error. */
   toRefusal: (thrown: unknown) => Refusal
+  /** Ends result sets early while this process stops; by default all of them are written whole. */
+  stopping?: StoppingServer
 }
--- a/src/mysql/commands.ts
+++ b/src/mysql/commands.ts
@@ -1,7 +1,8 @@
 /** Handlers of the MySQL commands that the server supports. */
-import { writeAnswer, writePrepared } from './answer-writer.ts'
+import { writeAnswer, writeDone, writePrepared } from './answer-writer.ts'
 import type { ClientHandler, Refusal } from './client-handler.ts'
 import { COMMAND, MYSQL_ERROR } from './consts.ts'
+import type { RowPacing } from './paced-rows.ts'
 import type { PreparedStatements } from './prepared-statements.ts'
 import type { ReceivedPacket, ServerConnection } from './server-connection.ts'
 import { EMPTY_ANSWER } from './types.ts'
@@ -17,17 +18,18 @@
   connection: ServerConnection
   handler: ClientHandler
   statements: PreparedStatements
+  pacing: RowPacing
   /** Maximum length of a command, in bytes. */
   statementBytes: number
 }
 
 /** Writes the answer to a command; undefined if the protocol defines no answer. */
-export type AnswerWriter = (() => void) | undefined
+export type AnswerWriter = (() => Promise<void> | void) | undefined
 
 const COMMAND_HANDLERS: Record<number, (state: ClientState, packet: ReceivedPacket) => Promise<AnswerWriter>> = {
   [COMMAND.query]: async (state, packet) => {
     const answer = await state.handler.execute({ sql: readText(packet) })
-    return () => writeAnswer(state.connection, answer, false)
+    return async () => await writeAnswer(state.connection, answer, { binary: false, pacing: state.pacing })
   },
   [COMMAND.prepare]: async (state, packet) => {
     if (state.statements.full) {
@@ -44,23 +46,23 @@
       return () => state.connection.writeError({ code: 1243, message: `unknown prepared statement ${statementId}` })
     }
     const answer = await state.handler.execute(statement)
-    return () => writeAnswer(state.connection, answer, true)
+    return async () => await writeAnswer(state.connection, answer, { binary: true, pacing: state.pacing })
   },
   [COMMAND.closeStatement]: async (state, packet) => {
     state.statements.close(packet.readInt32())
     return undefined
   },
-  [COMMAND.resetStatement]: async (state) => () => writeAnswer(state.connection, EMPTY_ANSWER, false),
+  [COMMAND.resetStatement]: async (state) => () => writeDone(state.connection, EMPTY_ANSWER),
   [COMMAND.setOption]: async (state) => () => state.connection.writeEof(),
   [COMMAND.selectDatabase]: async (state, packet) => {
     await state.handler.selectDatabase(readText(packet))
-    return () => writeAnswer(state.connection, EMPTY_ANSWER, false)
+    return () => writeDone(state.connection, EMPTY_ANSWER)
   },
-  [COMMAND.ping]: async (state) => () => writeAnswer(state.connection, EMPTY_ANSWER, false),
+  [COMMAND.ping]: async (state) => () => writeDone(state.connection, EMPTY_ANSWER),
   [COMMAND.resetConnection]: async (state) => {
     state.statements.closeAll()
     await state.handler.reset()
-    return () => writeAnswer(state.connection, EMPTY_ANSWER, false)
+    return () => writeDone(state.connection, EMPTY_ANSWER)
   }
 }
 
--- a/src/mysql/serve-client.ts
+++ b/src/mysql/serve-client.ts
@@ -5,6 +5,7 @@
 import { createCommandQueue } from './command-queue.ts'
 import { runCommand, type AnswerWriter, type ClientState, type ReceivedCommand } from './commands.ts'
 import { COMMAND } from './consts.ts'
+import { createRowPacing } from './paced-rows.ts'
 import { createPreparedStatements } from './prepared-statements.ts'
 import type { ReceivedPacket, ServerConnection } from './server-connection.ts'
 
@@ -23,6 +24,8 @@
  */
 export function serveClient (connection: ServerConnection, connectionId: number, options: ServeOptions): void {
   const credentials = { user: '', database: '' }
+  const pacing = createRowPacing(connection, options)
+  let unanswered = 0
   let state: ClientState | undefined
 
   connection.on('error', () => connection.stream.destroy())
@@ -45,7 +48,8 @@
     if (connection.stream.destroyed) {
       handler.close()
     }
-    return { connection, handler, statements: createPreparedStatements(), statementBytes: options.statementBytes }
+    const { statementBytes } = options
+    return { connection, handler, pacing, statements: createPreparedStatements(), statementBytes }
   }
 
   const interruption: Interruption = { interrupt: () => {} }
@@ -56,14 +60,17 @@
     state ??= await openState()
     return await runCommand(state, command)
   }
-  const queue = createCommandQueue<ReceivedCommand>(async (command) =>
+  const queue = createCommandQueue<ReceivedCommand>(async (command) => {
     await answer(connection, options, command.code, async () => await new Promise((resolve, reject) => {
       interruption.interrupt = reject
       run(command).then(resolve, reject)
-    })), () => connection.stream.end())
+    }))
+    unanswered--
+  }, () => connection.stream.end())
 
   connection.on('packet', (packet: ReceivedPacket, _known: boolean, code: number) => {
     packet.readInt8()
+    pacing.recordRequest(unanswered++ === 0)
     queue.add({ code, packet })
   })
   disableBuiltInHandlers(connection)
@@ -83,7 +90,7 @@
   connection.on('quit', () => connection.stream.end())
 }
 
-/** Runs a command and writes all packets of its answer in one write. */
+/** Runs a command and writes its answer. */
 async function answer (
   connection: ServerConnection,
   options: ServeOptions,
@@ -102,9 +109,7 @@
   if (write === undefined || connection.stream.destroyed) {
     return
   }
-  connection.stream.cork()
   connection.sequenceId = 1
-  write()
+  await write()
   connection.sequenceId = 0
-  connection.stream.uncork()
 }
--- a/test/entry/requests/write-rules.test.ts
+++ b/test/core/write-rules.test.ts
@@ -1,6 +1,6 @@
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
-import { mayWriteOn } from '../../../src/entry/requests/write-rules.ts'
+import { mayWriteOn } from '../../src/core/wire/write-rules.ts'
 
 const LARGE = 10_000_000
 
--- a/test/platform/caller-port.test.ts
+++ b/test/platform/caller-port.test.ts
@@ -6,8 +6,9 @@
 import { MAXIMUM_MESSAGE_BYTES } from '../../platform/line-wire.ts'
 import { digestOfKey } from '../../platform/secrets.ts'
 import { silentLogger } from '../../src/core/logger/index.ts'
+import type { WriteProgress } from '../../src/core/wire/write-rate.ts'
 import type {
-  CallerAnswer, CallerHandler, CallerLink, CallerPort, CallerRequest, StatementAnswer, WriteProgress
+  CallerAnswer, CallerHandler, CallerLink, CallerPort, CallerRequest, StatementAnswer
 } from '../../src/entry/ports/index.ts'
 
 const closers: Array<() => Promise<void> | void> = []
