Read the answers that have arrived before a request times out

What callers could see: a forwarded write in doubt, or a read that was repeated, although the other host's answer had arrived.

Cause: the same order as at the end of idle connections: a process that was kept from running finds its timeouts due, and runs them before it reads its sockets.

Evidence: an answer is written to the link, and the event loop is held until the timeout has passed: the request failed with 'no answer in time'; the same for a deadline around it.

Fix: requests to peers, deadlines and the other waits of withTimeout (calls to the store among them) decide after a turn of the event loop that reads the sockets.

--- a/src/core/time/arrived-input.ts
+++ b/src/core/time/arrived-input.ts
@@ -20,3 +20,19 @@
     turnedAt = now
   }
 }
+
+/**
+ * Starts a timer whose callback is called after the input has been read that had arrived by the end of the timeout.
+ *
+ * @param callback - called after the timeout
+ * @param timeoutMs - timeout, in milliseconds
+ * @returns cancels the timer
+ */
+export function startInputTimer (callback: () => void, timeoutMs: number): () => void {
+  let immediate: NodeJS.Immediate | undefined
+  const timer = setTimeout(() => { immediate = setImmediate(callback) }, timeoutMs)
+  return () => {
+    clearTimeout(timer)
+    clearImmediate(immediate)
+  }
+}
--- a/src/core/time/deadline.ts
+++ b/src/core/time/deadline.ts
@@ -1,5 +1,6 @@
 /** Deadlines and timeouts, on the monotonic clock. */
 import { RequestError, type Verdict } from '../errors/index.ts'
+import { startInputTimer } from './arrived-input.ts'
 
 /** A point in time by which a request must finish. */
 export class Deadline {
@@ -73,7 +74,7 @@
 export const TIMED_OUT = Symbol('timed out')
 
 /**
- * Waits for a promise with a timeout. A result after the timeout is ignored.
+ * Waits for a promise with a timeout. A result whose input has arrived by then is read first; a later one is ignored.
  *
  * @param pending - the promise
  * @param timeoutMs - timeout, in milliseconds
@@ -82,14 +83,14 @@
 export async function withTimeout<Result> (
   pending: Promise<Result>, timeoutMs: number
 ): Promise<Result | typeof TIMED_OUT> {
-  let timer: NodeJS.Timeout | undefined
+  let cancel = (): void => {}
   const timeout = new Promise<typeof TIMED_OUT>((resolve) => {
-    timer = setTimeout(() => resolve(TIMED_OUT), timeoutMs)
+    cancel = startInputTimer(() => resolve(TIMED_OUT), timeoutMs)
   })
   try {
     return await Promise.race([pending, timeout])
   } finally {
-    clearTimeout(timer)
+    cancel()
     // Prevents an unhandled rejection when the promise fails after the timeout.
     pending.catch(() => {})
   }
--- a/src/peers/open-link.ts
+++ b/src/peers/open-link.ts
@@ -23,7 +23,7 @@
 interface PendingRequest {
   resolve: (body: unknown) => void
   reject: (error: Error) => void
-  timer: NodeJS.Timeout
+  cancelTimer: () => void
 }
 
 /** Next frame expected by the handshake; `open` after its completion. */
@@ -57,7 +57,7 @@
       clearTimeout(timer)
       socket.destroy()
       pending.forEach((request) => {
-        clearTimeout(request.timer)
+        request.cancelTimer()
         request.reject(peerUnavailableError(peer, reason, 'may-have-run'))
       })
       pending.clear()
--- a/src/peers/peer-client.ts
+++ b/src/peers/peer-client.ts
@@ -1,5 +1,6 @@
 /** Client side of peer links: one link to each peer, with concurrent requests. */
 import { RequestError, type ErrorDetails, type ErrorName } from '../core/errors/index.ts'
+import { startInputTimer } from '../core/time/arrived-input.ts'
 import { TIMED_OUT, withTimeout } from '../core/time/deadline.ts'
 import { formatEndpoint, type Dialer, type Endpoint } from '../core/wire/dialer.ts'
 import { peerUnavailableError, type OpenLink } from './open-link.ts'
@@ -93,14 +94,14 @@
       return await new Promise((resolve, reject) => {
         const id = nextId++
         const sentAt = performance.now()
-        const timer = setTimeout(() => {
+        const cancelTimer = startInputTimer(() => {
           link.pending.delete(id)
           if (link.lastReceivedAt <= sentAt) {
             reportNoAnswer(sentAt)
           }
           reject(peerUnavailableError(name, 'no answer in time', 'may-have-run'))
         }, timeoutMs)
-        link.pending.set(id, { resolve, reject, timer })
+        link.pending.set(id, { resolve, reject, cancelTimer })
         link.frames.send({ id, type, body })
       })
     },
@@ -116,7 +117,7 @@
     return false
   }
   link.pending.delete(id)
-  clearTimeout(pending.timer)
+  pending.cancelTimer()
   if (failure === undefined) {
     pending.resolve(body)
     return true
