Read the commands that have arrived before the proxy ends a connection

What callers of the MySQL product could see: a lost connection in place of an answer, for a command that had arrived when a stopping proxy ended the connection as idle.

Cause: the check for idle callers runs in a timer, before the sockets are read, and the end of a connection ignored what came after it.

Evidence and test: a command is written, and the connection is ended before the event loop turns (test/mysql/serve-client.test.ts): 'The server closed the connection' before, its answer now.

Fix: the end of a connection reads the commands that have arrived first.

--- a/src/mysql/serve-client.ts
+++ b/src/mysql/serve-client.ts
@@ -1,6 +1,7 @@
 /** Serves one client connection from handshake to close. */
 import { greetClient } from './authentication.ts'
 import type { Verdict } from '../core/errors/index.ts'
+import { readArrivedInput } from '../core/time/arrived-input.ts'
 import type { ServeOptions } from './client-handler.ts'
 import { createCommandQueue } from './command-queue.ts'
 import { runCommand, type AnswerWriter, type ClientState, type ReceivedCommand } from './commands.ts'
@@ -37,11 +38,11 @@
       user: credentials.user,
       database: credentials.database,
       attributes: connection.clientHelloReply?.connectAttributes ?? {},
-      end: queue.finishWhenIdle,
+      end: () => { void endOnceRead() },
       endNow: (errorOf) => {
         interruption.errorOf = errorOf
         interruption.interrupt(errorOf('may-have-run'))
-        queue.finishWhenIdle()
+        void endOnceRead()
       },
       destroy: () => connection.stream.destroy()
     })
@@ -68,6 +69,12 @@
     unanswered--
   }, () => connection.stream.end())
 
+  /** Ends the connection after the commands that have arrived, also those that are not read yet. */
+  const endOnceRead = async (): Promise<void> => {
+    await readArrivedInput()
+    queue.finishWhenIdle()
+  }
+
   connection.on('packet', (packet: ReceivedPacket, _known: boolean, code: number) => {
     packet.readInt8()
     pacing.recordRequest(unanswered++ === 0)
--- a/test/mysql/serve-client.test.ts
+++ b/test/mysql/serve-client.test.ts
@@ -20,11 +20,38 @@
 const ADDRESS = '127.0.0.1'
 const PASSWORD = 'a-password'
 
-describe('a client whose connection is ended at once', () => {
+describe('a client whose connection is ended', () => {
   let server: SocketListener
   afterEach(async () => await server.close())
 
-  it('gets an error that tells whether the command in progress may have run', async () => {
+  // Guards against the end of a connection whose command has arrived, and has not been read.
+  it('gets the answer to a command that has arrived before', async () => {
+    let client: AuthenticatedClient | undefined
+    server = await listenMysql({
+      address: ADDRESS,
+      port: 0,
+      statementBytes: 1000,
+      findPasswordHash: () => doubleSha1(PASSWORD),
+      serve: (authenticated) => {
+        client = authenticated
+        return {
+          execute: async () => EMPTY_ANSWER, selectDatabase: async () => {}, reset: async () => {}, close: () => {}
+        }
+      },
+      toRefusal: () => ({ code: 1053, message: 'refused' })
+    })
+    const connection = await mysql.createConnection({ host: ADDRESS, port: server.port, user: 'u', password: PASSWORD })
+    await connection.query('first')
+    await new Promise((resolve) => { setImmediate(resolve) })
+    const outcome = connection.query('second').then(() => 'done', (error: Error) => error.message)
+    // The command is written before the event loop turns.
+    await new Promise<void>((resolve) => { process.nextTick(resolve) })
+    client!.end()
+    expect(await outcome).toEqual('done')
+    connection.destroy()
+  })
+
+  it('at once gets an error that tells whether the command in progress may have run', async () => {
     const executed: string[] = []
     let client: AuthenticatedClient | undefined
     server = await listenMysql({
