End a connection together with its last answer

Cause: the arrived input was read between the last answer and the end, a turn of the event loop or more, in which the caller sent its next request.

Fix: the owner of the requests reads what has arrived before it gives the last answer, and the end follows that answer at once, so a caller that waits for its answers sends none in between. After a turn of the event loop that took long there is always another one.

test/entry/requests/caller-requests.test.ts waits for more turns of the event loop until nothing more happens; its checks are as before.

--- a/src/core/time/arrived-input.ts
+++ b/src/core/time/arrived-input.ts
@@ -5,18 +5,20 @@
 
 /** Longest turn of the event loop after which hardly any input can have arrived unread, in milliseconds. */
 const SHORT_TURN_MS = 5
-/** Time after which a busy process no longer waits for a short turn, in milliseconds. */
+/** Time after which a busy process no longer waits for a short turn, in milliseconds, and least number of its turns. */
 const MAXIMUM_MS = 50
+const MINIMUM_TURNS = 2
 
 /** Waits until the input that has arrived at this process has been read. */
 export async function readArrivedInput (): Promise<void> {
   const startedAt = performance.now()
   let turnedAt = startedAt
-  let turnMs = Infinity
-  while (turnMs > SHORT_TURN_MS && turnedAt - startedAt < MAXIMUM_MS) {
+  for (let turn = 1; ; turn++) {
     await new Promise<void>((resolve) => { setImmediate(resolve) })
     const now = performance.now()
-    turnMs = now - turnedAt
+    if (now - turnedAt <= SHORT_TURN_MS || (turn >= MINIMUM_TURNS && now - startedAt >= MAXIMUM_MS)) {
+      return
+    }
     turnedAt = now
   }
 }
--- a/src/entry/requests/caller-requests.ts
+++ b/src/entry/requests/caller-requests.ts
@@ -2,6 +2,7 @@
  * Owns the requests of a caller's connection from the time they are read until they have an answer, and serves them one
  * at a time in their order. To end the connection is its decision, so none ends with a request that has no answer.
  */
+import { readArrivedInput } from '../../core/time/arrived-input.ts'
 import { mayWriteOn } from '../../core/wire/write-rules.ts'
 import type { CallerAnswer, CallerHandler, CallerLink, CallerRequest } from '../ports/index.ts'
 import type { Session } from './session.ts'
@@ -71,9 +72,16 @@
   const serveWaiting = async (): Promise<void> => {
     isServing = true
     for (let next = waiting.shift(); next !== undefined; next = waiting.shift()) {
-      await giveAnswer(next, await serve(next.request))
-      if (endsAfterAnswer && !session.inTransaction) {
-        end()
+      const answer = await serve(next.request)
+      const isLast = endsAfterAnswer && !session.inTransaction
+      if (isLast && !isEnded) {
+        isEnded = true
+        // The end follows the answer at once, so no request can be sent in between.
+        await readArrivedInput()
+      }
+      await giveAnswer(next, answer)
+      if (isLast) {
+        link.end()
       }
     }
     isServing = false
--- a/test/entry/requests/caller-requests.test.ts
+++ b/test/entry/requests/caller-requests.test.ts
@@ -6,6 +6,9 @@
 const READ: CallerStatement = { type: 'data', access: 'read', text: 'READ x' }
 const BEGIN: CallerStatement = { type: 'begin', readOnly: false }
 
+/** Turns of the event loop after which nothing more happens by itself. */
+const SETTLED_TURNS = 20
+
 /** Creates the requests of a connection whose answers the test gives. */
 function setUp () {
   const served: string[] = []
@@ -42,7 +45,11 @@
       }
     })
   }
-  const settle = async (): Promise<void> => await new Promise((resolve) => { setImmediate(resolve) })
+  const settle = async (): Promise<void> => {
+    for (let turn = 0; turn < SETTLED_TURNS; turn++) {
+      await new Promise((resolve) => { setImmediate(resolve) })
+    }
+  }
   return { requests, session, served, answered, writing, events, finish, send, settle, times }
 }
 
