Log answers that end early, and bound the assumed delay of a signal

An answer whose rows were left out is request.done in the log of its host although its caller got a failure; request.ended-early tells which one. A signal counts as at most 500 ms late: after a longer stall it may have been sent at the stall's end, and a stop that counts from its beginning would leave its callers no time.

--- a/src/core/logger/events.ts
+++ b/src/core/logger/events.ts
@@ -110,6 +110,7 @@
   'registry.stop-published': { level: 'info', fields: 'group, epoch, written', when: 'this host recorded in its row that it stopped using a primary, because no peer asked it to stop' },
   'registry.unregister-failed': { level: 'warn', fields: 'reason', when: 'this process could not remove its row; its peers retire it' },
   'request.done': { level: 'info', fields: 'id, type, database, group, organisation, upstream, home, floor, attempts, outcome, state, position, version, ageMs, ms', when: 'a request was answered by an upstream' },
+  'request.ended-early': { level: 'info', fields: 'id, outcome', when: 'rows of an answer were left out, since its caller would not have read them before this host closes its connections; the caller got the failure `outcome` in their place' },
   'request.failed': { level: 'warn', fields: 'id, type, database, group, organisation, upstream, home, floor, attempts, outcome, reason, state, position, version, ageMs, ms', when: 'a request was refused, failed, or has an unknown outcome' },
   'retry.refused': { level: 'warn', fields: 'id, group, upstream, home, reason, attempts, balance', when: 'a request is not retried because the retry budget is exhausted; `balance` is the remaining budget' },
   'standin.tail-discarded': { level: 'warn', fields: 'upstream, records', when: 'a stand-in upstream discarded log records that were not replicated to a majority' },
--- a/src/core/time/signal-clock.ts
+++ b/src/core/time/signal-clock.ts
@@ -2,12 +2,12 @@
 
 /** Interval of the observations, in milliseconds; in a process that runs, the bound is at most twice as long. */
 const OBSERVATION_INTERVAL_MS = 20
+/** Longest delay that is assumed, in milliseconds; the signal may have been sent at the end of a longer stall. */
+const MAXIMUM_DELAY_MS = 500
 
 /** Observes when the event loop has read signals. */
 export interface SignalClock {
-  /**
-   * Returns a time before which the signal that is being handled was not sent, on the monotonic clock, in milliseconds.
-   */
+  /** Returns the earliest time at which the signal that is being handled was sent, on the monotonic clock. */
   earliestSentAt: () => number
   close: () => void
 }
@@ -27,7 +27,7 @@
   }, OBSERVATION_INTERVAL_MS)
   timer.unref()
   return {
-    earliestSentAt: () => observedBefore,
+    earliestSentAt: () => Math.max(observedBefore, performance.now() - MAXIMUM_DELAY_MS),
     close: () => clearInterval(timer)
   }
 }
--- a/src/core/wire/write-rules.ts
+++ b/src/core/wire/write-rules.ts
@@ -1,10 +1,7 @@
 /** Decides whether the rows of an answer are still written while this process stops. */
 import type { WriteProgress } from './write-rate.ts'
 
-/**
- * Longest wait that is expected before one has been observed, in milliseconds: the time in which a caller that reads
- * 0.75 MB/s empties a third of the largest usual send buffer.
- */
+/** Longest wait that is expected before one has been observed, in milliseconds. */
 const FIRST_WAIT_MS = 2000
 /** Allowance for a wait that takes longer than those before it. */
 const WAIT_FACTOR = 2
--- a/src/entry/requests/session.ts
+++ b/src/entry/requests/session.ts
@@ -162,7 +162,8 @@
     if (closed) {
       transaction.abandon()
     }
-    return toCallerAnswer(answer, transaction, session.trace.scope)
+    return toCallerAnswer(answer, transaction, session.trace.scope, (outcome) =>
+      context.logger.log('info', 'request.ended-early', { id: request.id, outcome }))
   }
   return {
     get idleMs () { return busy || transaction.canContinue ? 0 : performance.now() - idleSince },
--- a/src/entry/requests/stopped-answers.ts
+++ b/src/entry/requests/stopped-answers.ts
@@ -1,6 +1,6 @@
 /** Answers to requests that this host can't serve or answer to the end because it is stopping. */
 import { RequestError } from '../../core/errors/index.ts'
-import type { CallerAnswer, StatementAnswer } from '../ports/index.ts'
+import type { CallerAnswer, FailureKind, StatementAnswer } from '../ports/index.ts'
 import { failureAnswer, failureOf } from './answers.ts'
 import type { SessionTransaction } from './session-transaction.ts'
 import type { RequestScope } from './types.ts'
@@ -40,22 +40,26 @@
  * @param answer - the answer
  * @param transaction - the transaction of the session
  * @param scope - scope of the request; undefined if no upstream was asked
+ * @param onEndedEarly - called with the failure that takes the place of the rows
  * @returns the answer to the caller
  */
 export function toCallerAnswer (
-  answer: StatementAnswer, transaction: AbortableTransaction, scope?: RequestScope
+  answer: StatementAnswer, transaction: AbortableTransaction, scope: RequestScope | undefined,
+  onEndedEarly: (outcome: FailureKind) => void
 ): CallerAnswer {
   const { failure, state, position } = answer
-  const withoutRows = (): StatementAnswer => {
-    if (failure !== undefined) {
-      return { rows: [], failure, state, position }
-    }
-    if (state === 'open') {
-      transaction.failureReported()
-      return answerAborted(transaction, UNREAD_REASON)
-    }
+  const endTransaction = (): StatementAnswer => {
+    transaction.failureReported()
+    return answerAborted(transaction, UNREAD_REASON)
+  }
+  const endStatement = (): StatementAnswer => {
     const kind = scope?.hasLastingEffect === true ? 'in-doubt' : 'aborted'
-    return { rows: [], failure: { kind, message: UNREAD_REASON }, state, position }
+    return { rows: [], failure: failure ?? { kind, message: UNREAD_REASON }, state, position }
+  }
+  const withoutRows = (): StatementAnswer => {
+    const ended = state === 'open' && failure === undefined ? endTransaction() : endStatement()
+    onEndedEarly(ended.failure!.kind)
+    return ended
   }
   return { ...answer, withoutRows }
 }
--- a/test/entry/requests/stopped-answers.test.ts
+++ b/test/entry/requests/stopped-answers.test.ts
@@ -15,14 +15,15 @@
     failureReported: () => { events.push('reported') }
   }
   const { rows, failure, signature, state, position } =
-    toCallerAnswer(answer, transaction, { hasLastingEffect } as RequestScope).withoutRows!()
+    toCallerAnswer(answer, transaction, { hasLastingEffect } as RequestScope, (kind) => events.push(`logged ${kind}`))
+      .withoutRows!()
   return { rows, kind: failure?.kind, signature, state, position, events }
 }
 
 describe('an answer whose rows can not all be written', () => {
   it('promises that nothing is kept of a read', () => {
     expect(endEarly(ANSWER, false)).toEqual({
-      rows: [], kind: 'aborted', signature: undefined, state: 'idle', position: ANSWER.position, events: []
+      rows: [], kind: 'aborted', signature: undefined, state: 'idle', position: ANSWER.position, events: ['logged aborted']
     })
   })
 
