Wait for room only after a whole piece of a result set

Found by reading, not seen to fail: a small last piece that the operating system does not take at once makes the socket report no room later, so a client that sends commands without reading could have stopped its own connection for good.

A set is done once its last piece is written, and the pieces before it are large enough that the socket reports room after them. Also renamed: isDue to isDecisionDue.

--- a/src/core/logger/events.ts
+++ b/src/core/logger/events.ts
@@ -87,7 +87,7 @@
   'process.reload-refused': { level: 'error', fields: 'file, reason', when: 'the settings are invalid; the previous ones stay in force' },
   'process.started': { level: 'info', fields: 'role, callers, peers, http', when: 'a process is ready to serve; its ports' },
   'process.stop-failed': { level: 'error', fields: 'reason', when: 'the graceful shutdown failed; the process exits with an error' },
-  'process.stop-limit': { level: 'warn', fields: 'limitMs', when: 'the process exits before its graceful shutdown has ended, since its grace period is nearly over; the steps that have no line `process.stop-step` had not ended' },
+  'process.stop-limit': { level: 'warn', fields: 'limitMs', when: 'the process exits before its graceful shutdown has ended, since its grace period is nearly over; the lines `process.stop-step` before it tell which steps had ended, and when' },
   'process.stop-step': { level: 'info', fields: 'step, tookMs, endedMs', when: 'a step of the graceful shutdown has ended that took at least 50 ms; its duration, and the time from the beginning of the stop to its end' },
   'process.stopped': { level: 'info', fields: '', when: 'the process has completed the work in progress and exits' },
   'process.stopping': { level: 'info', fields: 'signal, lateMs', when: 'the process handles a signal to stop, which was sent at most `lateMs` before; the stop counts from then' },
--- a/src/mysql/paced-rows.ts
+++ b/src/mysql/paced-rows.ts
@@ -37,7 +37,10 @@
   return row.reduce((bytes, cell) => bytes + (cell?.length ?? 0), 0)
 }
 
-/** Waits until the operating system has taken everything that was written, or the connection is lost. */
+/**
+ * Waits until the operating system has taken everything that was written, or the connection is lost; only after a whole
+ * piece, for which the socket reports it.
+ */
 async function untilTaken (stream: ServerConnection['stream']): Promise<void> {
   await new Promise<void>((resolve) => {
     const finish = (): void => {
@@ -99,10 +102,9 @@
     recordRequest: rate.recordRequest,
     write: async (set) => {
       let remainingBytes = set.rows.reduce((total, row) => total + sizeOf(row), 0)
-      let isDue = remainingBytes > PIECE_BYTES
-      let from = 0
-      do {
-        const refusal = isDue ? endEarly(remainingBytes) : undefined
+      let isDecisionDue = remainingBytes > PIECE_BYTES
+      for (let from = 0; stream.writable;) {
+        const refusal = isDecisionDue ? endEarly(remainingBytes) : undefined
         if (refusal !== undefined) {
           connection.writeError(refusal)
           return
@@ -110,8 +112,11 @@
         const { count, bytes } = writePiece(set, from)
         from += count
         remainingBytes -= bytes
-        isDue = await waitForRoom(bytes)
-      } while (from < set.rows.length && stream.writable)
+        if (from === set.rows.length) {
+          return
+        }
+        isDecisionDue = await waitForRoom(bytes)
+      }
     }
   }
 }
