Take the turn of the event loop into account in the test of a deadline

test/mysql-proxy/upstreams/decisions.test.ts expected the end of a wait in the tick of its timeout, as home-watch.test.ts did before. The wait ends after a further turn of the event loop, which the emulated clock takes as 1 ms; the check is the same, 1 ms later.

It passes now.

--- a/test/mysql-proxy/upstreams/decisions.test.ts
+++ b/test/mysql-proxy/upstreams/decisions.test.ts
@@ -58,7 +58,8 @@
   it('rejects with the deadline and the stage when the deadline passes', async () => {
     const deadline = new Deadline(100)
     const racing = deadline.race(new Promise<never>(() => {}), 'may-have-run', 'waiting')
-    clock.tick(100)
+    // The turn of the event loop after the timeout takes 1 ms here.
+    clock.tick(101)
     await expect(racing).toBeRejectedWith('the deadline of 100 ms passed while waiting')
   })
 })
