Don't take a primary for gone before its row can have been written again

Callers of up to three groups were refused for 5 s and more after an outage of the store, when a host started right after it.

Cause: rows of upstreams expire while the store is unavailable and are written again within 2 s of its return. Running hosts wait 2.8 s before they remove an upstream; a process that starts has seen no row, so a primary that was absent from its first read of the table counted as gone at once, and the new host ran a failover that no other host saw a need for.

Change: a primary that a process has never seen counts as gone only when the store has confirmed the copy of the table 2.8 s after its first read.

--- a/src/entry/directory/index.ts
+++ b/src/entry/directory/index.ts
@@ -9,6 +9,8 @@
 export type { KnownUpstream } from './upstream-directory.ts'
 
 export interface Directory extends Pick<UpstreamDirectory, 'get' | 'ofGroup' | 'all'> {
+  /** Whether an upstream certainly has no row any more; false while it may only have expired during an outage. */
+  isGone: (upstream: string) => boolean
   onChange: (listener: (change: DirectoryChange) => void) => void
 }
 
@@ -74,6 +76,7 @@
         get: directory.get,
         ofGroup: directory.ofGroup,
         all: directory.all,
+        isGone: (upstream) => directory.isGone(upstream, follower.confirmation.confirmedAt),
         onChange: (listener) => { listeners.push(listener) }
       },
       dump: () => ({ upstreams: directory.all() }),
--- a/src/entry/directory/upstream-directory.ts
+++ b/src/entry/directory/upstream-directory.ts
@@ -41,6 +41,14 @@
   expire: () => DirectoryChange[]
   /** Whether an upstream's row has been missing long enough to read the table again. */
   hasExpired: () => boolean
+  /**
+   * Whether an upstream certainly has no row: it was removed, or this process has never seen its row, in which case the
+   * row must have been missing for {@link MISSING_GRACE_MS} since the first read of the table.
+   *
+   * @param upstream - name of the upstream
+   * @param confirmedAt - when the store last confirmed the rows, on the monotonic clock
+   */
+  isGone: (upstream: string, confirmedAt: number) => boolean
   get: (upstream: string) => KnownUpstream | undefined
   ofGroup: (group: string) => KnownUpstream[]
   all: () => KnownUpstream[]
@@ -48,6 +56,7 @@
 
 export function createUpstreamDirectory (): UpstreamDirectory {
   const upstreams = new Map<string, KnownUpstream>()
+  let firstReadAt = Infinity
 
   const apply = (entry: DirectoryEntry, unchangedUntil: number): DirectoryChange[] => {
     const previous = upstreams.get(entry.upstream)
@@ -88,6 +97,7 @@
 
   return {
     replace: (entries, unchangedUntil = performance.now()) => {
+      firstReadAt = Math.min(firstReadAt, performance.now())
       const present = new Set(entries.map(({ upstream }) => upstream))
       const absent = [...upstreams.keys()].filter((name) => !present.has(name))
       return [...entries.flatMap((entry) => apply(entry, unchangedUntil)), ...absent.flatMap(markMissing)]
@@ -100,6 +110,7 @@
       return expired.map((upstream) => ({ upstream, change: 'gone' }))
     },
     hasExpired: () => [...upstreams.values()].some(isExpired),
+    isGone: (name, confirmedAt) => !upstreams.has(name) && confirmedAt - firstReadAt >= MISSING_GRACE_MS,
     get: (name) => upstreams.get(name),
     ofGroup: (group) => [...upstreams.values()].filter((upstream) => upstream.group === group),
     all: () => [...upstreams.values()]
--- a/src/entry/leadership/group-need.ts
+++ b/src/entry/leadership/group-need.ts
@@ -20,7 +20,7 @@
 /** Options of {@link assessGroup}. */
 export interface AssessOptions {
   registry: Pick<Registry, 'current'>
-  directory: Pick<Directory, 'get' | 'ofGroup'>
+  directory: Pick<Directory, 'get' | 'ofGroup' | 'isGone'>
   pools: Pick<Pools, 'of'>
 }
 
@@ -44,7 +44,8 @@
   }
   const primary = directory.get(row.primary)
   if (primary === undefined) {
-    return 'gone'
+    // A process that has just started may not know the primary, whose row can be missing after an outage of the store.
+    return directory.isGone(row.primary) ? 'gone' : undefined
   }
   if (primary.bornAt !== undefined && primary.bornAt > (row.primaryBornAt ?? Infinity)) {
     return 'reborn'
--- a/test/entry/leadership/group-need.test.ts
+++ b/test/entry/leadership/group-need.test.ts
@@ -14,16 +14,19 @@
   primary?: typeof PRIMARY | undefined
   unreachableMs?: number
   upstreams?: number
+  isGone?: boolean
 }
 
 function assess (state: GroupState): GroupNeed | undefined {
-  const { row, primary, unreachableMs, upstreams } = {
-    row: OPEN, primary: PRIMARY, unreachableMs: undefined, upstreams: 1, ...state
+  const { row, primary, unreachableMs, upstreams, isGone } = {
+    row: OPEN, primary: PRIMARY, unreachableMs: undefined, upstreams: 1, isGone: true, ...state
   }
   const unreachableSince = unreachableMs === undefined ? undefined : performance.now() - unreachableMs
   return assessGroup('g', {
     registry: { current: { group: () => ({ row, version: 1 }) } },
-    directory: { get: () => primary, ofGroup: () => Array.from({ length: upstreams }, () => PRIMARY) },
+    directory: {
+      get: () => primary, ofGroup: () => Array.from({ length: upstreams }, () => PRIMARY), isGone: () => isGone
+    },
     pools: { of: () => ({ health: { unreachableSince } }) }
   } as unknown as AssessOptions)
 }
@@ -46,6 +49,10 @@
     expect(assess({ primary: { ...PRIMARY, claimsPrimary: false } })).toEqual('deposed')
   })
 
+  it('returns no need while the row of an unknown primary may have expired during an outage of the store', () => {
+    expect(assess({ primary: undefined, isGone: false })).toEqual(undefined)
+  })
+
   it('requires a failover once the primary has been unreachable for long enough', () => {
     expect(assess({ unreachableMs: 50 })).toEqual(undefined)
     expect(assess({ unreachableMs: 400 })).toEqual('unreachable')
