--- a/src/entry/limits/limit-pressure.ts
+++ b/src/entry/limits/limit-pressure.ts
@@ -1,6 +1,7 @@
 /** Counts what each priority of an organisation asked for and got, and reports it while operations are refused. */
 import type { LogFields } from '../../core/logger/types.ts'
 import type { PriorityGrant, PriorityRequest } from './limit-frames.ts'
+import { countedPriority } from './priority-demand.ts'
 
 /** Least time between two reports about an organisation, in milliseconds. */
 const REPORT_INTERVAL_MS = 1000
@@ -53,8 +54,9 @@
   }
   return {
     count: (requests, grants, level) => {
-      requests.forEach(({ priority, wanted }) => {
-        const granted = grants.find((grant) => grant.priority === priority)?.granted ?? 0
+      requests.forEach(({ priority: requested, wanted }) => {
+        const granted = grants.find((grant) => grant.priority === requested)?.granted ?? 0
+        const priority = countedPriority(requested)
         const before = counts.get(priority) ?? { asked: 0, granted: 0, refused: 0 }
         refused += wanted - granted
         counts.set(priority, {
--- a/src/entry/limits/local-refusals.ts
+++ b/src/entry/limits/local-refusals.ts
@@ -3,9 +3,9 @@
  * retry.
  *
  * The owner states one time to a host. The host's callers that are refused meanwhile get times that follow each other
- * at the interval that the owner stated, since about one of them can be served in each. Once these times exceed what the
- * callers have, more of them ask than can be served: then they are told to retry so soon that two retries stay within
- * the target, since an answer in time is worth more than a late one, and others are served in their place either way.
+ * at the interval that the owner stated, since about one of them can be served in each. Once these times exceed what
+ * the callers have, more of them ask than can be served: then they are told to retry so soon that two retries stay
+ * within the target, since an answer in time is worth more than a late one.
  */
 
 /**
--- a/src/entry/limits/organisation-grants.ts
+++ b/src/entry/limits/organisation-grants.ts
@@ -57,7 +57,13 @@
 export function createOrganisationGrants (): OrganisationGrants {
   const now = performance.now()
   return {
-    left: 0, usableUntil: -Infinity, returnable: 0, toReturn: 0, recentCount: 0, recentCountAt: now, bucketSince: now
+    left: 0,
+    usableUntil: -Infinity,
+    returnable: 0,
+    toReturn: 0,
+    recentCount: 0,
+    recentCountAt: now,
+    bucketSince: now
   }
 }
 
--- a/src/entry/limits/prefetched-grants.ts
+++ b/src/entry/limits/prefetched-grants.ts
@@ -79,28 +79,42 @@
   })
 }
 
+/** Forgets the function that ends the wait of an operation, which is over. */
+function endWait ({ holder }: OperationRequest): void {
+  if (holder !== undefined) {
+    holder.cancelWait = undefined
+  }
+}
+
+function refuse (context: HostContext, organisation: OrganisationState, { request, reject }: WaitingOperation): void {
+  endWait(request)
+  reject(refusalOf(context, organisation, request))
+}
+
 /** Lets an operation run when its turn has come; until then its holder may end the wait. */
 function startTurn (
-  context: HostContext, organisation: OrganisationState, { request, resolve, reject }: WaitingOperation, turnMs: number
+  context: HostContext, organisation: OrganisationState, operation: WaitingOperation, turnMs: number
 ): void {
   const { count, returns } = context
+  const { request, resolve } = operation
   const { bucket } = organisation.grants
-  if (turnMs <= 0) {
+  const run = (): void => {
     count('used', 1)
+    endWait(request)
     resolve(performance.now())
+  }
+  if (turnMs <= 0) {
+    run()
     return
   }
   count('waited', 1)
-  const timer = setTimeout(() => {
-    count('used', 1)
-    resolve(performance.now())
-  }, turnMs)
+  const timer = setTimeout(run, turnMs)
   if (request.holder !== undefined) {
     request.holder.cancelWait = () => {
       clearTimeout(timer)
       // Another operation of this host must not run before this one's turn, so the operation goes back.
       returns.giveBack(organisation, bucket)
-      reject(refusalOf(context, organisation, request))
+      refuse(context, organisation, operation)
     }
   }
 }
@@ -125,7 +139,7 @@
     refusals.record(priority, retryAfterMs)
     for (const operation of waiting.filter(({ request }) => request.priority === priority)) {
       waiting.splice(waiting.indexOf(operation), 1)
-      operation.reject(refusalOf(context, organisation, operation.request))
+      refuse(context, organisation, operation)
     }
   }
 }
@@ -138,18 +152,18 @@
   while (waiting.length > 0) {
     const { owed, expected } = computeAdvance(grants, limitOf(name))
     const requests = requestsOf(waiting, owed)
-    const answer = await requestGrant(name, waiting.length + owed + expected, requests)
+    const wanted = waiting.length + owed + expected
+    const answer = await requestGrant(name, wanted, requests)
     const byPriority = grantsByPriority(requests, answer)
     const forWaiting = byPriority.reduce((sum, { granted }) => sum + granted, 0)
     count('granted', answer?.granted ?? 0)
     count('expired', recordAnswer(grants, answer, forWaiting))
     byPriority.forEach((grant) => {
-      const { wanted } = requests.find(({ priority }) => priority === grant.priority) ?? { wanted: 0 }
-      serveGrant(context, organisation, wanted, grant)
+      const request = requests.find(({ priority }) => priority === grant.priority)
+      serveGrant(context, organisation, request?.wanted ?? 0, grant)
     })
     while (waiting.length > 0 && consumeGrant(grants)) {
-      count('used', 1)
-      waiting.shift()!.resolve(performance.now())
+      startTurn(context, organisation, waiting.shift()!, 0)
     }
     returns.schedule(organisation)
   }
@@ -162,25 +176,19 @@
 ): Promise<number> {
   const { waiting } = organisation
   const { holder } = request
-  try {
-    return await new Promise<number>((resolve, reject) => {
-      const operation = { request, resolve, reject }
-      waiting.push(operation)
-      if (holder !== undefined) {
-        holder.cancelWait = () => {
-          waiting.splice(waiting.indexOf(operation), 1)
-          reject(refusalOf(context, organisation, request))
-        }
-      }
-      if (!organisation.isRequesting) {
-        void requestGrants(context, organisation)
-      }
-    })
-  } finally {
+  return await new Promise<number>((resolve, reject) => {
+    const operation = { request, resolve, reject }
+    waiting.push(operation)
     if (holder !== undefined) {
-      holder.cancelWait = undefined
+      holder.cancelWait = () => {
+        waiting.splice(waiting.indexOf(operation), 1)
+        refuse(context, organisation, operation)
+      }
     }
-  }
+    if (!organisation.isRequesting) {
+      void requestGrants(context, organisation)
+    }
+  })
 }
 
 /**
--- a/src/entry/limits/priority-demand.ts
+++ b/src/entry/limits/priority-demand.ts
@@ -12,7 +12,10 @@
 const MAXIMUM_PRIORITIES = 10
 /** Half-life of the count of requested operations, in milliseconds. */
 const DEMAND_HALF_LIFE_MS = 500
-/** Time of the recent demand of more urgent priorities for which operations are reserved, in milliseconds. */
+/**
+ * Time of the recent demand of more urgent priorities for which operations are reserved, in milliseconds. One more is
+ * reserved, since the demand of a small limit within this time is a fraction of an operation.
+ */
 const RESERVED_MS = 50
 /** Largest part of the depth that is reserved, so that an idle bucket always has operations above the reserve. */
 const MAXIMUM_RESERVED_SHARE = 0.5
@@ -128,7 +131,7 @@
         return own
       }
       const largest = Math.max(0, depth * share - 1) * MAXIMUM_RESERVED_SHARE
-      const reserved = Math.min(largest, Math.ceil(rateBefore(priority) * RESERVED_MS / SECOND_MS))
+      const reserved = Math.min(largest, 1 + Math.ceil(rateBefore(priority) * RESERVED_MS / SECOND_MS))
       const isOverloaded = rateBefore(Infinity) > perSecond * share
       const turns = isOverloaded ? 0 : levelForWait(urgentWaitMs * TURN_SHARE, perSecond * share)
       return Math.max(own, turns + reserved)
--- a/src/entry/limits/priority-grants.ts
+++ b/src/entry/limits/priority-grants.ts
@@ -15,7 +15,7 @@
 const SECOND_MS = 1000
 
 /** Bucket from which operations are granted, and the limit in force. */
-export interface BucketInForce {
+interface BucketInForce {
   bucket: TokenBucket
   parameters: BucketParameters
   /** Fraction of rate and depth that this host may grant, from 0 to 1. */
--- a/src/entry/limits/waiting-operations.ts
+++ b/src/entry/limits/waiting-operations.ts
@@ -3,7 +3,7 @@
 import type { PriorityRequest } from './limit-frames.ts'
 
 /** Holder of the function that ends the wait of a request, such as the caller's session. */
-export interface WaitHolder {
+interface WaitHolder {
   /** Ends the wait in progress; undefined while nothing waits. */
   cancelWait?: (() => void) | undefined
 }
--- /dev/null
+++ b/test/entry/limits/unused-operations.test.ts
@@ -0,0 +1,99 @@
+import { afterEach, beforeEach, describe, it } from 'node:test'
+import { expect } from 'earl'
+import fakeTimers, { type Clock } from '@sinonjs/fake-timers'
+import { createLimitOwner } from '../../../src/entry/limits/limit-owner.ts'
+import { createPrefetchedGrants, type PrefetchedGrants } from '../../../src/entry/limits/prefetched-grants.ts'
+import type { LogFields } from '../../../src/core/logger/types.ts'
+
+const LIMIT = { perSecond: 20, burst: 20 }
+const COUNTING = { windowSeconds: 5, tolerance: { part: 0.1, operations: 20 } }
+
+describe('unused operations of a limit', () => {
+  let clock: Clock
+  let grants: PrefetchedGrants
+  let returned: Array<{ owner: string, operations: number, bucket: number }>
+  let counts: Record<string, number>
+  beforeEach(() => {
+    clock = fakeTimers.install()
+    returned = []
+    counts = {}
+    grants = createPrefetchedGrants({
+      limitOf: () => LIMIT,
+      count: (outcome, operations) => { counts[outcome] = (counts[outcome] ?? 0) + operations },
+      requestGrant: async (_organisation, wanted, byPriority) => {
+        await new Promise((resolve) => { setTimeout(resolve, 2) })
+        return {
+          granted: wanted,
+          retryAfterMs: 0,
+          version: 1,
+          owner: 'h4',
+          bucket: 7,
+          byPriority: byPriority.map((request) =>
+            ({ priority: request.priority, granted: request.wanted, turnsMs: [100], retryAfterMs: 0 }))
+        }
+      },
+      returnOperations: (owner, { operations, bucket }) => returned.push({ owner, operations, bucket })
+    })
+  })
+  afterEach(() => {
+    grants.close()
+    clock.uninstall()
+  })
+  const take = async (holder: { cancelWait?: (() => void) | undefined }): Promise<number> =>
+    await grants.take('red', { priority: 1, maximumWaitMs: 200, holder })
+
+  it('go back to the bucket when the wait for a turn is interrupted', async () => {
+    const holder: { cancelWait?: (() => void) | undefined } = {}
+    const taking = take(holder).then(() => 'taken', (thrown: Error) => thrown.message)
+    await clock.tickAsync(50)
+    holder.cancelWait!()
+    expect((await taking).startsWith('red has reached its limit')).toEqual(true)
+    await clock.tickAsync(100)
+    expect([returned, holder.cancelWait]).toEqual([[{ owner: 'h4', operations: 1, bucket: 7 }], undefined])
+  })
+
+  it('go back to the bucket when the caller leaves before the owner has answered', async () => {
+    const holder: { cancelWait?: (() => void) | undefined } = {}
+    const taking = take(holder).catch(() => 'refused')
+    holder.cancelWait!()
+    await clock.tickAsync(150)
+    expect([await taking, returned.length]).toEqual(['refused', 1])
+  })
+
+  it('go back in one batch when requests fail before they are sent, but not when they are old', async () => {
+    const takings = Promise.all([take({}), take({}), take({})])
+    await clock.tickAsync(110)
+    const [first, second, third] = await takings
+    grants.refund('red', first!)
+    grants.refund('red', second!)
+    await clock.tickAsync(250)
+    expect(returned.map(({ operations }) => operations)).toEqual([2])
+    // One that did not run for longer than the bound covers would add to a later window.
+    await clock.tickAsync(100)
+    grants.refund('red', third!)
+    await clock.tickAsync(300)
+    expect([returned.length, counts['expired']]).toEqual([1, 1])
+  })
+
+  it('are credited only by the bucket that granted them, and no more than it granted', () => {
+    clock.tick(10_000)
+    const reports: LogFields[] = []
+    const owner = createLimitOwner({
+      desiredState: () => ({ organisations: new Map([['red', { name: 'red', limit: LIMIT }]]) }),
+      counting: () => COUNTING,
+      reachableShare: () => 1,
+      onPressure: (_organisation, fields) => reports.push(fields)
+    })
+    const ask = () =>
+      owner.grant('red', 100, { isFirst: true, exclusiveSince: 0 }, [{ priority: 2, wanted: 100, maximumWaitMs: 0 }])!
+    const { granted, bucket } = ask()
+    owner.credit({ organisation: 'red', operations: granted, bucket: bucket! + 1 })
+    expect(ask().granted).toEqual(0)
+    owner.credit({ organisation: 'red', operations: granted + 50, bucket: bucket! })
+    expect(ask().granted).toEqual(granted)
+    clock.tick(1000)
+    ask()
+    // One report a second: the first request, and then all that came within a second.
+    expect(reports.map(({ asked, returned: count }) => [asked, count])).toEqual([['2:100', 0], ['2:300', granted]])
+  })
+})
