--- a/src/entry/limits/bucket-parameters.ts
+++ b/src/entry/limits/bucket-parameters.ts
@@ -28,7 +28,7 @@
  * the inflow: a fraction of rate and burst, and at least three operations, but no more than half of what is left for
  * the depth. Without it some windows of a load of 8 times the rate got 0.947 of rate and burst.
  */
-const MARGIN = { share: 0.018, operations: 3, ofDepth: 0.5 } as const
+const MARGIN = { share: 0.02, operations: 3, ofDepth: 0.5 } as const
 /**
  * Fractions of the tolerance that are granted to callers. The rest covers operations granted twice, by both sides of a
  * partition until it is detected and by fallback owners, and the time between the grant of an operation and its run.
--- a/src/entry/requests/session-transaction.ts
+++ b/src/entry/requests/session-transaction.ts
@@ -143,6 +143,9 @@
       if (open === undefined) {
         return failureAnswer('malformed', 'no transaction is open', 'idle')
       }
+      if (!open.begun && !open.failed) {
+        session.context.limits.refund(open.organisation, open.takenAt)
+      }
       open.rollBack()
       open = undefined
       return doneAnswer('idle')
--- a/test/entry/process/organisations.test.ts
+++ b/test/entry/process/organisations.test.ts
@@ -194,6 +194,26 @@
     expect(refused.every(({ message }) => pattern.test(message!))).toEqual(true)
   })
 
+  it('lets a burst wait for its turns, and does not run the operations of callers that leave meanwhile', async () => {
+    await configure()
+    await suite.clock.tickAsync(windowMs)
+    const sendBurst = () => {
+      const callers = Array.from({ length: 16 }, () => suite.world.connect('h1', 'view', 'red-1'))
+      return { callers, answers: Promise.all(callers.map(async (caller) => await caller.read())) }
+    }
+    const served = sendBurst()
+    await suite.clock.tickAsync(500)
+    expect((await served.answers).filter(({ failure }) => failure !== undefined)).toEqual([])
+    await suite.clock.tickAsync(windowMs)
+    const { callers, answers } = sendBurst()
+    await suite.clock.tickAsync(20)
+    callers.forEach((caller) => caller.close())
+    await suite.clock.tickAsync(500)
+    const refused = (await answers).filter(({ failure }) => failure?.kind === 'busy').map(({ id }) => id)
+    const ran = suite.world.upstreams.runs.filter(({ requestId }) => refused.includes(requestId))
+    expect([refused.length > 0, ran]).toEqual([true, []])
+  })
+
   it('does not affect other organisations', async () => {
     await configure()
     const overload = sendReads(100, 3000)
