Read usual messages between hosts with a check of few steps

The schema of each message generates code for each of its objects, which is compiled at the first message and then runs cold. One shared check now recognises the usual forms; anything else, including every unknown field, goes through the schema.

--- a/src/entry/freshness/proof-exchange.ts
+++ b/src/entry/freshness/proof-exchange.ts
@@ -10,7 +10,7 @@
 import { formatPosition } from '../../positions/position.ts'
 import type { GroupFreshness } from './group-freshness.ts'
 import { chooseProofPeers } from './peers-asked.ts'
-import { proofRequestSchema, proofResponseSchema } from './proof-messages.ts'
+import { proofRequest, proofResponse } from './proof-messages.ts'
 
 /** Timeout of a request to a peer, in milliseconds. A round trip takes 3 ms, a busy process some tens. */
 const ANSWER_TIMEOUT_MS = 150
@@ -64,7 +64,7 @@
   }
 
   peers.handle('freshness-proofs', async (body) => {
-    const { group, ageMs: maximumAgeMs } = proofRequestSchema.parse(body)
+    const { group, ageMs: maximumAgeMs } = proofRequest.read(body)
     await ensureProof(group, performance.now() - maximumAgeMs)
     const { epoch, recent } = of(group)
     const now = performance.now()
@@ -74,7 +74,7 @@
     // The reply is created after this time, so ages counted from here never make a proof appear too recent.
     const askedAt = performance.now()
     try {
-      const { epoch, proofs } = proofResponseSchema.parse(await peers.requestOrDisconnect(
+      const { epoch, proofs } = proofResponse.read(await peers.requestOrDisconnect(
         peer, 'freshness-proofs', { group, ageMs: askedAt - since }, ANSWER_TIMEOUT_MS))
       proofs.forEach(({ position, ageMs }) => of(group).record(epoch, askedAt - ageMs, position))
     } catch (thrown) {
--- a/src/entry/homes/home-watch.ts
+++ b/src/entry/homes/home-watch.ts
@@ -54,9 +54,10 @@
    *
    * @param home - the home
    * @param onSuspected - called each time that the home is found not to be alive
+   * @param onCheck - called at each check, {@link PROBE_AFTER_IDLE_MS} apart
    * @returns stops probing
    */
-  probeWhileWaiting: (home: KnownHost, onSuspected: () => void) => () => void
+  probeWhileWaiting: (home: KnownHost, onSuspected: () => void, onCheck?: () => void) => () => void
   /** Records that a home was unreachable or did not answer. */
   recordFailure: (home: KnownHost, thrown: unknown) => void
 }
@@ -121,8 +122,9 @@
     hasAnsweredRecently(home) || await (probing.get(home.name) ?? probe(home))
   return {
     isAlive,
-    probeWhileWaiting: (home, onSuspected) => {
+    probeWhileWaiting: (home, onSuspected, onCheck) => {
       const timer = setInterval(() => {
+        onCheck?.()
         void isAlive(home).then((alive) => alive || onSuspected())
       }, PROBE_AFTER_IDLE_MS)
       return () => clearInterval(timer)
--- a/src/entry/homes/messages.ts
+++ b/src/entry/homes/messages.ts
@@ -1,5 +1,8 @@
 /** Messages that a host exchanges with a home of an upstream. */
 import * as z from 'zod'
+import {
+  createReader, hasFields, isCount, isFlag, isInteger, isListOf, isNumber, isOneOf, isText
+} from '../../core/wire/message-reader.ts'
 import { logPositionSchema } from '../../positions/position.ts'
 
 const preparedSchema = z.object({ access: z.enum(['read', 'write']), shape: z.string() })
@@ -24,7 +27,7 @@
 }
 
 /** A single statement, or the first step of a transaction. */
-export const homeStatementSchema = z.object({
+const homeStatementSchema = z.object({
   ...stepFields,
   upstream: z.string(),
   /** Name of the organisation on whose behalf the statement runs; empty for none. */
@@ -42,7 +45,7 @@
 })
 
 /** A further step of a transaction. */
-export const homeStepSchema = z.object({ ...stepFields, transaction: z.number().int() })
+const homeStepSchema = z.object({ ...stepFields, transaction: z.number().int() })
 
 /** Rolls back a transaction that the sender has opened. */
 export const homeRollbackSchema = z.object({ transaction: z.number().int() })
@@ -56,7 +59,7 @@
 })
 
 /** Reply to a statement or step. */
-export const homeReplySchema = z.object({
+const homeReplySchema = z.object({
   /** Answer to BEGIN. */
   begun: answerSchema.optional(),
   answer: answerSchema.optional(),
@@ -72,6 +75,34 @@
   leaving: z.boolean()
 })
 
+const isPosition = hasFields({ term: isCount, position: isCount })
+const isDataStep = hasFields({ type: isOneOf('data'), access: isOneOf('read', 'write'), text: isText })
+/** Usual steps run a text, without session values. */
+const usualStepFields = { id: isText, leftMs: isNumber, inTimeMs: isNumber, step: isDataStep }
+const isAnswer = hasFields({ rows: isListOf(isText), state: isOneOf('idle', 'open', 'failed') }, {
+  signature: isText,
+  failure: hasFields({ kind: isText, message: isText }),
+  position: isPosition
+})
+
+/** Reads statements and first steps. */
+export const homeStatement = createReader(homeStatementSchema, hasFields({
+  ...usualStepFields,
+  upstream: isText,
+  organisation: isText,
+  version: isNumber,
+  priority: isNumber,
+  costMs: isNumber
+}, { epoch: isInteger, after: isPosition, begin: isOneOf('plain', 'read-only') }))
+
+/** Reads further steps. */
+export const homeStep = createReader(homeStepSchema, hasFields({ ...usualStepFields, transaction: isInteger }))
+
+/** Reads replies. */
+export const homeReply = createReader(homeReplySchema, hasFields({ load: isNumber, leaving: isFlag }, {
+  begun: isAnswer, answer: isAnswer, epoch: isInteger, ranMs: isNumber, transaction: isInteger
+}))
+
 /** Step of a caller's request. */
 export type Step = z.infer<typeof stepSchema>
 /** A single statement, or the first step of a transaction. */
--- a/src/entry/homes/pass-on.ts
+++ b/src/entry/homes/pass-on.ts
@@ -9,8 +9,8 @@
 import type { Peers } from '../../peers/index.ts'
 import type { KnownHost } from '../registry/index.ts'
 import type { HomeSelector } from './home-choice.ts'
-import { DISCONNECT_AFTER_MS, type HomeFailureDetector } from './home-watch.ts'
-import { homeReplySchema, type HomeReply } from './messages.ts'
+import { DISCONNECT_AFTER_MS, PROBE_AFTER_IDLE_MS, type HomeFailureDetector } from './home-watch.ts'
+import { homeReply, type HomeReply } from './messages.ts'
 
 /** A message that is forwarded to a home. */
 export interface ForwardRequest {
@@ -75,19 +75,27 @@
   home: KnownHost, { type, body, timeoutMs, onLateReply }: ForwardRequest, { links, detector }: ForwarderOptions
 ): Promise<HomeReply> {
   return await new Promise((resolve, reject) => {
+    const endsAt = performance.now() + timeoutMs
     let isAbandoned = false
+    let timer: NodeJS.Timeout | undefined
     const abandon = (): void => {
       isAbandoned = true
       reject(silentHomeError(home, 'may-have-run'))
     }
-    const stopProbing = detector.probeWhileWaiting(home, () => onLateReply !== undefined && abandon())
-    const timer = setTimeout(abandon, timeoutMs)
+    const startTimer = (): void => {
+      timer ??= setTimeout(abandon, endsAt - performance.now())
+    }
+    // Most replies come before the first check, so a longer timeout is started only then.
+    const stopProbing = detector.probeWhileWaiting(home, () => onLateReply !== undefined && abandon(), startTimer)
+    if (timeoutMs <= PROBE_AFTER_IDLE_MS) {
+      startTimer()
+    }
     const lateMs = onLateReply === undefined ? 0 : DISCONNECT_AFTER_MS
     links.request(home, type, body, timeoutMs + lateMs).finally(() => {
       stopProbing()
       clearTimeout(timer)
     }).then((answer) => {
-      const reply = homeReplySchema.parse(answer)
+      const reply = homeReply.read(answer)
       isAbandoned ? onLateReply?.(reply) : resolve(reply)
     }).catch(reject)
   })
--- a/src/entry/registry/snapshot-exchange.ts
+++ b/src/entry/registry/snapshot-exchange.ts
@@ -3,14 +3,13 @@
  * only changed rows and the age of the snapshot: the table of 71 hosts has 14 KB, and traffic between failure domains
  * is charged for.
  */
-import type * as z from 'zod'
 import { describeThrown } from '../../core/errors/index.ts'
 import type { Logger } from '../../core/logger/index.ts'
 import { createWaiters } from '../../core/time/waiters.ts'
 import type { Peers } from '../../peers/index.ts'
 import { createSnapshot, type KnownHost, type RegistrySnapshot } from './snapshot.ts'
 import type { TableConfirmations } from './table-confirmations.ts'
-import { snapshotReplySchema, snapshotRequestSchema, type SnapshotReply } from './types.ts'
+import { snapshotReply, snapshotRequest, type SnapshotReply, type SnapshotRequest } from './types.ts'
 
 /** Time that a reader has to respond beyond the long poll, in milliseconds. */
 const READER_TIMEOUT_MS = 300
@@ -87,7 +86,7 @@
   const waiters = createWaiters()
 
   peers.handle('registry-snapshot', async (body): Promise<SnapshotReply> => {
-    const request = snapshotRequestSchema.parse(body)
+    const request = snapshotRequest.read(body)
     const { digest: knownDigest, version: sinceVersion, holdMs = 0, tables: known = {} } = request
     const hasNewer = (): boolean => tables.isNewerThan(known) ||
       (current().digest !== knownDigest && current().version >= (sinceVersion ?? 0))
@@ -114,8 +113,8 @@
     // Counts the age from the time of the request, which never underestimates it.
     const askedAt = performance.now()
     const previous = current()
-    const sendRequest = async (request: z.infer<typeof snapshotRequestSchema>): Promise<SnapshotReply> =>
-      snapshotReplySchema.parse(await peers.requestOrDisconnect(peer, 'registry-snapshot', request, timeoutMs + holdMs))
+    const sendRequest = async (request: SnapshotRequest): Promise<SnapshotReply> =>
+      snapshotReply.read(await peers.requestOrDisconnect(peer, 'registry-snapshot', request, timeoutMs + holdMs))
     try {
       const reply = await sendRequest({
         digest: previous.digest, version: previous.version, holdMs, tables: tables.versions()
--- a/src/entry/registry/types.ts
+++ b/src/entry/registry/types.ts
@@ -1,5 +1,8 @@
 /** Rows that the entry processes keep in the store. They share one table, so that a single read is consistent. */
 import * as z from 'zod'
+import {
+  createReader, hasFields, isFlag, isListOf, isNumber, isRecordOf, isText
+} from '../../core/wire/message-reader.ts'
 
 export const REGISTRY_TABLE = 'worksward'
 
@@ -85,7 +88,7 @@
 export type KnownTables = z.infer<typeof knownTablesSchema>
 
 /** Request for a peer's snapshot. */
-export const snapshotRequestSchema = z.object({
+const snapshotRequestSchema = z.object({
   /** Digest of the rows that the requester has; absent to request all rows. */
   digest: z.string().optional(),
   /** Store version of the requester's snapshot. */
@@ -97,7 +100,7 @@
 })
 
 /** Snapshot of the registry, or the changes to it, as sent to a peer. */
-export const snapshotReplySchema = z.object({
+const snapshotReplySchema = z.object({
   version: z.number(),
   digest: z.string(),
   /** All rows, or those changed since the requested version; absent if the requester's digest matches. */
@@ -112,4 +115,19 @@
   tables: knownTablesSchema.optional()
 })
 
+export type SnapshotRequest = z.infer<typeof snapshotRequestSchema>
 export type SnapshotReply = z.infer<typeof snapshotReplySchema>
+
+/** Reads requests for a snapshot. */
+export const snapshotRequest = createReader(snapshotRequestSchema, hasFields({}, {
+  digest: isText, version: isNumber, holdMs: isNumber, tables: isRecordOf(isNumber)
+}))
+
+/** Reads snapshots. */
+export const snapshotReply = createReader(snapshotReplySchema, hasFields({
+  version: isNumber, digest: isText, ageMs: isNumber, isReading: isFlag
+}, {
+  rows: isListOf(hasFields({ key: isText, value: isText, version: isNumber })),
+  isChange: isFlag,
+  tables: isRecordOf(hasFields({ version: isNumber, ageMs: isNumber }))
+}))
--- a/src/entry/requests/serve-forwarded.ts
+++ b/src/entry/requests/serve-forwarded.ts
@@ -4,7 +4,7 @@
 import type { DesiredStateInForce } from '../desired-state/index.ts'
 import type { KnownUpstream } from '../directory/index.ts'
 import {
-  homeRollbackSchema, homeStatementSchema, homeStepSchema, type HomeReply, type HomeStatement, type HomeStep
+  homeRollbackSchema, homeStatement, homeStep, type HomeReply, type HomeStatement, type HomeStep
 } from '../homes/index.ts'
 import type { Peers } from '../../peers/index.ts'
 import type { PeerLink } from '../../peers/types.ts'
@@ -81,8 +81,8 @@
     return await serving.finally(() => inProgress.delete(serving))
   }
   peers.handle('home-statement', async (body, link) =>
-    await track(serveStatement(server, homeStatementSchema.parse(body), link)))
-  peers.handle('home-step', async (body) => await track(serveStep(server, homeStepSchema.parse(body))))
+    await track(serveStatement(server, homeStatement.read(body), link)))
+  peers.handle('home-step', async (body) => await track(serveStep(server, homeStep.read(body))))
   peers.handle('home-rollback', async (body) => await serveRollback(server, homeRollbackSchema.parse(body).transaction))
   return {
     get openTransactions () { return transactions.size },
--- a/src/peers/open-link.ts
+++ b/src/peers/open-link.ts
@@ -4,7 +4,7 @@
 import { attachFrames, type FrameStream } from '../core/wire/frames.ts'
 import { createNonce, proveKey, sameProof } from './authentication.ts'
 import { PeerRefusedConnection } from './refusal.ts'
-import { challengeSchema, readReplyFrame, welcomeSchema, type ReplyFrame } from './types.ts'
+import { challengeSchema, replyFrame, welcomeSchema, type ReplyFrame } from './types.ts'
 
 /** Options of {@link openLink}. */
 interface LinkOptions {
@@ -84,7 +84,7 @@
         stage = 'open'
         resolve(link)
       },
-      open: (value) => onReply(link, readReplyFrame(value))
+      open: (value) => onReply(link, replyFrame.read(value))
     }
     const frames = attachFrames(socket, (value) => {
       link.lastReceivedAt = performance.now()
--- a/src/peers/peer-server.ts
+++ b/src/peers/peer-server.ts
@@ -5,7 +5,7 @@
 import { attachFrames, type FrameStream } from '../core/wire/frames.ts'
 import { listenForSockets, type SocketListener } from '../core/wire/listener.ts'
 import { createNonce, proveKey, sameProof } from './authentication.ts'
-import { helloSchema, readRequestFrame, type PeerHandler, type PeerLink, type ReplyFrame } from './types.ts'
+import { helloSchema, requestFrame, type PeerHandler, type PeerLink, type ReplyFrame } from './types.ts'
 
 /** Options of {@link listenForPeers}. */
 interface PeerServerOptions {
@@ -83,7 +83,7 @@
       handleHello(value)
       return
     }
-    const { id, type, body } = readRequestFrame(value)
+    const { id, type, body } = requestFrame.read(value)
     progress.count++
     void handleRequest(options, type, body, link)
       .then((reply) => frames.send({ ...reply, id }))
--- a/src/peers/types.ts
+++ b/src/peers/types.ts
@@ -1,5 +1,6 @@
 /** Schemas of the frames between peers. */
 import * as z from 'zod'
+import { createReader, hasFields, isAnything, isInteger, isText } from '../core/wire/message-reader.ts'
 
 /** First frame of the handshake, sent by the server. */
 export const challengeSchema = z.object({ type: z.literal('challenge'), nonce: z.instanceof(Uint8Array) })
@@ -29,37 +30,15 @@
   }).optional()
 })
 
-type RequestFrame = z.infer<typeof requestFrameSchema>
-export type ReplyFrame = z.infer<typeof replyFrameSchema>
-
-/** Whether a value has an id; the schemas accept the same ids. */
-function hasId (value: unknown): value is { id: number } {
-  return typeof value === 'object' && value !== null && 'id' in value && Number.isSafeInteger(value.id)
-}
+/** Reads the frames of requests. */
+export const requestFrame = createReader(requestFrameSchema, hasFields({
+  id: isInteger, type: isText, body: isAnything
+}))
 
-/**
- * Checks a request. The schema is used only for malformed frames, since it takes many more steps.
- *
- * @param value - the decoded frame
- * @returns the request
- * @throws the schema's error on a malformed frame
- */
-export function readRequestFrame (value: unknown): RequestFrame {
-  return hasId(value) && 'type' in value && typeof value.type === 'string' && 'body' in value
-    ? value as RequestFrame
-    : requestFrameSchema.parse(value)
-}
+/** Reads the frames of replies. */
+export const replyFrame = createReader(replyFrameSchema, hasFields({ id: isInteger }, { body: isAnything }))
 
-/**
- * Checks a reply. The schema is used only for failures and malformed frames, since it takes many more steps.
- *
- * @param value - the decoded frame
- * @returns the reply
- * @throws the schema's error on a malformed frame
- */
-export function readReplyFrame (value: unknown): ReplyFrame {
-  return hasId(value) && !('failure' in value) ? value as ReplyFrame : replyFrameSchema.parse(value)
-}
+export type ReplyFrame = z.infer<typeof replyFrameSchema>
 
 /** The link on which a request arrived. */
 export interface PeerLink {
