Wait for an answer with one timer

A statement at its home started an interval, a timeout and five promises to wait for its answer, and two races to set session values that it doesn't have. It now starts one timer, of the same length for all statements, and another only at a check for silence. Times, errors and their order stay as they are.

--- a/src/core/time/deadline.ts
+++ b/src/core/time/deadline.ts
@@ -83,17 +83,17 @@
 export async function withTimeout<Result> (
   pending: Promise<Result>, timeoutMs: number
 ): Promise<Result | typeof TIMED_OUT> {
-  let cancel = (): void => {}
-  const timeout = new Promise<typeof TIMED_OUT>((resolve) => {
-    cancel = startInputTimer(() => resolve(TIMED_OUT), timeoutMs)
+  return await new Promise((resolve, reject) => {
+    const cancel = startInputTimer(() => resolve(TIMED_OUT), timeoutMs)
+    // A failure after the timeout is handled here as well, and has no effect.
+    pending.then((result) => {
+      cancel()
+      resolve(result)
+    }, (thrown: unknown) => {
+      cancel()
+      reject(thrown)
+    })
   })
-  try {
-    return await Promise.race([pending, timeout])
-  } finally {
-    cancel()
-    // Prevents an unhandled rejection when the promise fails after the timeout.
-    pending.catch(() => {})
-  }
 }
 
 /**
--- a/src/entry/requests/run-statement.ts
+++ b/src/entry/requests/run-statement.ts
@@ -4,7 +4,9 @@
  * its slots for 12 ms if it is only slow.
  */
 import { RequestError, toRequestError } from '../../core/errors/index.ts'
+import { startInputTimer } from '../../core/time/arrived-input.ts'
 import type { Deadline } from '../../core/time/deadline.ts'
+import { startTimer } from '../../core/time/running-timer.ts'
 import { applySessionValues, ensurePrepared, SILENCE_MS, type ConnectionLease, type UpstreamResources } from '../pools/index.ts'
 import type { StatementAnswer, UpstreamCommand } from '../ports/index.ts'
 import type { LogPosition } from '../../positions/position.ts'
@@ -47,6 +49,42 @@
   epoch?: number
 }
 
+/**
+ * Waits for the answer to a command with one timer at a time: until the next check for silence, or until an earlier
+ * deadline. Most answers come before the first check.
+ */
+async function waitForAnswer (
+  pending: Promise<StatementAnswer>, sentAt: number, { resources, deadline, onSilence }: RunOptions
+): Promise<StatementAnswer> {
+  const { health, pool: { target: { upstream } } } = resources
+  const endsAt = performance.now() + deadline.leftMs
+  return await new Promise((resolve, reject) => {
+    let cancelTimer = (): void => {}
+    const wait = (): void => {
+      const leftMs = endsAt - performance.now()
+      cancelTimer = leftMs < SILENCE_MS
+        ? startInputTimer(() => reject(deadline.exceeded('may-have-run', `waiting for ${upstream}`)), leftMs)
+        : startTimer(checkSilence, SILENCE_MS)
+    }
+    const checkSilence = (): void => {
+      if (health.lastAnswerAt < sentAt && onSilence()) {
+        const reason = `no answer for ${SILENCE_MS} ms`
+        reject(new RequestError('may-have-run', 'ConnectionLost', { upstream, reason }))
+      } else {
+        wait()
+      }
+    }
+    wait()
+    pending.then((answer) => {
+      cancelTimer()
+      resolve(answer)
+    }, (thrown: unknown) => {
+      cancelTimer()
+      reject(thrown)
+    })
+  })
+}
+
 /**
  * Runs a command and waits for its answer. Closes the connection if the answer is lost or late.
  *
@@ -56,24 +94,12 @@
  * @throws RequestError `ConnectionLost` or `DeadlineExceeded`; the lease has been discarded. Also what `admit` throws.
  */
 export async function runCommand (command: UpstreamCommand, options: RunOptions): Promise<TimedAnswer> {
-  const { resources, lease, deadline } = options
+  const { resources, lease } = options
   const sentAt = performance.now()
   const epoch = options.admit()
-  let giveUp = (): void => {}
-  const givenUp = new Promise<never>((_resolve, reject) => {
-    giveUp = () => reject(new RequestError('may-have-run', 'ConnectionLost', {
-      upstream: resources.pool.target.upstream, reason: `no answer for ${SILENCE_MS} ms`
-    }))
-  })
-  const watch = setInterval(() => {
-    if (resources.health.lastAnswerAt < sentAt && options.onSilence()) {
-      giveUp()
-    }
-  }, SILENCE_MS)
   resources.health.recordRequestStart()
   try {
-    const pending = Promise.race([lease.connection.run(command), givenUp])
-    const answer = await deadline.race(pending, 'may-have-run', `waiting for ${resources.pool.target.upstream}`)
+    const answer = await waitForAnswer(lease.connection.run(command), sentAt, options)
     resources.health.recordAnswer()
     const ranMs = performance.now() - sentAt
     resources.health.recordLatency(ranMs)
@@ -84,7 +110,6 @@
     options.onFinished('lost', performance.now() - sentAt)
     throw thrown
   } finally {
-    clearInterval(watch)
     resources.health.recordRequestEnd()
   }
 }
@@ -107,7 +132,9 @@
   const { lease, deadline } = options
   let name = ''
   try {
-    await deadline.race(applySessionValues(lease, values), 'not-run', 'setting session values')
+    if (values.size > 0 || lease.values.size > 0) {
+      await deadline.race(applySessionValues(lease, values), 'not-run', 'setting session values')
+    }
     if (statement.type === 'execute') {
       name = await deadline.race(ensurePrepared(lease, statement.prepared), 'not-run', 'preparing the statement')
     }
