--- a/src/peers/types.ts
+++ b/src/peers/types.ts
@@ -1,5 +1,6 @@
 /** Schemas of the frames between peers. */
 import * as z from 'zod'
+import { createReader, hasFields, isAnything, isInteger, isText } from '../core/wire/message-reader.ts'
 
 /** First frame of the handshake, sent by the server. */
 export const challengeSchema = z.object({ type: z.literal('challenge'), nonce: z.instanceof(Uint8Array) })
@@ -16,10 +17,10 @@
 export const welcomeSchema = z.object({ type: z.literal('welcome'), host: z.string(), proof: z.instanceof(Uint8Array) })
 
 /** A request; the client assigns the id. */
-export const requestFrameSchema = z.object({ id: z.number().int(), type: z.string(), body: z.unknown() })
+const requestFrameSchema = z.object({ id: z.number().int(), type: z.string(), body: z.unknown() })
 
 /** Reply to the request with the same id: a body or a failure. */
-export const replyFrameSchema = z.object({
+const replyFrameSchema = z.object({
   id: z.number().int(),
   body: z.unknown().optional(),
   failure: z.object({
@@ -29,6 +30,14 @@
   }).optional()
 })
 
+/** Reads the frames of requests. */
+export const requestFrame = createReader(requestFrameSchema, hasFields({
+  id: isInteger, type: isText, body: isAnything
+}))
+
+/** Reads the frames of replies. */
+export const replyFrame = createReader(replyFrameSchema, hasFields({ id: isInteger }, { body: isAnything }))
+
 export type ReplyFrame = z.infer<typeof replyFrameSchema>
 
 /** The link on which a request arrived. */
