Announce the capacity of a host in its row of the registry

Cause: hosts don't know each other's capacity, by which work is to be placed.

Change: the optional setting host.capacity, filled by the deployment template, gives share of a core, cores and bandwidth; empty values count as not set, others than positive numbers are refused. A row with an invalid capacity counts as one without.

--- a/src/core/config/entry-settings.ts
+++ b/src/core/config/entry-settings.ts
@@ -9,6 +9,14 @@
 const optionalNumber = (defaultValue: number) =>
   z.number().nonnegative().nullish().transform((value) => value ?? defaultValue)
 
+const EXPECTED_POSITIVE = 'expected a positive number, or nothing'
+
+/** A positive number. Empty values, which a deployment template may produce, count as not set. */
+const positiveIfSet = z
+  .union([z.number().positive(EXPECTED_POSITIVE), z.literal(''), z.null()], EXPECTED_POSITIVE)
+  .optional()
+  .transform((value) => typeof value === 'number' ? value : undefined)
+
 /** Settings of an entry process. */
 export const entrySettingsSchema = z.strictObject({
   host: z.strictObject({
@@ -16,7 +24,16 @@
     name: z.string().min(1),
     /** IP address the process listens on and connects from. */
     address: z.string().min(1),
-    failureDomain: z.string().min(1)
+    failureDomain: z.string().min(1),
+    /** What the host may use, by which work is placed (src/placement/capacity.ts); its capacity is unknown if empty. */
+    capacity: z.strictObject({
+      /** Share of each core; 1 if not set. */
+      coreShare: positiveIfSet,
+      /** Number of cores that `coreShare` is multiplied with; 1 if not set. */
+      cores: positiveIfSet,
+      /** Bandwidth of the link, in Mbit/s. */
+      linkMbps: positiveIfSet
+    }).nullish().transform((value) => value ?? undefined)
   }),
   listen: z.strictObject({
     /** Endpoint for callers. */
--- a/src/entry/registry/index.ts
+++ b/src/entry/registry/index.ts
@@ -9,6 +9,7 @@
 import { repeat } from '../../core/time/repeat.ts'
 import { watchNextHost } from './host-expiry.ts'
 import { EXTENDED_LEASE_MS, LEASE_MARGIN_MS } from './lease-times.ts'
+import { reportOwnCapacity } from './own-capacity.ts'
 import { createOwnRow } from './own-row.ts'
 import { createRefreshRequests } from './refresh-requests.ts'
 import { createRegistryState } from './registry-state.ts'
@@ -35,14 +36,15 @@
 
 registerPlugin({
   name: 'registry',
-  dependencies: ['store', 'peers'],
+  dependencies: ['store', 'peers', 'metrics'],
   start: (context) => {
     const { host } = context.settings as EntrySettings
     const store = context.use('store')
     const peers = context.use('peers')
     const { logger } = context
-    const self = { name: host.name, process: randomUUID() }
-    const row = { address: host.address, port: peers.port, failureDomain: host.failureDomain, process: self.process }
+    const self = { name: host.name, process: randomUUID(), capacity: reportOwnCapacity(host, context.use('metrics')) }
+    const { address, failureDomain } = host
+    const row = { address, port: peers.port, failureDomain, process: self.process, capacity: self.capacity }
     const answerPendingRequests = (): void => exchange.answerPending()
     const state = createRegistryState({ self, onRowsChanged: answerPendingRequests })
     const registryStore = createRegistryStore({ store, state, logger, onUnavailable: answerPendingRequests })
--- a/src/entry/registry/types.ts
+++ b/src/entry/registry/types.ts
@@ -11,6 +11,11 @@
   failureDomain: z.string(),
   /** Identity of the running process, new after each restart; {@link RETIRED_PROCESS} for a retired host. */
   process: z.string(),
+  /**
+   * Capacity in units (src/placement/capacity.ts); one unit if absent. An invalid value is ignored, since one row must
+   * not make the whole table unreadable.
+   */
+  capacity: z.number().positive().optional().catch(undefined),
   /** Newest epoch, by group, up to which the process has stopped working at the group's primary. */
   stopped: z.record(z.string(), z.number().int()).optional(),
   /** Whether the process is stopping: it finishes its requests and takes no new ones. */
--- a/test/frozen/rows.test.ts
+++ b/test/frozen/rows.test.ts
@@ -77,6 +77,15 @@
     expect(digest).toEqual('E9zFvJWMYtCKZwUfe6Bx29sMisC1s0k3cSgg1hI/XQg=')
   })
 
+  it('hold the capacity of a host, and count as rows without one when it is invalid', () => {
+    const capacityIn = (capacity: string): unknown => {
+      const value = `{"address":"10.1.0.9","port":7440,"failureDomain":"y","process":"p2","capacity":${capacity}}`
+      return createSnapshot([{ key: 'host/h2', value, version: 2 }], 2, 0).liveHosts[0]!.capacity
+    }
+    expect(['1.35', '0.05', '0', '-1', '"1"', 'null'].map(capacityIn))
+      .toEqual([1.35, 0.05, undefined, undefined, undefined, undefined])
+  })
+
   it('are rejected when fields are missing', () => {
     const decode = (key: string, value: string): string => {
       try {
@@ -98,6 +107,17 @@
   })
 })
 
+describe('the row of a host with a capacity', () => {
+  const suite = setUpWorld(['h1'], undefined, { h1: { coreShare: 0.27, cores: 5 } })
+
+  it('holds it in units', () => {
+    const { value } = suite.world.store.tables.get('worksward')!.get('host/h1')!
+    const { port, process } = JSON.parse(value) as Record<string, unknown>
+    expect(value).toEqual(
+      `{"address":"127.0.0.1","port":${port},"failureDomain":"x","process":"${process}","capacity":1.35}`)
+  })
+})
+
 describe('the row of a host', () => {
   const suite = setUpWorld(['h1', 'h2'])
   const rowOf = (host: string): string => suite.world.store.tables.get('worksward')!.get(`host/${host}`)!.value
