Choose homes, owners of limits and readers by capacity

Change: homes and their shares are cached by the list of live hosts, which a changed row replaces. A statement draws its home in proportion to the shares and compares loads divided by them; preferred homes of organisations are weighted in the same way. Readers and followers are ordered by weighted scores of the same hash.

Owners of limits are weighted only once every live host announces a capacity: an older release orders without weights, and two owners would then grant the full limit for as long as both releases run.

On hosts without a capacity every path and draw is as before.

--- a/src/entry/homes/home-choice.ts
+++ b/src/entry/homes/home-choice.ts
@@ -3,9 +3,10 @@
  *
  * Silent and leaving homes are skipped. Of two others drawn at random, the one with the lower cost (home-cost.ts) is
  * taken, so that hosts do not all choose the least loaded home at the same time. For an organisation, one of the two is
- * always the home it prefers, where it is likely to have an open connection.
+ * always the home it prefers, where it is likely to have an open connection. Where hosts differ in capacity, homes are
+ * drawn and preferred with a probability proportional to their share (placement/home-shares.ts).
  */
-import { orderByScore } from '../../placement/upstream-homes.ts'
+import { orderByWeight } from '../../placement/upstream-homes.ts'
 import type { KnownHost } from '../registry/index.ts'
 import { costOf, recordOverhead } from './home-cost.ts'
 import { countInProgress, createHomeStates, type HomeState } from './seen-homes.ts'
@@ -23,6 +24,13 @@
  */
 const NEW_CONNECTION_COST_MS = 20
 
+/**
+ * Least difference in cost for which the home drawn second is taken where homes are drawn by their shares, in
+ * milliseconds: about one statement. Costs decay, so of idle homes the one used least recently is the cheapest; without
+ * this bound, homes with small shares would get more than these.
+ */
+const SIGNIFICANT_COST_MS = 10
+
 /** What a home reports about itself with each answer. */
 interface HomeReport {
   /** Number of statements and transactions there that use a connection to the upstream or wait for one. */
@@ -40,10 +48,12 @@
    * @param homes - its homes
    * @param tried - names of homes that were already tried
    * @param organisation - organisation on whose behalf the statement runs; empty for none
+   * @param shares - relative share of the upstream's statements by name of the home; absent if all are equal
    * @returns the home; undefined when none is eligible
    */
   choose: (
-    upstream: string, homes: KnownHost[], tried: ReadonlySet<string>, organisation?: string
+    upstream: string, homes: KnownHost[], tried: ReadonlySet<string>, organisation?: string,
+    shares?: ReadonlyMap<string, number>
   ) => KnownHost | undefined
   /** Records that a statement was sent. */
   recordSent: (home: KnownHost, upstream: string) => void
@@ -91,11 +101,16 @@
   let probedAt = -Infinity
 
   return {
-    choose: (upstream, homes, tried, organisation = '') => {
+    choose: (upstream, homes, tried, organisation = '', shares) => {
       const eligible = homes.filter((home) => !tried.has(home.name) && isEligible(states.of(home)))
       // Every host computes the same preferred home, so an organisation's connections are concentrated there.
-      const [preferred] = organisation === '' ? [] : orderByScore(organisation, eligible)
-      return cheaperOfTwo(eligible, preferred, (home) => costOf(states.of(home), upstream))
+      const shareOf = ({ name }: KnownHost): number => shares?.get(name) ?? 1
+      const [preferred] = organisation === '' ? [] : orderByWeight(organisation, eligible, shareOf)
+      const cost = (home: KnownHost): number => costOf(states.of(home), upstream, shareOf(home)) +
+        (preferred === undefined || home === preferred ? 0 : NEW_CONNECTION_COST_MS)
+      return shares === undefined
+        ? cheaperOfTwo(eligible, preferred, cost)
+        : cheaperOfWeighted(eligible, preferred, cost, shareOf)
     },
     recordSent: (home, upstream) => countInProgress(states.of(home), upstream, 1),
     recordEnded: (home, upstream) => countInProgress(states.of(home), upstream, -1),
@@ -151,10 +166,8 @@
 
 /** Draws two homes at random, the preferred one always among them, and returns the cheaper; ties are random. */
 function cheaperOfTwo (
-  eligible: KnownHost[], preferred: KnownHost | undefined, costAt: (home: KnownHost) => number
+  eligible: KnownHost[], preferred: KnownHost | undefined, cost: (home: KnownHost) => number
 ): KnownHost | undefined {
-  const cost = (home: KnownHost): number =>
-    costAt(home) + (preferred === undefined || home === preferred ? 0 : NEW_CONNECTION_COST_MS)
   const drawn = eligible.length <= 2 ? eligible : drawPair(eligible, preferred)
   return drawn.sort((left, right) => cost(left) - cost(right) || Math.random() - 0.5)[0]
 }
@@ -165,3 +178,23 @@
   const second = Math.floor(Math.random() * (items.length - 1))
   return [items[first]!, items[second < first ? second : second + 1]!]
 }
+
+/**
+ * Draws two homes with a probability proportional to shares, the preferred one always first. The second is taken if it
+ * is cheaper by more than {@link SIGNIFICANT_COST_MS}; the cost of a home that is not preferred includes such a margin.
+ */
+function cheaperOfWeighted (
+  eligible: KnownHost[], preferred: KnownHost | undefined, cost: (home: KnownHost) => number,
+  shareOf: (home: KnownHost) => number
+): KnownHost | undefined {
+  const first = preferred ?? drawWeighted(eligible, shareOf)
+  const second = drawWeighted(eligible.filter((home) => home !== first), shareOf)
+  const marginMs = preferred === undefined ? SIGNIFICANT_COST_MS : 0
+  return first !== undefined && second !== undefined && cost(second) + marginMs < cost(first) ? second : first
+}
+
+/** Draws an item with a probability proportional to its weight; returns undefined without items. */
+function drawWeighted<Item> (items: Item[], weightOf: (item: Item) => number): Item | undefined {
+  let rest = Math.random() * items.reduce((sum, item) => sum + weightOf(item), 0)
+  return items.find((item) => (rest -= weightOf(item)) < 0) ?? items.at(-1)
+}
--- a/src/entry/homes/home-cost.ts
+++ b/src/entry/homes/home-cost.ts
@@ -1,9 +1,9 @@
 /**
  * Expected wait for a statement at a home, in milliseconds, used to compare homes.
  *
- * The cost is the load, which is the greater of the reported load and this host's own statements in progress, times
- * {@link STATEMENT_COST_MS}, plus the average overhead of answers. Reported load and overhead decay over time, so that
- * a home that was busy is tried again.
+ * The cost is the load, which is the greater of the reported load and this host's own statements in progress, divided
+ * by the home's share of the upstream's statements and times {@link STATEMENT_COST_MS}, plus the average overhead of
+ * answers. Reported load and overhead decay over time, so that a home that was busy is tried again.
  */
 import type { HomeState } from './seen-homes.ts'
 
@@ -22,10 +22,11 @@
  *
  * @param home - state of the home
  * @param upstream - the upstream that executes the statement
+ * @param share - the home's share of the upstream's statements, 1 on average; it grows with the home's capacity
  * @returns the cost, in milliseconds
  */
-export function costOf (home: HomeState, upstream: string): number {
-  return loadOf(home, upstream) * STATEMENT_COST_MS + overheadOf(home)
+export function costOf (home: HomeState, upstream: string, share: number): number {
+  return loadOf(home, upstream) / share * STATEMENT_COST_MS + overheadOf(home)
 }
 
 /**
--- a/src/entry/homes/index.ts
+++ b/src/entry/homes/index.ts
@@ -90,7 +90,7 @@
     const selector = createHomeSelector()
     const count = metrics.registerCounter('worksward_passed_on', 'Statements passed on to homes, by outcome')
     const time = metrics.registerTiming('worksward_passed_on_milliseconds', 'Time of statements passed on to homes')
-    const { of, isHome, others } = createUpstreamHomes({
+    const { of, placed, isHome, others } = createUpstreamHomes({
       registry, desiredState: use('desiredState'), directory
     })
     const detector = createHomeFailureDetector({ links, selector, logger, homes: others })
@@ -116,9 +116,9 @@
           if (isHome(upstream)) {
             return undefined
           }
-          const homes = of(upstream)
+          const { homes, shares } = placed(upstream)
           probeDueHost(homes, selector, detector)
-          return selector.choose(upstream.upstream, homes, tried, organisation)
+          return selector.choose(upstream.upstream, homes, tried, organisation, shares)
         },
         forward: createForwarder({ links, selector, detector, count, time }),
         inProgressAt: selector.inProgressAt,
--- a/src/entry/homes/upstream-homes.ts
+++ b/src/entry/homes/upstream-homes.ts
@@ -1,8 +1,9 @@
 /**
- * Computes the homes of each upstream from the live hosts (placement/upstream-homes.ts) and caches them, since they are
- * looked up several times per statement. Hosts that are leaving are excluded, unless every host is leaving.
+ * Computes the homes of each upstream and their shares of its statements from the live hosts
+ * (placement/upstream-homes.ts) and caches them, since they are looked up several times per statement. Hosts that are
+ * leaving are excluded, unless every host is leaving.
  */
-import { homesOf } from '../../placement/upstream-homes.ts'
+import { placeHomes, type PlacedHomes } from '../../placement/upstream-homes.ts'
 import type { DesiredStateInForce } from '../desired-state/index.ts'
 import type { Directory, KnownUpstream } from '../directory/index.ts'
 import type { KnownHost, Registry } from '../registry/index.ts'
@@ -18,6 +19,8 @@
 interface UpstreamHomes {
   /** Homes of an upstream, in order of preference; empty while the upstream's cap is unknown. */
   of: (upstream: KnownUpstream) => KnownHost[]
+  /** The same, with their shares of its statements. */
+  placed: (upstream: KnownUpstream) => PlacedHomes<KnownHost>
   /** Whether this host is a home of an upstream. */
   isHome: (upstream: KnownUpstream) => boolean
   /** Other hosts that are a home of any upstream. */
@@ -25,12 +28,13 @@
 }
 
 /** Cached homes of an upstream, and the inputs they were computed from. */
-interface ComputedHomes {
+interface ComputedHomes extends PlacedHomes<KnownHost> {
   liveHosts: KnownHost[]
   cap: number
-  homes: KnownHost[]
 }
 
+const NO_HOMES: PlacedHomes<KnownHost> = { homes: [] }
+
 /**
  * Creates the lookup of homes.
  *
@@ -45,22 +49,24 @@
     }
   })
   const isSelf = ({ name }: KnownHost): boolean => name === registry.self.name
-  const of = (upstream: KnownUpstream): KnownHost[] => {
+  const placed = (upstream: KnownUpstream): PlacedHomes<KnownHost> => {
     const cap = desiredState.current?.connectionCaps.get(upstream.group)
     const { liveHosts } = registry.current
     if (cap === undefined) {
-      return []
+      return NO_HOMES
     }
     const known = cache.get(upstream.upstream)
     if (known?.liveHosts === liveHosts && known.cap === cap) {
-      return known.homes
+      return known
     }
-    const homes = homesOf(upstream, excludeLeaving(liveHosts), cap)
-    cache.set(upstream.upstream, { liveHosts, cap, homes })
-    return homes
+    const computed = { ...placeHomes(upstream, excludeLeaving(liveHosts), cap), liveHosts, cap }
+    cache.set(upstream.upstream, computed)
+    return computed
   }
+  const of = (upstream: KnownUpstream): KnownHost[] => placed(upstream).homes
   return {
     of,
+    placed,
     isHome: (upstream) => of(upstream).some(isSelf),
     others: () => [...new Set([...cache.values()].flatMap(({ homes }) => homes))].filter((home) => !isSelf(home))
   }
--- a/src/entry/limits/limit-order.ts
+++ b/src/entry/limits/limit-order.ts
@@ -2,8 +2,12 @@
  * Determines the owner of each organisation's limit by rendezvous hashing over the live hosts. The first host in the
  * order is the owner; each further one is a fallback owner while all before it are silent. Ownership is exclusive since
  * the last change of the list of hosts or the last pause of this process, whichever is later.
+ *
+ * The hashing is weighted by capacity once every live host announces one. A host that announces none may run an older
+ * release, which orders without weights: two owners would then grant the full limit for as long as both releases run.
  */
-import { orderByScore } from '../../placement/upstream-homes.ts'
+import { unitsOf } from '../../placement/capacity.ts'
+import { orderByScore, orderByWeight } from '../../placement/upstream-homes.ts'
 import type { KnownHost, Registry } from '../registry/index.ts'
 import type { Ownership } from './limit-owner.ts'
 import type { ProcessPauseWatch } from './process-pauses.ts'
@@ -52,7 +56,10 @@
       return known.order
     }
     const staying = liveHosts.filter(({ leaving }) => leaving !== true)
-    const order = orderByScore(organisation, staying.length > 0 ? staying : liveHosts)
+    const candidates = staying.length > 0 ? staying : liveHosts
+    const order = liveHosts.every(({ capacity }) => capacity !== undefined)
+      ? orderByWeight(organisation, candidates, unitsOf)
+      : orderByScore(organisation, candidates)
     orders.set(organisation, { liveHosts, order })
     return order
   }
--- a/src/entry/registry/readers.ts
+++ b/src/entry/registry/readers.ts
@@ -1,9 +1,11 @@
 /**
  * Selects the hosts that read the store for all others, which keeps the number of calls to the store low. All hosts
- * compute the same selection from a hash of the host names. Each host first contacts readers in its failure domain,
- * because traffic between failure domains is charged; followers serve as backup readers.
+ * compute the same selection from a hash of the host names, weighted by capacity. Each host first contacts readers in
+ * its failure domain, because traffic between failure domains is charged; followers serve as backup readers.
  */
 import { createHash } from 'node:crypto'
+import { areEqualInCapacity, unitsOf } from '../../placement/capacity.ts'
+import { byScore, fractionOf, unitScoreOf } from '../../placement/rendezvous.ts'
 import type { KnownHost } from './snapshot.ts'
 
 /** Number of hosts that one reader of the registry serves; each asks it 1.3 times a second, with some hundred bytes. */
@@ -16,9 +18,9 @@
 
 /** Orders from which readers and followers are selected. */
 interface ReaderOrders {
-  /** By the hash of the name. */
+  /** By the hash of the name, weighted by capacity. */
   byHash: KnownHost[]
-  /** The first host of each failure domain, then the others by the hash of the name. */
+  /** The first host of each failure domain, then the others in the same order. */
   byDomain: KnownHost[]
   failureDomains: number
 }
@@ -33,16 +35,29 @@
 }
 
 function orderHosts (hosts: KnownHost[]): ReaderOrders {
-  const byHash = hosts
-    .map((host) => ({ host, hash: hashOf(host.name) }))
-    .sort((left, right) => left.hash < right.hash ? -1 : 1)
-    .map(({ host }) => host)
+  const byHash = areEqualInCapacity(hosts) ? orderByHash(hosts) : orderByWeightedHash(hosts)
   const domains = new Set(byHash.map(({ failureDomain }) => failureDomain))
   const first = [...domains].map((domain) => byHash.find(({ failureDomain }) => failureDomain === domain)!)
   const byDomain = [...first, ...byHash.filter((host) => !first.includes(host))]
   return { byHash, byDomain, failureDomains: domains.size }
 }
 
+/** Orders hosts by the hash of the name, lowest first. */
+function orderByHash (hosts: KnownHost[]): KnownHost[] {
+  return hosts
+    .map((host) => ({ host, hash: hashOf(host.name) }))
+    .sort((left, right) => left.hash < right.hash ? -1 : 1)
+    .map(({ host }) => host)
+}
+
+/** Orders hosts by weighted score. The lowest hash has the highest score, as in {@link orderByHash}. */
+function orderByWeightedHash (hosts: KnownHost[]): KnownHost[] {
+  return hosts
+    .map((host) => ({ host, score: unitsOf(host) * unitScoreOf(1 - fractionOf(hashOf(host.name))) }))
+    .sort(byScore)
+    .map(({ host }) => host)
+}
+
 /** Selects the first hosts; if there are enough of them, one for each failure domain. */
 function selectFirst (hosts: KnownHost[], count: number): KnownHost[] {
   const { byHash, byDomain, failureDomains } = ordersOf(hosts)
--- a/test/entry/homes/home-choice.test.ts
+++ b/test/entry/homes/home-choice.test.ts
@@ -4,6 +4,7 @@
 import { createHomeSelector, PROBE_INTERVAL_MS, type HomeSelector } from '../../../src/entry/homes/home-choice.ts'
 import { LOAD_HALF_LIFE_MS, OVERHEAD_AVERAGE } from '../../../src/entry/homes/home-cost.ts'
 import type { KnownHost } from '../../../src/entry/registry/index.ts'
+import { seedRandom } from '../../fixtures/seed-random.ts'
 
 const homeNamed = (name: string, process = `${name}-1`, version = 1): KnownHost =>
   ({ name, process, address: '10.0.0.1', port: 1, failureDomain: 'x', version })
@@ -116,6 +117,42 @@
     expect(selector.inProgressAt('u')).toEqual(0)
   })
 
+  describe('where homes differ in capacity', () => {
+    const shares = new Map([['a', 1.5], ['b', 1], ['c', 0.5]])
+    const homes = ['a', 'b', 'c'].map((name) => homeNamed(name))
+    let restoreRandom = (): void => {}
+    beforeEach(() => { restoreRandom = seedRandom(7) })
+    afterEach(() => restoreRandom())
+    /** Chooses homes many times and returns the part of the choices of each, in hundredths. */
+    const partsOf = (organisationOf: (turn: number) => string, count = 6000): number[] => {
+      const names = Array.from({ length: count }, (_, turn) =>
+        selector.choose('u', homes, NONE, organisationOf(turn), shares)!.name)
+      return homes.map(({ name }) => Math.round(names.filter((chosen) => chosen === name).length / count * 100))
+    }
+
+    it('selects idle homes in proportion to their shares, and as preferred homes of organisations too', () => {
+      const expected = [50, 33, 17]
+      for (const parts of [partsOf(() => ''), partsOf((turn) => `o${turn}`)]) {
+        expect(parts.every((part, index) => Math.abs(part - expected[index]!) <= 2)).toEqual(true)
+      }
+    })
+
+    it('compares loads relative to the shares', () => {
+      const chosenAt = (loads: number[]): string | undefined => {
+        homes.forEach((home, index) => selector.recordAnswer(home, 'u', { load: loads[index]!, leaving: false }))
+        return selector.choose('u', homes, new Set(['b']), '', shares)?.name
+      }
+      expect([chosenAt([4, 0, 2]), chosenAt([8, 0, 2])]).toEqual(['a', 'c'])
+    })
+
+    it('skips silent homes and those already tried', () => {
+      selector.recordFailure(homes[0]!)
+      expect(partsOf(() => '', 3000)[0]).toEqual(0)
+      expect(selector.choose('u', homes, new Set(['b']), '', shares)?.name).toEqual('c')
+      expect(selector.choose('u', homes, new Set(['b', 'c']), 'red', shares)).toEqual(undefined)
+    })
+  })
+
   it('drops the state of hosts that are gone', () => {
     for (let number = 0; number < 5000; number++) {
       const host = homeNamed(`host-${number}`)
--- a/test/entry/process/organisations.test.ts
+++ b/test/entry/process/organisations.test.ts
@@ -234,6 +234,20 @@
     expect(countMostRunInWindow() <= maximumInWindow).toEqual(true)
   })
 
+  it('holds while hosts restart one by one and announce capacities, which moves its owner', async () => {
+    await configure()
+    await sendReads(100, 3000)
+    for (const [index, name] of HOSTS.entries()) {
+      suite.world.capacities.set(name, { cores: index % 3 === 0 ? 1.35 : 0.32 })
+      await suite.world.kill(name)
+      await suite.world.startHost(name)
+      await sendReads(100, 1200)
+    }
+    const outcomes = await sendReads(100, 6000)
+    expect(countMostRunInWindow() <= maximumInWindow).toEqual(true)
+    expect(outcomes.filter(({ kind }) => kind === undefined).length >= limit.perSecond * 5).toEqual(true)
+  })
+
   it('holds when a partition separates the hosts', async () => {
     await configure()
     await sendReads(100, 3000)
--- a/test/entry/registry/readers.test.ts
+++ b/test/entry/registry/readers.test.ts
@@ -68,6 +68,21 @@
     expect(orderFor(first!.name, hostsNamed(NAMES), readersOf(hostsNamed(NAMES)))[0]?.name).toEqual(first!.name)
   })
 
+  it('prefers strong hosts in proportion to their capacity, and keeps one reader for each failure domain', () => {
+    const strongOf = (fleet: number): number => {
+      const hosts = hostsNamed(Array.from({ length: 58 }, (_, index) => `f${fleet}-${index}`)).map((host, index) =>
+        ({ ...host, failureDomain: 'xyz'[index % 3]!, capacity: index < 6 ? 1.35 : 0.32 }))
+      expect(new Set(readersOf(hosts).map(({ failureDomain }) => failureDomain)).size).toEqual(3)
+      const followers = followersOf(hosts)
+      const unchanged = followersOf(hosts.filter(({ name }) => name !== followers[5]!.name))
+      expect(unchanged.slice(0, 7)).toEqual(followers.filter((host) => host !== followers[5]))
+      return readersOf(hosts).filter(({ capacity }) => capacity === 1.35).length
+    }
+    const strong = Array.from({ length: 400 }, (_, fleet) => strongOf(fleet)).reduce((sum, count) => sum + count, 0)
+    // In each failure domain two strong hosts have 0.33 of the capacity.
+    expect(Math.abs(strong / 1200 - 0.33) < 0.04).toEqual(true)
+  })
+
   it('spreads the requests of other hosts over the readers', () => {
     const hosts = hostsNamed(many)
     const requestsByReader = new Map<string, number>()
--- a/test/frozen/agreements.test.ts
+++ b/test/frozen/agreements.test.ts
@@ -1,5 +1,6 @@
 import { describe, it } from 'node:test'
-import { homesOf, orderByScore } from '../../src/placement/upstream-homes.ts'
+import { unitsOf } from '../../src/placement/capacity.ts'
+import { homesOf, orderByScore, orderByWeight, placeHomes } from '../../src/placement/upstream-homes.ts'
 import { followersOf, orderFor, readersOf } from '../../src/entry/registry/readers.ts'
 import type { KnownHost } from '../../src/entry/registry/snapshot.ts'
 import { expectGolden } from './golden.ts'
@@ -35,6 +36,22 @@
       ({ size, organisation, order: namesOf(orderByScore(organisation, hostsOf(size))) }))))
   })
 
+  it('for hosts that differ in capacity, also where some announce none', () => {
+    expectGolden('agreement-capacity', [9, 71].map((size) => {
+      const capacities = [1.35, 0.32, undefined, 0.32]
+      const hosts = hostsOf(size).map((host, index) => ({ ...host, capacity: capacities[index % 4] }))
+      const { homes, shares } = placeHomes({ upstream: 'i-1', slots: 3, failureDomain: 'y' }, hosts, 30)
+      return {
+        size,
+        homes: namesOf(homes),
+        shares: [...shares!].map(([name, share]) => [name, share.toFixed(6)]),
+        owners: namesOf(orderByWeight('red', hosts, unitsOf)),
+        readers: namesOf(readersOf(hosts)),
+        followers: namesOf(followersOf(hosts))
+      }
+    }))
+  })
+
   it('for the hosts that read the store for others', () => {
     expectGolden('agreement-readers', sizes.map((size) => {
       const hosts = hostsOf(size)
