--- a/src/core/logger/events.ts
+++ b/src/core/logger/events.ts
@@ -105,7 +105,7 @@
   'registry.leaving-not-published': { level: 'warn', fields: 'reason', when: 'this process could not record in its row that it is stopping' },
   'registry.peer-silent': { level: 'debug', fields: 'peer, reason', when: 'a peer did not answer a question about the registry' },
   'registry.register-failed': { level: 'debug', fields: 'reason', when: 'this process could not write its row in the registry; it retries' },
-  'registry.registered': { level: 'info', fields: 'process, before, written', when: 'this process registered itself' },
+  'registry.registered': { level: 'info', fields: 'process, before, capacity, written', when: 'this process registered itself' },
   'registry.retire-failed': { level: 'debug', fields: 'reason', when: 'the row of an unresponsive host could not be retired, or that of a retired host removed; it is retried' },
   'registry.stop-published': { level: 'info', fields: 'group, epoch, written', when: 'this host recorded in its row that it stopped using a primary, because no peer asked it to stop' },
   'registry.unregister-failed': { level: 'warn', fields: 'reason', when: 'this process could not remove its row; its peers retire it' },
--- a/src/entry/registry/own-row.ts
+++ b/src/entry/registry/own-row.ts
@@ -67,7 +67,9 @@
         expected: [{ key, version: own?.version ?? 0 }],
         put: [{ key, value: JSON.stringify(row) }]
       })
-      logger.log('info', 'registry.registered', { process: self.process, before: own?.process, written })
+      logger.log('info', 'registry.registered', {
+        process: self.process, before: own?.process, capacity: row.capacity, written
+      })
       return await registryStore.refresh() && written
     },
     publishStopped: async (group, epoch) => {
