--- a/test/entry/homes/home-choice.test.ts
+++ b/test/entry/homes/home-choice.test.ts
@@ -4,6 +4,7 @@
 import { createHomeSelector, PROBE_INTERVAL_MS, type HomeSelector } from '../../../src/entry/homes/home-choice.ts'
 import { LOAD_HALF_LIFE_MS, OVERHEAD_AVERAGE } from '../../../src/entry/homes/home-cost.ts'
 import type { KnownHost } from '../../../src/entry/registry/index.ts'
+import { seedRandom } from '../../fixtures/seed-random.ts'
 
 const homeNamed = (name: string, process = `${name}-1`, version = 1): KnownHost =>
   ({ name, process, address: '10.0.0.1', port: 1, failureDomain: 'x', version })
@@ -116,6 +117,31 @@
     expect(selector.inProgressAt('u')).toEqual(0)
   })
 
+  describe('where homes differ in capacity', () => {
+    const shares = new Map([['a', 1.5], ['b', 1], ['c', 0.5]])
+    const homes = ['a', 'b', 'c'].map((name) => homeNamed(name))
+    let restoreRandom = (): void => {}
+    beforeEach(() => { restoreRandom = seedRandom(7) })
+    afterEach(() => restoreRandom())
+
+    it('selects idle homes in proportion to their shares, and as preferred homes of organisations too', () => {
+      for (const organisationOf of [() => '', (turn: number) => `o${turn}`]) {
+        const names = Array.from({ length: 6000 }, (_, turn) =>
+          selector.choose('u', homes, NONE, organisationOf(turn), shares)!.name)
+        const parts = homes.map(({ name }) => names.filter((chosen) => chosen === name).length / names.length)
+        expect(parts.every((part, index) => Math.abs(part - [0.5, 0.33, 0.17][index]!) < 0.02)).toEqual(true)
+      }
+    })
+
+    it('compares loads relative to the shares', () => {
+      const chosenAt = (loads: number[]): string | undefined => {
+        homes.forEach((home, index) => selector.recordAnswer(home, 'u', { load: loads[index]!, leaving: false }))
+        return selector.choose('u', homes, new Set(['b']), '', shares)?.name
+      }
+      expect([chosenAt([4, 0, 2]), chosenAt([8, 0, 2])]).toEqual(['a', 'c'])
+    })
+  })
+
   it('drops the state of hosts that are gone', () => {
     for (let number = 0; number < 5000; number++) {
       const host = homeNamed(`host-${number}`)
