Order waiting statements fairly between organisations

Cause: the queue of an upstream ordered by priority and length only, so one organisation's statements could take all of its slots, and a statement that had missed its target went before one that could still meet it. Change: fair-order.ts orders by priority, chance to meet the target, virtual time of the organisation and length; every eighth turn goes to the statement that has used the largest part of its allowed wait. The expected wait that decides on a refusal counts what goes before under that order. Without organisations order and refusals are those of before. The queue starts statements itself: one that finds a free slot needs neither a timer nor a queue entry.

--- a/src/entry/pools/statement-queue.ts
+++ b/src/entry/pools/statement-queue.ts
@@ -1,11 +1,11 @@
 /**
- * Limits the statements that this host has in progress at an upstream. Further statements wait by priority, then by
- * expected duration, since the upstream itself runs them in order of arrival. A statement whose expected wait exceeds
- * its maximum is refused at once, so that the caller can still try elsewhere.
+ * Limits the statements that this host has in progress at an upstream. Further statements wait in the order of
+ * `fair-order.ts`, since the upstream itself runs them in order of arrival. A statement whose expected wait exceeds its
+ * maximum is refused at once, so that the caller can still try elsewhere.
  */
-import PQueue from 'p-queue'
 import { RequestError } from '../../core/errors/index.ts'
-import { createBoundedWait } from '../../core/time/bounded-wait.ts'
+import { createBoundedWait, type BoundedWait } from '../../core/time/bounded-wait.ts'
+import { FairOrder, type QueuedStatement, type QueueRequest } from './fair-order.ts'
 
 /**
  * Statements in progress per slot of an upstream. While one runs, the next is already in transit, so that the slot
@@ -17,8 +17,6 @@
  * other homes leave their slots unused.
  */
 const MINIMUM_IN_PROGRESS = 2
-/** Weight of one priority level in a rank, in milliseconds. It exceeds any duration, so priority decides first. */
-const PRIORITY_WEIGHT_MS = 1_000_000
 
 interface QueueLimits {
   /** Statements that the upstream runs concurrently. */
@@ -27,15 +25,6 @@
   homes: number
 }
 
-interface QueueRequest {
-  /** Lower values run first. */
-  priority: number
-  /** Expected duration of the statement at the upstream, in milliseconds. */
-  costMs: number
-  /** Maximum wait, in milliseconds. */
-  waitMs: number
-}
-
 /** Queue of statements for one upstream. */
 export interface StatementQueue {
   readonly running: number
@@ -43,7 +32,7 @@
   /**
    * Waits until the statement may be sent.
    *
-   * @param request - priority, expected duration and maximum wait
+   * @param request - organisation, priority, expected duration, maximum wait and target
    * @returns a function that frees the slot, to be called when the statement has ended; further calls do nothing
    * @throws RequestError `Overloaded` with verdict `not-run`: at once if the expected wait exceeds the maximum, with
    * the excess as `retryAfterMs`; or when the maximum wait has passed, with that wait as `retryAfterMs`
@@ -51,21 +40,15 @@
   enter: (request: QueueRequest) => Promise<() => void>
 }
 
-interface WaitingStatement {
-  rank: number
-  costMs: number
-}
-
 /**
- * Estimates how long a statement waits for the statements ahead of it, which run in this host's part of the slots.
+ * Estimates how long a statement waits for the work ahead of it, which runs in this host's part of the slots.
  *
- * @param ahead - expected durations of the statements ahead, in milliseconds
+ * @param aheadMs - expected duration of the statements ahead together, in milliseconds
  * @param limits - the upstream's slots and homes
  * @returns the expected wait, in milliseconds
  */
-export function expectedWaitMs (ahead: number[], { slots, homes }: QueueLimits): number {
-  const hostSlots = Math.max(1, slots / Math.max(1, homes))
-  return ahead.reduce((sum, costMs) => sum + costMs, 0) / hostSlots
+export function expectedWaitMs (aheadMs: number, { slots, homes }: QueueLimits): number {
+  return aheadMs / Math.max(1, slots / Math.max(1, homes))
 }
 
 /**
@@ -78,42 +61,62 @@
   options: { group: string, upstream: string, limits: () => QueueLimits }
 ): StatementQueue {
   const { group, upstream } = options
-  const queue = new PQueue({ concurrency: 1 })
-  const waiting = new Set<WaitingStatement>()
+  const order = new FairOrder()
+  const turns = new Map<QueuedStatement, BoundedWait<() => void>>()
+  let running = 0
+  let maximum = MINIMUM_IN_PROGRESS
 
   const overloadedError = (reason: string, retryAfterMs: number): RequestError =>
     new RequestError('not-run', 'Overloaded', { group, reason, retryAfterMs: Math.ceil(retryAfterMs) })
-  const waitForTurn = async (request: QueueRequest, statement: WaitingStatement): Promise<() => void> => {
+  const occupySlot = (): () => void => {
+    let isFreed = false
+    running++
+    return () => {
+      if (!isFreed) {
+        isFreed = true
+        running--
+        startWaiting()
+      }
+    }
+  }
+  const startWaiting = (): void => {
+    while (running < maximum && order.count > 0) {
+      const next = order.takeNext()!
+      const turn = turns.get(next)!
+      turns.delete(next)
+      turn.resolve(occupySlot())
+    }
+  }
+  const waitForTurn = async (request: QueueRequest): Promise<() => void> => {
+    const statement = order.add(request)
     const turn = createBoundedWait<() => void>({
       timeoutMs: request.waitMs,
       onTimeout: () => {
-        waiting.delete(statement)
+        order.remove(statement)
+        turns.delete(statement)
         return overloadedError(`${upstream} was busy for ${Math.round(request.waitMs)} ms`, request.waitMs)
       }
     })
-    void queue.add(async () => {
-      if (turn.isSettled) {
-        return
-      }
-      waiting.delete(statement)
-      await new Promise<void>((resolve) => turn.resolve(resolve))
-    }, { priority: -statement.rank })
+    turns.set(statement, turn)
     return await turn.result
   }
   return {
-    get running () { return queue.pending },
-    get waiting () { return waiting.size },
+    get running () { return running },
+    get waiting () { return order.count },
     enter: async (request) => {
       const limits = options.limits()
-      queue.concurrency = maximumInProgress(limits)
-      const statement = { rank: rankFor(request), costMs: request.costMs }
-      const ahead = [...waiting].filter(({ rank }) => rank <= statement.rank).map(({ costMs }) => costMs)
-      const waitMs = expectedWaitMs(ahead, limits)
+      maximum = maximumInProgress(limits)
+      startWaiting()
+      const ahead = order.aheadOf(request)
+      const waitMs = expectedWaitMs(ahead.costMs, limits)
       if (waitMs > request.waitMs) {
-        throw overloadedError(`${ahead.length} statements wait for ${upstream} before it`, waitMs - request.waitMs)
+        throw overloadedError(`${ahead.count} statements wait for ${upstream} before it`, waitMs - request.waitMs)
       }
-      waiting.add(statement)
-      return await waitForTurn(request, statement)
+      if (running < maximum) {
+        order.charge(request)
+        return occupySlot()
+      }
+      return await waitForTurn(request)
     }
   }
 }
@@ -122,8 +125,3 @@
 function maximumInProgress ({ slots, homes }: QueueLimits): number {
   return Math.max(MINIMUM_IN_PROGRESS, Math.ceil(slots * IN_PROGRESS_PER_SLOT / Math.max(1, homes)))
 }
-
-/** Computes the sort key of a statement; lower ranks run first. */
-function rankFor ({ priority, costMs }: QueueRequest): number {
-  return priority * PRIORITY_WEIGHT_MS + costMs
-}
--- a/src/entry/requests/acquire-connection.ts
+++ b/src/entry/requests/acquire-connection.ts
@@ -28,7 +28,8 @@
   const waitMs = connectionWaitMs(maximumWaitMs, softDeadline - startedAt)
   let releaseSlot = (): void => {}
   try {
-    releaseSlot = await queue.enter({ priority, costMs, waitMs })
+    const dueInMs = softDeadline - startedAt
+    releaseSlot = await queue.enter({ organisation: organisation ?? '', priority, costMs, waitMs, dueInMs })
     const leftMs = Math.max(1, waitMs - (performance.now() - startedAt))
     const lease = await pool.acquire({ organisation, values, priority, waitMs: leftMs })
     metrics.queue('done', performance.now() - startedAt)
--- a/src/entry/requests/local-executor.ts
+++ b/src/entry/requests/local-executor.ts
@@ -1,16 +1,13 @@
 /** Executes statements at an upstream on a leased connection of this host. */
 import { RequestError, toRequestError } from '../../core/errors/index.ts'
 import { TIMED_OUT, withTimeout } from '../../core/time/deadline.ts'
-import type { ConnectionLease } from '../pools/index.ts'
+import { OPEN_TRANSACTION_PRIORITY, type ConnectionLease } from '../pools/index.ts'
 import { createLeasedCommands, type LeasedUpstream, type LocalContext } from './leased-commands.ts'
 import { createPrimaryRights } from './primary-rights.ts'
 import type { TimedAnswer } from './run-statement.ts'
 import { ROLLBACK_MS, type BeginResult, type StatementExecutor, type TransactionStep } from './statement-executor.ts'
 import type { RequestScope } from './types.ts'
 
-/** Priority of steps of open transactions; ahead of all other statements, whose priorities start at 0. */
-const OPEN_TRANSACTION_PRIORITY = -1
-
 /** A leased connection and its execution slot. */
 interface AcquiredUpstream extends LeasedUpstream {
   /** Frees the execution slot at the upstream. */
@@ -75,8 +72,11 @@
   }
   const runOpenStep = async (scope: RequestScope, step: TransactionStep): Promise<TimedAnswer> => {
     // An open transaction holds a connection and locks, so its steps go first.
-    const waitMs = scope.deadline.leftMs
-    const freeSlot = await resources.queue.enter({ priority: OPEN_TRANSACTION_PRIORITY, costMs: scope.costMs, waitMs })
+    const { organisation = '', costMs, softDeadline, deadline: { leftMs: waitMs } } = scope
+    const dueInMs = softDeadline - performance.now()
+    const freeSlot = await resources.queue.enter({
+      organisation, priority: OPEN_TRANSACTION_PRIORITY, costMs, waitMs, dueInMs
+    })
     try {
       const reason = commands.brokenBecause
       if (reason !== undefined) {
--- a/test/entry/pools/statement-queue.test.ts
+++ b/test/entry/pools/statement-queue.test.ts
@@ -13,6 +13,8 @@
   { name: 'own read', priority: 2, durationMs: 14, intervalMs: 9, limitMs: 200 },
   { name: 'look-up', priority: 2, durationMs: 22, intervalMs: 50, limitMs: 400 }
 ]
+/** Statements without an organisation, whose target doesn't matter. */
+const WITHOUT_TARGET = { organisation: '', dueInMs: -1 }
 const SLOTS = 2
 const SIMULATED_MS = 10_000
 const SEED = 77
@@ -64,7 +66,7 @@
       outcomes.asked++
       try {
         const leave = withQueues
-          ? await homeQueues[host]!.enter({ priority, costMs: durationMs, waitMs: limitMs / 2 })
+          ? await homeQueues[host]!.enter({ ...WITHOUT_TARGET, priority, costMs: durationMs, waitMs: limitMs / 2 })
           : (): void => {}
         await upstream.run(durationMs)
         leave()
@@ -114,7 +116,7 @@
   it('refuses at once if the expected wait exceeds the maximum, and returns the excess as retryAfterMs', async () => {
     const statementQueue = createStatementQueue({ group: 'g', upstream: 'u', limits: () => ({ slots: 1, homes: 1 }) })
     const enter = async (waitMs: number): Promise<() => void> =>
-      await statementQueue.enter({ priority: 1, costMs: 100, waitMs })
+      await statementQueue.enter({ ...WITHOUT_TARGET, priority: 1, costMs: 100, waitMs })
     await enter(1000)
     await enter(1000)
     for (let count = 0; count < 3; count++) {
@@ -130,11 +132,11 @@
 
   it('admits the next statement when one has ended, by priority, then by expected duration', async () => {
     const statementQueue = createStatementQueue({ group: 'g', upstream: 'u', limits: () => ({ slots: 1, homes: 2 }) })
-    const first = await statementQueue.enter({ priority: 1, costMs: 10, waitMs: 100 })
-    await statementQueue.enter({ priority: 1, costMs: 10, waitMs: 100 })
+    const first = await statementQueue.enter({ ...WITHOUT_TARGET, priority: 1, costMs: 10, waitMs: 100 })
+    await statementQueue.enter({ ...WITHOUT_TARGET, priority: 1, costMs: 10, waitMs: 100 })
     const order: string[] = []
     const queue = (name: string, priority: number, costMs: number): void => {
-      void statementQueue.enter({ priority, costMs, waitMs: 1000 }).then((leave) => {
+      void statementQueue.enter({ ...WITHOUT_TARGET, priority, costMs, waitMs: 1000 }).then((leave) => {
         order.push(name)
         leave()
       })
@@ -151,8 +153,8 @@
   })
 
   it('divides the durations of the statements ahead by the slots of the host', () => {
-    expect(expectedWaitMs([10, 20], { slots: 4, homes: 2 })).toEqual(15)
-    expect(expectedWaitMs([10, 20], { slots: 1, homes: 3 })).toEqual(30)
-    expect(expectedWaitMs([], { slots: 1, homes: 0 })).toEqual(0)
+    expect(expectedWaitMs(30, { slots: 4, homes: 2 })).toEqual(15)
+    expect(expectedWaitMs(30, { slots: 1, homes: 3 })).toEqual(30)
+    expect(expectedWaitMs(0, { slots: 1, homes: 0 })).toEqual(0)
   })
 })
