Share a home's connections between organisations, and concentrate their reads

The connection idle for longest was closed for another organisation, a home ran whatever arrived at it, and reads took the closest replica, so that connections were closed and opened again. One organisation's transactions could hold all connections of a home, and requests that waited for one kept the execution slots from others. Change: while others wait, one organisation holds at most half of the connections and its idle transactions a quarter. The connection with the lowest expected use closes. Reads prefer one replica of their organisation, and a home forwards to the home that the organisation prefers. A request that has to wait for others to return connections waits before it takes a slot. Metrics worksward_connections_opened and worksward_connections_closed, event pool.contended. The tests of upstream-pool.test.ts after the sixth did not run, since the fake clock also replaced what the runner needs to wait; the process ended with exit code 0. It now replaces timers and performance.now only.

--- a/src/core/logger/events.ts
+++ b/src/core/logger/events.ts
@@ -81,6 +81,7 @@
   'operator.promote': { level: 'info', fields: 'group, upstream, operator', when: 'an operator requested a failover' },
   'peer.link-error': { level: 'warn', fields: 'peer, reason', when: 'a link failed, or received a malformed frame' },
   'peer.refused': { level: 'warn', fields: 'peer, reason', when: 'a peer failed to authenticate' },
+  'pool.contended': { level: 'info', fields: 'group, upstream, organisationsWaiting, inUse, idleInTransaction, closedForOthers', when: 'organisations wait for a connection to an upstream and none can be opened; connections in use, those whose transaction has no statement in progress, and those closed for another organisation since the last such line; at most once per second for each upstream' },
   'process.code-cache-rejected': { level: 'warn', fields: 'reason', when: 'the compile cache of the build does not match this runtime; startup takes a tenth longer' },
   'process.crashed': { level: 'error', fields: 'reason, stack', when: 'the process exits because of an uncaught error' },
   'process.reload': { level: 'info', fields: 'applied, atNextStart', when: 'the settings were reloaded; names those applied and those that need a restart' },
--- /dev/null
+++ b/src/entry/homes/candidate-homes.ts
@@ -0,0 +1,22 @@
+/** Which homes of an upstream may run a statement that has arrived at this host. */
+import { orderByScore } from '../../placement/upstream-homes.ts'
+
+/**
+ * Returns the homes to choose from. A home runs the statements that arrive at it itself. With an organisation it may
+ * also forward them to the home that the organisation prefers: connections serve one organisation each, and a home at
+ * which some of its statements arrive by chance would open one and close that of another.
+ *
+ * @param homes - homes of the upstream
+ * @param self - this host, if it is one of them
+ * @param organisation - organisation on whose behalf the statement runs; empty for none
+ * @returns the homes
+ */
+export function candidateHomes<Host extends { name: string }> (
+  homes: Host[], self: Host | undefined, organisation: string
+): Host[] {
+  if (self === undefined) {
+    return homes
+  }
+  const preferred = organisation === '' ? self : orderByScore(organisation, homes)[0]!
+  return preferred === self ? [self] : [preferred, self]
+}
--- a/src/entry/homes/index.ts
+++ b/src/entry/homes/index.ts
@@ -5,6 +5,7 @@
 import { registerPlugin } from '../../core/kernel/index.ts'
 import type { KnownUpstream } from '../directory/index.ts'
 import type { KnownHost } from '../registry/index.ts'
+import { candidateHomes } from './candidate-homes.ts'
 import { createForwarder, silentHomeError, type ForwardRequest } from './pass-on.ts'
 import { createHomeSelector, type HomeSelector } from './home-choice.ts'
 import { createHomeFailureDetector, type HomeFailureDetector } from './home-watch.ts'
@@ -112,13 +113,16 @@
       service: {
         of,
         isHome,
-        choose: (upstream, tried, organisation) => {
-          if (isHome(upstream)) {
+        choose: (upstream, tried, organisation = '') => {
+          const homes = of(upstream)
+          const self = homes.find(({ name }) => name === registry.self.name)
+          if (self !== undefined && organisation === '') {
             return undefined
           }
-          const homes = of(upstream)
           probeDueHost(homes, selector, detector)
-          return selector.choose(upstream.upstream, homes, tried, organisation)
+          const candidates = candidateHomes(homes, self, organisation)
+          const chosen = selector.choose(upstream.upstream, candidates, tried, organisation)
+          return chosen === self ? undefined : chosen
         },
         forward: createForwarder({ links, selector, detector, count, time }),
         inProgressAt: selector.inProgressAt,
--- a/src/entry/pools/connection-lease.ts
+++ b/src/entry/pools/connection-lease.ts
@@ -7,6 +7,8 @@
   onRelease: (pooled: PooledConnection) => void
   /** Called when a lease ends and its connection was closed. */
   onDiscard: () => void
+  /** Called when a statement starts in a transaction that had none in progress. */
+  onTransactionResumed: () => void
 }
 
 /** Leased connections of a pool. */
@@ -22,7 +24,9 @@
  * @param options - callbacks for the end of a lease
  * @returns a tracker without leases
  */
-export function createConnectionLeases ({ onRelease, onDiscard }: ConnectionLeasesOptions): ConnectionLeases {
+export function createConnectionLeases (
+  { onRelease, onDiscard, onTransactionResumed }: ConnectionLeasesOptions
+): ConnectionLeases {
   const inUse = new Set<PooledConnection>()
 
   const lease = (pooled: PooledConnection): ConnectionLease => {
@@ -32,6 +36,7 @@
     const finish = (): boolean => {
       const first = !done
       done = true
+      pooled.isIdleTransaction = false
       inUse.delete(pooled)
       endListeners.splice(0).forEach((listener) => listener())
       return first
@@ -48,7 +53,12 @@
           onDiscard()
         }
       },
-      onEnd: (listener: () => void) => { endListeners.push(listener) }
+      onEnd: (listener: () => void) => { endListeners.push(listener) },
+      setIdleTransaction: (isIdle: boolean) => {
+        const resumes = pooled.isIdleTransaction && !isIdle
+        pooled.isIdleTransaction = isIdle && !done
+        resumes && onTransactionResumed()
+      }
     })
   }
   return { inUse, lease }
--- a/src/entry/pools/connection-waiters.ts
+++ b/src/entry/pools/connection-waiters.ts
@@ -27,15 +27,16 @@
    * Serves every request for which a lease is available.
    *
    * @param takeLease - takes a lease for a request; undefined if none is available
+   * @returns whether any request was served
    */
-  serve: (takeLease: (request: LeaseRequest) => ConnectionLease | undefined) => void
+  serve: (takeLease: (request: LeaseRequest) => ConnectionLease | undefined) => boolean
   /**
-   * Lists the connections to open for the waiting requests.
+   * Lists the waiting requests for which no connection is being opened.
    *
    * @param opening - number of connections being opened, by organisation
-   * @returns the organisation of each connection to open, in the order in which requests are served
+   * @returns the requests, in the order in which they are served
    */
-  unservedOrganisations: (opening: ReadonlyMap<string, number>) => string[]
+  unserved: (opening: ReadonlyMap<string, number>) => LeaseRequest[]
   rejectAll: (error: RequestError) => void
 }
 
@@ -63,6 +64,7 @@
       return wait
     },
     serve: (takeLease) => {
+      const before = waiters.length
       for (const waiter of [...waiters]) {
         const lease = takeLease(waiter.request)
         if (lease !== undefined) {
@@ -70,13 +72,15 @@
           waiter.wait.resolve(lease)
         }
       }
+      return waiters.length < before
     },
-    unservedOrganisations: (opening) => {
+    unserved: (opening) => {
       const pending = new Map(opening)
-      return waiters.flatMap(({ request: { organisation = '' } }) => {
+      return waiters.flatMap(({ request }) => {
+        const { organisation = '' } = request
         const remaining = pending.get(organisation) ?? 0
         pending.set(organisation, remaining - 1)
-        return remaining > 0 ? [] : [organisation]
+        return remaining > 0 ? [] : [request]
       })
     },
     rejectAll: (error) => waiters.splice(0).forEach(({ wait }) => wait.reject(error))
--- a/src/entry/pools/fair-order.ts
+++ b/src/entry/pools/fair-order.ts
@@ -40,9 +40,9 @@
 
 /** Virtual time of one organisation within a priority. */
 interface Share {
-  /** Expected duration of what the organisation has run, in milliseconds, not less than the class's time when it ran. */
+  /** Virtual start of its next statement, in milliseconds: the expected duration of what it has run. */
   virtualMs: number
-  /** Virtual start of its next statement while {@link FairOrder.aheadOf} counts; meaningless otherwise. */
+  /** Virtual start of its next statement that was not counted yet, during {@link FairOrder.aheadOf}. */
   countedMs: number
 }
 
@@ -128,8 +128,8 @@
   }
 
   /**
-   * Estimates the work that goes before a new statement. A statement of another organisation counts if its virtual start
-   * is not later than that of the new one; the turns for the longest waits are counted as well.
+   * Estimates the work that goes before a new statement. A statement of another organisation counts if its virtual
+   * start is not later than that of the new one; the turns for the longest waits are counted as well.
    *
    * @param request - the new statement
    * @returns number and expected duration of the statements before it
@@ -164,7 +164,7 @@
     return ahead
   }
 
-  /** Counts the statements of the same standing that go before a request; returns the cost of those that go after it. */
+  /** Counts the statements of equal precedence that go before a request; returns the cost of those that go after it. */
   private countPeers (request: QueueRequest, peers: QueuedStatement[], ahead: WorkAhead): number {
     const ofPriority = this.classOf(request.priority)
     const { organisation, costMs } = request
--- a/src/entry/pools/idle-connections.ts
+++ b/src/entry/pools/idle-connections.ts
@@ -21,15 +21,22 @@
   takeBest: (request: Pick<LeaseRequest, 'organisation' | 'values'>) => PooledConnection | undefined
   /** Removes a connection; returns whether it was idle. */
   remove: (pooled: PooledConnection) => boolean
-  /** Closes the connection that has been idle longest; returns whether there was one. */
-  closeLongestIdle: () => boolean
+  /**
+   * Closes the connection with the lowest expected use: that of its organisation, shared by its idle connections. Of
+   * equal ones the one that has been idle longest is closed.
+   *
+   * @param useOf - returns the expected use by an organisation, in statements per second
+   * @returns whether there was one
+   */
+  closeLeastUsed: (useOf: (organisation: string) => number) => boolean
   /**
    * Closes surplus connections that have been idle for too long.
    *
    * @param inUse - leased connections, which count when checking whether several organisations use the upstream
    * @param hasSurplus - whether more connections are open than the pool retains; evaluated before each closing
+   * @param onClosed - called for each closed connection
    */
-  closeSurplus: (inUse: Iterable<PooledConnection>, hasSurplus: () => boolean) => void
+  closeSurplus: (inUse: Iterable<PooledConnection>, hasSurplus: () => boolean, onClosed: () => void) => void
   closeAll: () => void
 }
 
@@ -54,16 +61,17 @@
       const index = idle.indexOf(pooled)
       return index >= 0 && idle.splice(index, 1).length > 0
     },
-    closeLongestIdle: () => {
-      const longestIdle = idle.shift()
-      longestIdle?.connection.close()
-      return longestIdle !== undefined
+    closeLeastUsed: (useOf) => {
+      const [leastUsed] = idle.length === 0 ? [] : idle.splice(findLeastUsed(idle, useOf), 1)
+      leastUsed?.connection.close()
+      return leastUsed !== undefined
     },
-    closeSurplus: (inUse, hasSurplus) => {
+    closeSurplus: (inUse, hasSurplus, onClosed) => {
       const now = performance.now()
       const surplusMs = surplusIdleMs([...idle, ...inUse])
       while (hasSurplus() && idle.length > 0 && now - idle[0]!.idleSince > surplusMs) {
         idle.shift()!.connection.close()
+        onClosed()
       }
     },
     closeAll: () => idle.splice(0).forEach(({ connection }) => connection.close())
@@ -87,6 +95,21 @@
   return best
 }
 
+function findLeastUsed (idle: PooledConnection[], useOf: (organisation: string) => number): number {
+  const counts = new Map<string, number>()
+  idle.forEach(({ organisation }) => counts.set(organisation, (counts.get(organisation) ?? 0) + 1))
+  let best = 0
+  let leastUse = Infinity
+  idle.forEach(({ organisation }, index) => {
+    const use = useOf(organisation) / counts.get(organisation)!
+    if (use < leastUse) {
+      best = index
+      leastUse = use
+    }
+  })
+  return best
+}
+
 function surplusIdleMs (open: PooledConnection[]): number {
   const isShared = new Set(open.map(({ organisation }) => organisation)).size > 1
   return isShared ? SURPLUS_IDLE_SHARED_MS : SURPLUS_IDLE_MS
--- a/src/entry/pools/index.ts
+++ b/src/entry/pools/index.ts
@@ -23,11 +23,15 @@
 
 registerPlugin({
   name: 'pools',
-  dependencies: ['ports', 'directory', 'desiredState', 'homes'],
+  dependencies: ['ports', 'directory', 'desiredState', 'homes', 'metrics'],
   start: ({ use, logger }) => {
     const { upstreams: port } = use('ports')
     const desiredState = use('desiredState')
     const homes = use('homes')
+    const metrics = use('metrics')
+    const countOpened = metrics.registerCounter('worksward_connections_opened', 'Connections to upstreams that were opened')
+    const countClosed = metrics.registerCounter(
+      'worksward_connections_closed', 'Connections to upstreams that were closed, by reason')
     const startedAt = performance.now()
     const limitsOf = (upstream: KnownUpstream): ConnectionLimits => connectionLimits({
       cap: desiredState.current?.connectionCaps.get(upstream.group),
@@ -36,7 +40,11 @@
       uptimeMs: performance.now() - startedAt
     })
     const { of, remove, all } = createUsedUpstreams({
-      port, logger, limitsOf, homeCountOf: (upstream) => homes.of(upstream).length
+      port,
+      logger,
+      limitsOf,
+      homeCountOf: (upstream) => homes.of(upstream).length,
+      metrics: { opened: () => countOpened('all'), closed: countClosed }
     })
     use('directory').onChange(({ upstream, change }) => {
       if (change === 'gone' || change === 'moved' || change === 'reborn') {
--- a/src/entry/pools/statement-queue.ts
+++ b/src/entry/pools/statement-queue.ts
@@ -80,7 +80,7 @@
     }
   }
   const startWaiting = (): void => {
-    while (running < maximum && order.count > 0) {
+    for (let free = maximum - running; free > 0 && order.count > 0; free--) {
       const next = order.takeNext()!
       const turn = turns.get(next)!
       turns.delete(next)
--- a/src/entry/pools/types.ts
+++ b/src/entry/pools/types.ts
@@ -11,6 +11,8 @@
   /** Names of the statements that are prepared on the connection, by access and shape. */
   prepared: Map<string, string>
   idleSince: number
+  /** Whether it is leased to a transaction that has no statement in progress. */
+  isIdleTransaction: boolean
 }
 
 /** Exclusive use of a connection by one statement or transaction. */
@@ -21,6 +23,8 @@
   discard: () => void
   /** Adds a listener that is called when the connection is released or discarded. */
   onEnd: (listener: () => void) => void
+  /** Records whether the transaction on the connection is open without a statement in progress. */
+  setIdleTransaction: (isIdle: boolean) => void
 }
 
 /** Requirements for a connection. */
@@ -33,6 +37,23 @@
   priority: number
   /** Maximum wait, in milliseconds. */
   waitMs: number
+  /** Whether the connection is for a transaction, which may stay open without a statement in progress. */
+  beginsTransaction: boolean
+}
+
+/** Why a pool closed a connection: nobody used it, another organisation needed its place, or it failed. */
+export type CloseReason = 'idle' | 'replaced' | 'failed'
+
+/** State of a pool in which organisations compete for its connections. */
+export interface PoolContention {
+  /** Number of organisations that wait for a connection. */
+  organisationsWaiting: number
+  /** Number of leased connections. */
+  inUse: number
+  /** Number of leased connections whose transaction has no statement in progress. */
+  idleInTransaction: number
+  /** Number of connections closed for another organisation since the last report. */
+  closedForOthers: number
 }
 
 export type UpstreamFault = 'refused' | 'silent' | 'broken' | 'misrouted'
@@ -41,4 +62,10 @@
 export interface PoolEvents {
   onAnswer: () => void
   onFault: (fault: UpstreamFault, reason: string) => void
+  /** Called when a connection was opened. */
+  onOpened: () => void
+  /** Called when a connection is closed. */
+  onClosed: (reason: CloseReason) => void
+  /** Called at most once per second while organisations wait for a connection or take those of others. */
+  onContended: (contention: PoolContention) => void
 }
--- a/src/entry/pools/upstream-pool.ts
+++ b/src/entry/pools/upstream-pool.ts
@@ -1,15 +1,18 @@
 /**
  * Pool of connections from this host to one upstream. Open connections, including those being opened, stay within the
- * host's maximum. At the maximum, the connection that has been idle longest is closed to open one for an organisation
- * that has none available.
+ * host's maximum. At the maximum, the idle connection with the lowest expected use is closed to open one for an
+ * organisation that has none available. `connection-bounds.ts` limits what one organisation holds.
  */
 import { RequestError } from '../../core/errors/index.ts'
 import type { UpstreamConnection, UpstreamPort, UpstreamTarget } from '../ports/index.ts'
 import type { ConnectionLimits } from './connection-limits.ts'
+import { createConnectionBounds, isOrganised, type ConnectionBounds } from './connection-bounds.ts'
 import { createConnectionLeases } from './connection-lease.ts'
+import { createContentionReport } from './contention-report.ts'
 import { createConnectionOpener, type ConnectionOpener } from './connection-opener.ts'
 import { createConnectionWaiters } from './connection-waiters.ts'
 import { createIdleConnections } from './idle-connections.ts'
+import { createOrganisationUse } from './organisation-use.ts'
 import type { ConnectionLease, LeaseRequest, PooledConnection, PoolEvents } from './types.ts'
 
 /** Interval of the check for surplus connections, in milliseconds. */
@@ -34,6 +37,8 @@
   readonly size: number
   /** Whether a connection is idle or may be opened. */
   readonly hasRoom: boolean
+  /** Whether a request with an organisation would wait until other requests return their connections. */
+  mustWait: (request: Pick<LeaseRequest, 'organisation' | 'beginsTransaction'>) => boolean
   /**
    * Leases a connection, waiting for one if necessary.
    *
@@ -42,6 +47,13 @@
    * @throws RequestError with verdict `not-run` if the pool is closed, the upstream fails or the wait times out
    */
   acquire: (request: LeaseRequest) => Promise<ConnectionLease>
+  /**
+   * Opens a connection ahead of its use, unless the pool would exceed the number that it retains.
+   *
+   * @param organisation - organisation that it will serve; empty for none
+   * @returns whether an attempt to connect was started
+   */
+  openAhead: (organisation: string) => boolean
   /** Rejects new and waiting requests; leased connections are closed when they are returned. */
   close: () => void
 }
@@ -53,81 +65,173 @@
  * @returns the pool
  */
 export function createUpstreamPool (options: UpstreamPoolOptions): UpstreamPool {
-  const { target, port, events } = options
-  const idle = createIdleConnections()
-  const waiters = createConnectionWaiters()
-  const leases = createConnectionLeases({ onRelease: (pooled) => putBack(pooled), onDiscard: () => serveWaiters() })
-  let closed = false
-
-  const openCount = (): number => idle.count + leases.inUse.size
-  const size = (): number => openCount() + opener.count
-  const canOpen = (): boolean => !closed && size() < options.limits().maximum && !opener.isPaused
-  /** Ensures that one more connection may be opened, closing an idle one if necessary. */
-  const ensureCapacity = (): boolean => !closed && (canOpen() || idle.closeLongestIdle())
+  return new OrganisedPool(options)
+}
+
+class OrganisedPool implements UpstreamPool {
+  readonly target: UpstreamTarget
+  private readonly idle = createIdleConnections()
+  private readonly use = createOrganisationUse()
+  private readonly waiters = createConnectionWaiters()
+  private readonly leases
+  private readonly opener: ConnectionOpener
+  private readonly contention
+  private readonly trimTimer: NodeJS.Timeout
+  private closed = false
+
+  constructor (private readonly options: UpstreamPoolOptions) {
+    const { target, port, events } = options
+    this.target = target
+    this.contention = createContentionReport(events.onContended)
+    this.leases = createConnectionLeases({
+      onRelease: (pooled) => this.putBack(pooled),
+      onDiscard: () => {
+        events.onClosed('failed')
+        this.serveWaiters()
+      },
+      onTransactionResumed: () => this.serveWaiters()
+    })
+    this.opener = createConnectionOpener({
+      target,
+      port,
+      onOpened: (connection, organisation) => {
+        events.onAnswer()
+        events.onOpened()
+        this.putBack(createPooledConnection(connection, organisation, (pooled) => this.handleClosed(pooled)))
+      },
+      onPauseEnd: () => this.serveWaiters(),
+      onFault: (fault, error) => {
+        events.onFault(fault, error.message)
+        this.waiters.rejectAll(error)
+      }
+    })
+    this.trimTimer = setInterval(() => this.trim(), TRIM_INTERVAL_MS).unref()
+  }
 
-  const leaseIdle = (request: LeaseRequest): ConnectionLease | undefined => {
-    const ready = idle.takeBest(request)
-    return ready && leases.lease(ready)
+  get inUse (): number { return this.leases.inUse.size }
+  get waiting (): number { return this.waiters.count }
+  get size (): number { return this.openCount + this.opener.count }
+  get hasRoom (): boolean { return this.idle.count > 0 || this.canOpen }
+  private get openCount (): number { return this.idle.count + this.leases.inUse.size }
+  private get canOpen (): boolean {
+    return !this.closed && this.size < this.options.limits().maximum && !this.opener.isPaused
   }
-  const putBack = (pooled: PooledConnection): void => {
-    closed || pooled.connection.closed ? pooled.connection.close() : idle.add(pooled)
-    serveWaiters()
+
+  mustWait (request: Pick<LeaseRequest, 'organisation' | 'beginsTransaction'>): boolean {
+    return isOrganised(request) && !this.closed && (!this.hasRoom || !this.admits(request))
   }
-  const serveWaiters = (): void => {
-    waiters.serve(leaseIdle)
-    for (const organisation of waiters.unservedOrganisations(opener.byOrganisation)) {
-      if (!ensureCapacity()) {
-        return
-      }
-      void opener.open(organisation)
+
+  async acquire (request: LeaseRequest): Promise<ConnectionLease> {
+    if (this.closed) {
+      throw poolClosedError(this.target)
+    }
+    this.use.record(request.organisation ?? '')
+    const ready = this.admits(request) ? this.leaseIdle(request) : undefined
+    if (ready !== undefined) {
+      return ready
+    }
+    const { target, opener } = this
+    const wait = this.waiters.add(request, () => waitTimeoutError(target, request.waitMs, this.openCount, opener))
+    this.serveWaiters()
+    return await wait.result
+  }
+
+  openAhead (organisation: string): boolean {
+    const mayOpen = this.canOpen && this.size < this.options.limits().retained
+    mayOpen && void this.opener.open(organisation)
+    return mayOpen
+  }
+
+  close (): void {
+    this.closed = true
+    clearInterval(this.trimTimer)
+    this.idle.closeAll()
+    this.waiters.rejectAll(poolClosedError(this.target))
+  }
+
+  /** Ensures that one more connection may be opened, closing an idle one if necessary. */
+  private ensureCapacity (): boolean {
+    if (this.closed || this.canOpen) {
+      return !this.closed
     }
+    if (!this.idle.closeLeastUsed(this.use.of)) {
+      return false
+    }
+    this.contention.countReplaced()
+    this.options.events.onClosed('replaced')
+    return true
+  }
+
+  private leaseIdle (request: LeaseRequest): ConnectionLease | undefined {
+    const ready = this.idle.takeBest(request)
+    return ready && this.leases.lease(ready)
+  }
+
+  /** Whether the bounds of its organisation let a new request take a connection. */
+  private admits (request: Pick<LeaseRequest, 'organisation' | 'beginsTransaction'>): boolean {
+    // Without waiting requests only the bound on idle transactions can apply.
+    return !isOrganised(request) || (this.waiters.count === 0 && !request.beginsTransaction) ||
+      this.evaluateBounds().admits(request)
+  }
+
+  private evaluateBounds (): ConnectionBounds {
+    return createConnectionBounds({
+      inUse: this.leases.inUse,
+      opening: this.opener.byOrganisation,
+      maximum: this.options.limits().maximum,
+      unserved: this.waiters.unserved(this.opener.byOrganisation),
+      isShared: this.use.isShared
+    })
   }
-  const handleClosed = (pooled: PooledConnection): void => {
-    if (idle.remove(pooled)) {
-      events.onFault('broken', 'an idle connection was closed')
+
+  private putBack (pooled: PooledConnection): void {
+    if (this.closed) {
+      pooled.connection.close()
+    } else if (pooled.connection.closed) {
+      this.options.events.onClosed('failed')
+    } else {
+      this.idle.add(pooled)
     }
+    this.serveWaiters()
   }
-  const opener = createConnectionOpener({
-    target,
-    port,
-    onOpened: (connection, organisation) => {
-      events.onAnswer()
-      putBack(createPooledConnection(connection, organisation, handleClosed))
-    },
-    onPauseEnd: () => serveWaiters(),
-    onFault: (fault, error) => {
-      events.onFault(fault, error.message)
-      waiters.rejectAll(error)
+
+  private serveWaiters (): void {
+    if (this.waiters.count === 0) {
+      return
+    }
+    let bounds = this.evaluateBounds()
+    const takeLease = (request: LeaseRequest): ConnectionLease | undefined => {
+      const lease = bounds.admits(request) ? this.leaseIdle(request) : undefined
+      lease !== undefined && bounds.count(request)
+      return lease
     }
-  })
-  const trimTimer = setInterval(() => {
-    idle.closeSurplus(leases.inUse, () => size() > options.limits().retained)
-    serveWaiters()
-  }, TRIM_INTERVAL_MS).unref()
-
-  return {
-    target,
-    get inUse () { return leases.inUse.size },
-    get waiting () { return waiters.count },
-    get size () { return size() },
-    get hasRoom () { return idle.count > 0 || canOpen() },
-    acquire: async (request) => {
-      if (closed) {
-        throw poolClosedError(target)
+    // A request that was served no longer competes, so that others may exceed their bounds.
+    while (this.waiters.serve(takeLease) && this.waiters.count > 0) {
+      bounds = this.evaluateBounds()
+    }
+    for (const request of this.waiters.unserved(this.opener.byOrganisation)) {
+      if (!bounds.admits(request)) {
+        continue
       }
-      const ready = leaseIdle(request)
-      if (ready !== undefined) {
-        return ready
+      if (!this.ensureCapacity()) {
+        this.contention.report(bounds.contenders, this.leases.inUse)
+        return
       }
-      const wait = waiters.add(request, () => waitTimeoutError(target, request.waitMs, openCount(), opener))
-      serveWaiters()
-      return await wait.result
-    },
-    close: () => {
-      closed = true
-      clearInterval(trimTimer)
-      idle.closeAll()
-      waiters.rejectAll(poolClosedError(target))
+      bounds.count(request)
+      void this.opener.open(request.organisation ?? '')
+    }
+  }
+
+  private trim (): void {
+    const hasSurplus = (): boolean => this.size > this.options.limits().retained
+    this.idle.closeSurplus(this.leases.inUse, hasSurplus, () => this.options.events.onClosed('idle'))
+    this.serveWaiters()
+  }
+
+  private handleClosed (pooled: PooledConnection): void {
+    if (this.idle.remove(pooled)) {
+      this.options.events.onClosed('failed')
+      this.options.events.onFault('broken', 'an idle connection was closed')
     }
   }
 }
@@ -135,7 +239,9 @@
 function createPooledConnection (
   connection: UpstreamConnection, organisation: string, onClose: (pooled: PooledConnection) => void
 ): PooledConnection {
-  const pooled = { connection, organisation, values: new Map(), prepared: new Map(), idleSince: 0 }
+  const pooled = {
+    connection, organisation, values: new Map(), prepared: new Map(), idleSince: 0, isIdleTransaction: false
+  }
   connection.onClose(() => onClose(pooled))
   return pooled
 }
--- a/src/entry/pools/used-upstreams.ts
+++ b/src/entry/pools/used-upstreams.ts
@@ -7,7 +7,7 @@
 import type { UpstreamPort } from '../ports/index.ts'
 import type { ConnectionLimits } from './connection-limits.ts'
 import { createStatementQueue, type StatementQueue } from './statement-queue.ts'
-import type { PoolEvents } from './types.ts'
+import type { CloseReason, PoolEvents } from './types.ts'
 import { createUpstreamHealth, type UpstreamHealth } from './upstream-health.ts'
 import { createUpstreamPool, type UpstreamPool } from './upstream-pool.ts'
 
@@ -27,6 +27,14 @@
   limitsOf: (upstream: KnownUpstream) => ConnectionLimits
   /** Returns the number of homes that share the upstream. */
   homeCountOf: (upstream: KnownUpstream) => number
+  /** Counts connections that were opened or closed. */
+  metrics: ConnectionMetrics
+}
+
+/** Counters of the connections to all upstreams. */
+interface ConnectionMetrics {
+  opened: () => void
+  closed: (reason: CloseReason) => void
 }
 
 /** Registry of the upstreams in use. */
@@ -62,7 +70,7 @@
 }
 
 function createUpstreamResources (
-  known: KnownUpstream, { port, logger, limitsOf, homeCountOf }: UsedUpstreamsOptions
+  known: KnownUpstream, { port, logger, limitsOf, homeCountOf, metrics }: UsedUpstreamsOptions
 ): UpstreamResources {
   const { upstream, group, endpoint } = known
   const health = createUpstreamHealth()
@@ -70,7 +78,7 @@
     target: { group, upstream, endpoint },
     port,
     limits: () => limitsOf(known),
-    events: createPoolEvents(health, { group, upstream }, logger)
+    events: createPoolEvents(health, { group, upstream }, logger, metrics)
   })
   const queue = createStatementQueue({
     group, upstream, limits: () => ({ slots: known.slots, homes: homeCountOf(known) })
@@ -80,7 +88,7 @@
 
 /** Records a pool's events in its upstream's health, and logs when the upstream becomes unreachable or reachable. */
 function createPoolEvents (
-  health: UpstreamHealth, fields: { group: string, upstream: string }, logger: Logger
+  health: UpstreamHealth, fields: { group: string, upstream: string }, logger: Logger, metrics: ConnectionMetrics
 ): PoolEvents {
   return {
     onAnswer: () => {
@@ -94,7 +102,10 @@
         logger.log('warn', 'upstream.unreachable', { ...fields, fault, reason })
       }
       health.recordFailure(fault)
-    }
+    },
+    onOpened: metrics.opened,
+    onClosed: metrics.closed,
+    onContended: (contention) => logger.log('info', 'pool.contended', { ...fields, ...contention })
   }
 }
 
--- a/src/entry/requests/acquire-connection.ts
+++ b/src/entry/requests/acquire-connection.ts
@@ -21,20 +21,28 @@
  * @throws RequestError with verdict `not-run`
  */
 export async function acquireConnection (
-  { metrics }: Pick<EntryContext, 'metrics'>, { organisation, values, priority, costMs, softDeadline }: RequestScope,
-  { pool, queue }: UpstreamResources, maximumWaitMs: number
+  { metrics }: Pick<EntryContext, 'metrics'>, scope: RequestScope, { pool, queue }: UpstreamResources,
+  maximumWaitMs: number
 ): Promise<AcquiredConnection> {
+  const { organisation, values, priority, costMs, softDeadline, beginsTransaction = false } = scope
   const startedAt = performance.now()
-  const waitMs = connectionWaitMs(maximumWaitMs, softDeadline - startedAt)
+  const dueInMs = softDeadline - startedAt
+  const waitMs = connectionWaitMs(maximumWaitMs, dueInMs)
+  const leftMs = (): number => Math.max(1, waitMs - (performance.now() - startedAt))
   let releaseSlot = (): void => {}
+  let lease: ConnectionLease | undefined
+  const acquire = async (): Promise<ConnectionLease> =>
+    await pool.acquire({ organisation, values, priority, waitMs: leftMs(), beginsTransaction })
   try {
-    const dueInMs = softDeadline - startedAt
-    releaseSlot = await queue.enter({ organisation: organisation ?? '', priority, costMs, waitMs, dueInMs })
-    const leftMs = Math.max(1, waitMs - (performance.now() - startedAt))
-    const lease = await pool.acquire({ organisation, values, priority, waitMs: leftMs })
+    // A request that waits for others to return their connections would keep its slot from requests that can run.
+    lease = pool.mustWait({ organisation, beginsTransaction }) ? await acquire() : undefined
+    const queueWaitMs = lease === undefined ? waitMs : leftMs()
+    releaseSlot = await queue.enter({ organisation: organisation ?? '', priority, costMs, waitMs: queueWaitMs, dueInMs })
+    lease ??= await acquire()
     metrics.queue('done', performance.now() - startedAt)
     return { lease, releaseSlot }
   } catch (thrown) {
+    lease?.release()
     releaseSlot()
     metrics.queue('failed', performance.now() - startedAt)
     throw thrown
--- a/src/entry/requests/begin-transaction.ts
+++ b/src/entry/requests/begin-transaction.ts
@@ -42,6 +42,7 @@
   context: BeginContext, scope: RequestScope, options: BeginOptions
 ): Promise<BegunTransaction> {
   const triedUpstreams = new Set<string>()
+  scope.beginsTransaction = true
   for (;;) {
     const executor = options.readOnly
       ? await acquireReadExecutor(context, scope, options.constraint, triedUpstreams)
--- a/src/entry/requests/choose-upstream.ts
+++ b/src/entry/requests/choose-upstream.ts
@@ -2,6 +2,8 @@
  * Chooses the upstream for a read: the one with the lowest cost among those of the group that were not tried yet and
  * are not draining. The cost is the expected duration in milliseconds plus penalties. The first of equals is taken.
  */
+import { scoreOf } from '../../placement/upstream-homes.ts'
+import type { KnownUpstream } from '../directory/index.ts'
 import type { KnownHost } from '../registry/index.ts'
 import { comparePositions, type LogPosition } from '../../positions/position.ts'
 import type { ChosenUpstream, EntryContext, RequestScope } from './types.ts'
@@ -23,6 +25,18 @@
  * Exceeds the wait at a busy primary, which the read would need after a failed attempt at the replica.
  */
 const LAGGING_COST_MS = 400
+/**
+ * Bonus of the replica that the organisation of a read prefers, in milliseconds. Connections serve one organisation
+ * each, so its reads are concentrated. At a home without room an opened connection takes the place of another one,
+ * which then has to be opened again; each takes 12 ms of a slot and a network round trip, 20 ms in all.
+ */
+const PREFERRED_BONUS_MS = 40
+/**
+ * Reduction of the bonus for each millisecond by which the preferred replica is slower than the fastest upstream of the
+ * group. A smaller one kept reads at replicas with a queue: at 2.5 times the load of the test, 109 attempts for 9501
+ * requests were refused with 1, and 43 for 9413 requests with 2.
+ */
+const BONUS_LOSS = 2
 /** Penalty for an upstream that failed recently, in milliseconds; higher than any other cost. */
 const AVOIDED_COST_MS = 5000
 
@@ -48,9 +62,11 @@
   triedUpstreams: ReadonlySet<string>
 ): ReadChoice | undefined {
   const primary = context.leadership.primaryOf(group)
+  const upstreams = context.directory.ofGroup(group)
+  const preferred = preferredReplica(upstreams, organisation, primary)
   let best: ReadChoice | undefined
   let leastCost = Infinity
-  for (const target of context.directory.ofGroup(group)) {
+  for (const target of upstreams) {
     if (
       triedUpstreams.has(target.upstream) || target.draining ||
       !acceptsNewWork(target, context.drainMs, performance.now())
@@ -61,7 +77,7 @@
     const home = context.homes.choose(target, triedHomes, organisation)
     const cost = readCostMs(
       createCandidate(context, { target, resources, home }, position, target.upstream === primary)
-    )
+    ) - (target.upstream === preferred ? bonusMs(context, upstreams, resources) : 0)
     if (cost < leastCost) {
       best = { target, resources, home }
       leastCost = cost
@@ -70,6 +86,37 @@
   return best
 }
 
+/** Returns the bonus of a preferred replica; it fades as the replica becomes slower than other upstreams. */
+function bonusMs (
+  { pools }: Pick<ChoiceContext, 'pools'>, upstreams: KnownUpstream[], { health }: ChosenUpstream['resources']
+): number {
+  const { latencyMs } = health
+  const fastestMs = upstreams.reduce((least, other) => Math.min(least, pools.of(other).health.latencyMs), latencyMs)
+  return Math.max(0, PREFERRED_BONUS_MS - BONUS_LOSS * (latencyMs - fastestMs))
+}
+
+/**
+ * Returns the replica that an organisation's reads prefer. All hosts compute the same one; when a replica leaves, only
+ * the organisations that preferred it change.
+ */
+function preferredReplica (
+  upstreams: KnownUpstream[], organisation: string | undefined, primary: string | undefined
+): string | undefined {
+  if (organisation === undefined || organisation === '') {
+    return undefined
+  }
+  let preferred: string | undefined
+  let highest = ''
+  for (const { upstream, draining } of upstreams) {
+    const score = upstream === primary || draining ? '' : scoreOf(organisation, upstream)
+    if (score > highest) {
+      preferred = upstream
+      highest = score
+    }
+  }
+  return preferred
+}
+
 /** Properties of an upstream that determine its cost for a read. */
 export interface ReadCandidate {
   /** Average latency of its statements, in milliseconds. */
--- a/src/entry/requests/local-executor.ts
+++ b/src/entry/requests/local-executor.ts
@@ -68,12 +68,14 @@
       return await runFirst(begun, scope, step)
     } finally {
       releaseSlot()
+      lease.setIdleTransaction(true)
     }
   }
   const runOpenStep = async (scope: RequestScope, step: TransactionStep): Promise<TimedAnswer> => {
     // An open transaction holds a connection and locks, so its steps go first.
     const { organisation = '', costMs, softDeadline, deadline: { leftMs: waitMs } } = scope
     const dueInMs = softDeadline - performance.now()
+    lease.setIdleTransaction(false)
     const freeSlot = await resources.queue.enter({
       organisation, priority: OPEN_TRANSACTION_PRIORITY, costMs, waitMs, dueInMs
     })
@@ -85,6 +87,7 @@
       return await commands.step(scope, step)
     } finally {
       freeSlot()
+      lease.setIdleTransaction(true)
     }
   }
   return {
--- a/src/entry/requests/serve-forwarded.ts
+++ b/src/entry/requests/serve-forwarded.ts
@@ -201,6 +201,7 @@
     deadline: new Deadline(leftMs),
     softDeadline: performance.now() + inTimeMs,
     attempts: 0,
+    beginsTransaction: message.begin !== undefined,
     triedHomes: new Set()
   }
   return { target, scope }
--- a/src/entry/requests/types.ts
+++ b/src/entry/requests/types.ts
@@ -74,6 +74,8 @@
   softDeadline: number
   /** Number of attempts so far. */
   attempts: number
+  /** Whether it begins a transaction. */
+  beginsTransaction?: boolean
   /** Whether a statement was sent for it that may run, or may have run. */
   sent?: boolean
   /** Whether it has a lasting effect if it runs: a single write, or the commit of a transaction that wrote. */
--- /dev/null
+++ b/test/entry/pools/group-load.ts
@@ -0,0 +1,319 @@
+/**
+ * A group of three upstreams, each with its homes among many hosts, in memory and on a paused clock. Callers send reads
+ * and transactions of many organisations; the decisions under test are the real ones.
+ */
+import type { Clock } from '@sinonjs/fake-timers'
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+import { RequestError } from '../../../src/core/errors/index.ts'
+import { candidateHomes } from '../../../src/entry/homes/candidate-homes.ts'
+import { createHomeSelector, type HomeSelector } from '../../../src/entry/homes/home-choice.ts'
+import { connectionLimits } from '../../../src/entry/pools/connection-limits.ts'
+import { createStatementQueue } from '../../../src/entry/pools/statement-queue.ts'
+import { createUpstreamHealth } from '../../../src/entry/pools/upstream-health.ts'
+import type { KnownHost } from '../../../src/entry/registry/index.ts'
+import { createUpstreamPool } from '../../../src/entry/pools/upstream-pool.ts'
+import type { UpstreamResources } from '../../../src/entry/pools/used-upstreams.ts'
+import type { UpstreamConnection } from '../../../src/entry/ports/index.ts'
+import { chooseReadUpstream } from '../../../src/entry/requests/choose-upstream.ts'
+import type { RequestScope } from '../../../src/entry/requests/types.ts'
+import { homesOf } from '../../../src/placement/upstream-homes.ts'
+
+const SLOTS = 5
+const CAP = 56
+const OPEN_MS = 12
+const DOMAINS = ['x', 'y', 'z']
+const SEED = 11
+
+/** Kinds of requests: run time, rate, target and time limit in milliseconds; a transaction has three steps. */
+const KINDS = [
+  { name: 'scan', perSecond: 17, durationMs: 8, targetMs: 252, timeoutMs: 1000, priority: 0, transactions: 0.25 },
+  { name: 'reconcile', perSecond: 79, durationMs: 24, targetMs: 502, timeoutMs: 1000, priority: 1, transactions: 0.12 },
+  { name: 'lookup', perSecond: 29, durationMs: 40, targetMs: 1202, timeoutMs: 2000, priority: 2, transactions: 0.1 }
+]
+type Kind = typeof KINDS[number]
+
+function ignore (): void {}
+
+const pause = async (ms: number): Promise<void> => await new Promise((resolve) => { setTimeout(resolve, ms) })
+
+/** An upstream that runs a fixed number of statements at once, in order of arrival; a new connection takes a slot. */
+class SlottedUpstream {
+  private free = SLOTS
+  private readonly queue: Array<() => void> = []
+  opened = 0
+  openNow = 0
+
+  async run (durationMs: number): Promise<void> {
+    this.free > 0 ? this.free-- : await new Promise<void>((resolve) => { this.queue.push(resolve) })
+    await pause(durationMs)
+    const next = this.queue.shift()
+    next === undefined ? this.free++ : next()
+  }
+
+  readonly open = async (): Promise<UpstreamConnection> => {
+    if (this.openNow >= CAP) {
+      throw new RequestError('not-run', 'UpstreamRefused', { upstream: 'u', reason: 'too-many-connections' })
+    }
+    this.opened++
+    this.openNow++
+    await this.run(OPEN_MS)
+    const listeners: Array<() => void> = []
+    const connection = {
+      closed: false,
+      onClose: (listener: () => void) => { listeners.push(listener) },
+      close: () => {
+        if (!connection.closed) {
+          connection.closed = true
+          this.openNow--
+          listeners.forEach((listener) => listener())
+        }
+      }
+    }
+    return connection as unknown as UpstreamConnection
+  }
+}
+
+/** What the callers of a load got. */
+interface LoadResult {
+  /** Fraction of the requests answered within their target, of an organisation, or of a kind from `all`. */
+  fractionOf: (organisation: string, kind?: string) => number
+  asked: number
+  /** Requests answered within their target. */
+  inTime: number
+  /** Requests refused after all retries. */
+  refused: number
+  /** Attempts refused. */
+  attemptsRefused: number
+  /** Sum of the times of all answers, in milliseconds. */
+  answeredMs: number
+  opened: number
+}
+
+interface LoadOptions {
+  clock: Clock
+  hosts: number
+  /** Weight of each organisation in the load at a time, in milliseconds since the start. */
+  weights: (elapsedMs: number) => number[]
+  /** Rate of all requests at a time, as a factor of that of {@link KINDS}. */
+  rate: (elapsedMs: number) => number
+  durationMs: number
+}
+
+/**
+ * Plays a load.
+ *
+ * @param options - hosts, organisations, rates
+ * @returns what the callers got
+ */
+export async function playGroup (options: LoadOptions): Promise<LoadResult> {
+  const group = new GroupUnderLoad(options.hosts)
+  const { clock, durationMs } = options
+  const arrivals = xoroshiro128plus(SEED)
+  const draw = (): number => uniformFloat64(arrivals)
+  const choices = xoroshiro128plus(SEED + 1)
+  for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs++) {
+    for (const kind of KINDS) {
+      if (draw() < kind.perSecond * options.rate(elapsedMs) / 1000) {
+        const organisation = `o${drawWeighted(options.weights(elapsedMs), draw())}`
+        void group.request(kind, organisation, () => uniformFloat64(choices))
+      }
+    }
+    await clock.tickAsync(1)
+  }
+  await clock.tickAsync(5000)
+  group.close()
+  return { ...group.result, opened: group.opened, fractionOf: group.fractionOf }
+}
+
+function drawWeighted (weights: number[], drawn: number): number {
+  let left = drawn * weights.reduce((sum, weight) => sum + weight, 0)
+  return Math.max(0, weights.findIndex((weight) => (left -= weight) < 0))
+}
+
+class GroupUnderLoad {
+  readonly result = { asked: 0, inTime: 0, refused: 0, attemptsRefused: 0, answeredMs: 0 }
+  private readonly counts = new Map<string, { asked: number, inTime: number }>()
+  private readonly hosts: HostUnderLoad[]
+  private readonly upstreams = DOMAINS.map(() => new SlottedUpstream())
+  private readonly targets = DOMAINS.map((failureDomain, index) => ({
+    upstream: `u${index}`, group: 'g', failureDomain, slots: SLOTS, draining: false
+  }))
+
+  constructor (hosts: number) {
+    const known = Array.from({ length: hosts }, (_, index) => ({
+      name: `h${index}`, process: `h${index}-1`, version: 1, address: '', port: 1, failureDomain: DOMAINS[index % 3]!
+    }))
+    const homes = new Map(this.targets.map((target) => [target.upstream, homesOf(target, known, CAP)]))
+    this.hosts = known.map((host) => new HostUnderLoad(host, this.targets, homes, this.upstreams))
+  }
+
+  readonly fractionOf = (organisation: string, kind = ''): number => {
+    const { asked, inTime } = this.countOf(organisation, kind)
+    return inTime / asked
+  }
+
+  private countOf (organisation: string, kind: string): { asked: number, inTime: number } {
+    const key = `${organisation} ${kind}`
+    const count = this.counts.get(key) ?? { asked: 0, inTime: 0 }
+    this.counts.set(key, count)
+    return count
+  }
+
+  get opened (): number { return this.upstreams.reduce((sum, { opened }) => sum + opened, 0) }
+
+  close (): void { this.hosts.forEach((host) => host.close()) }
+
+  async request (kind: Kind, organisation: string, draw: () => number): Promise<void> {
+    const counts = [this.result, this.countOf(organisation, ''), this.countOf('all', kind.name)]
+    counts.forEach((count) => { count.asked++ })
+    const startedAt = performance.now()
+    const steps = draw() < kind.transactions ? 3 : 1
+    for (let attempt = 0; attempt < 3; attempt++) {
+      const host = this.hosts[Math.floor(draw() * this.hosts.length)]!
+      try {
+        await host.serve(kind, organisation, steps, (name) => this.hosts.find((other) => other.name === name)!)
+        const tookMs = performance.now() - startedAt
+        counts.forEach((count) => { count.inTime += tookMs <= kind.targetMs ? 1 : 0 })
+        this.result.answeredMs += tookMs
+        return
+      } catch (thrown) {
+        this.result.attemptsRefused++
+        await pause((thrown as RequestError<'Overloaded'>).details?.retryAfterMs ?? 50)
+      }
+    }
+    this.result.refused++
+  }
+}
+
+type Target = { upstream: string, group: string, failureDomain: string, slots: number, draining: boolean }
+
+class HostUnderLoad {
+  readonly name: string
+  private readonly selector: HomeSelector = createHomeSelector()
+  private readonly resources = new Map<string, UpstreamResources>()
+
+  constructor (
+    private readonly self: KnownHost, private readonly targets: Target[],
+    private readonly homes: Map<string, KnownHost[]>, private readonly upstreams: SlottedUpstream[]
+  ) {
+    this.name = self.name
+  }
+
+  close (): void { this.resources.forEach(({ pool }) => pool.close()) }
+
+  private readonly of = (target: Target): UpstreamResources => {
+    const known = this.resources.get(target.upstream)
+    if (known !== undefined) {
+      return known
+    }
+    const homes = this.homes.get(target.upstream)!
+    const isHome = homes.some(({ name }) => name === this.name)
+    const created: UpstreamResources = {
+      pool: createUpstreamPool({
+        target: { group: 'g', upstream: target.upstream, endpoint: { address: '', port: 1 } },
+        port: { open: this.upstreams[this.targets.indexOf(target)]!.open },
+        limits: () => connectionLimits({ cap: CAP, homes: homes.length, isHome, uptimeMs: 10_000 }),
+        events: { onAnswer: ignore, onFault: ignore, onOpened: ignore, onClosed: ignore, onContended: ignore }
+      }),
+      queue: createStatementQueue({
+        group: 'g', upstream: target.upstream, limits: () => ({ slots: SLOTS, homes: homes.length })
+      }),
+      health: createUpstreamHealth()
+    }
+    this.resources.set(target.upstream, created)
+    return created
+  }
+
+  private chooseHome (target: Target, organisation: string): KnownHost | undefined {
+    const homes = this.homes.get(target.upstream)!
+    const candidates = candidateHomes(homes, homes.find(({ name }) => name === this.name), organisation)
+    const chosen = this.selector.choose(target.upstream, candidates, new Set(), organisation)
+    return chosen?.name === this.name ? undefined : chosen
+  }
+
+  async serve (
+    kind: Kind, organisation: string, steps: number, hostOf: (name: string) => HostUnderLoad
+  ): Promise<void> {
+    const { target, home } = this.choose(kind, organisation)
+    if (home === undefined) {
+      await this.execute(kind, organisation, target, steps)
+      return
+    }
+    const delayMs = home.failureDomain === this.self.failureDomain ? 1 : 2
+    const sentAt = performance.now()
+    const executing = hostOf(home.name)
+    this.selector.recordSent(home, target.upstream)
+    try {
+      await pause(delayMs)
+      const ranMs = await executing.execute(kind, organisation, target, steps)
+      await pause(delayMs)
+      const { queue } = executing.of(target)
+      const tookMs = performance.now() - sentAt
+      this.selector.recordAnswer(
+        home, target.upstream, { load: queue.running + queue.waiting, leaving: false }, tookMs - ranMs)
+      this.of(target).health.recordLatency(tookMs)
+    } finally {
+      this.selector.recordEnded(home, target.upstream)
+    }
+  }
+
+  private choose (kind: Kind, organisation: string): { target: Target, home?: KnownHost } {
+    if (kind.priority === 0) {
+      const target = this.targets[0]!
+      return { target, home: this.chooseHome(target, organisation) }
+    }
+    const context = {
+      leadership: { primaryOf: () => 'u0' },
+      directory: { ofGroup: () => this.targets },
+      pools: { of: this.of },
+      homes: {
+        choose: (target: Target, _tried: unknown, name: string) => this.chooseHome(target, name),
+        inProgressAt: this.selector.inProgressAt
+      },
+      failureDomain: this.self.failureDomain,
+      drainMs: 5000
+    }
+    const scope = { group: 'g', organisation, triedHomes: new Set() }
+    return chooseReadUpstream(
+      context as never, scope as unknown as RequestScope, { term: 1, offset: 0 } as never, new Set()
+    ) as unknown as { target: Target, home?: KnownHost }
+  }
+
+  /** Runs the steps of a request as a home; returns the time at the upstream. */
+  private async execute (kind: Kind, organisation: string, target: Target, steps: number): Promise<number> {
+    const { pool, queue, health } = this.of(target)
+    const upstream = this.upstreams[this.targets.indexOf(target)]!
+    const { durationMs, targetMs, timeoutMs, priority } = kind
+    const waitMs = Math.min(timeoutMs * 0.45, targetMs / 2)
+    const startedAt = performance.now()
+    const request = { organisation, priority, costMs: durationMs, waitMs, dueInMs: targetMs }
+    const leave = await queue.enter(request)
+    const leftMs = Math.max(1, waitMs - (performance.now() - startedAt))
+    const lease = await pool.acquire({
+      organisation, values: new Map(), priority, waitMs: leftMs, beginsTransaction: steps > 1
+    }).catch((thrown: unknown) => {
+      leave()
+      throw thrown
+    })
+    let ranMs = await runStep(upstream, durationMs)
+    leave()
+    for (let step = 1; step < steps; step++) {
+      lease.setIdleTransaction(true)
+      await pause(15)
+      const leaveStep = await queue.enter({ ...request, priority: -1, waitMs: timeoutMs })
+      lease.setIdleTransaction(false)
+      ranMs += 15 + await runStep(upstream, durationMs)
+      leaveStep()
+    }
+    health.recordLatency(ranMs / steps)
+    lease.release()
+    return ranMs
+  }
+}
+
+async function runStep (upstream: SlottedUpstream, durationMs: number): Promise<number> {
+  const sentAt = performance.now()
+  await upstream.run(durationMs)
+  return performance.now() - sentAt
+}
--- a/test/entry/pools/silent-pool.test.ts
+++ b/test/entry/pools/silent-pool.test.ts
@@ -3,6 +3,7 @@
 import { expect } from 'earl'
 import { Deadline } from '../../../src/core/time/deadline.ts'
 import { createUpstreamHealth } from '../../../src/entry/pools/upstream-health.ts'
+import { NO_POOL_EVENTS } from '../../fixtures/pool-events.ts'
 import { createUpstreamPool, type UpstreamPool } from '../../../src/entry/pools/upstream-pool.ts'
 import type { UpstreamConnection } from '../../../src/entry/ports/index.ts'
 import { runCommand, type RunOptions } from '../../../src/entry/requests/run-statement.ts'
@@ -39,7 +40,7 @@
       target: { group: 'g', upstream: 'u', endpoint: { address: '127.0.0.1', port: 1 } },
       port: { open },
       limits: () => ({ retained: CONNECTIONS, maximum: CONNECTIONS }),
-      events: { onAnswer: () => {}, onFault: () => {} }
+      events: NO_POOL_EVENTS
     })
   })
   afterEach(() => {
--- a/test/entry/pools/upstream-pool.test.ts
+++ b/test/entry/pools/upstream-pool.test.ts
@@ -2,6 +2,7 @@
 import { expect } from 'earl'
 import fakeTimers, { type Clock } from '@sinonjs/fake-timers'
 import { RequestError } from '../../../src/core/errors/index.ts'
+import { NO_POOL_EVENTS } from '../../fixtures/pool-events.ts'
 import { createUpstreamPool, type UpstreamPool } from '../../../src/entry/pools/upstream-pool.ts'
 import type { ConnectionLease } from '../../../src/entry/pools/types.ts'
 import type { UpstreamConnection, UpstreamPort } from '../../../src/entry/ports/index.ts'
@@ -42,7 +43,7 @@
   const pools: UpstreamPool[] = []
 
   beforeEach(() => {
-    clock = fakeTimers.install()
+    clock = fakeTimers.install({ toFake: ['performance', 'setTimeout', 'clearTimeout', 'setInterval', 'clearInterval'] })
     port = new CountingPort()
   })
   afterEach(() => {
@@ -54,12 +55,12 @@
       target: { group: 'g', upstream: 'u', endpoint: { address: '127.0.0.1', port: 1 } },
       port,
       limits: () => ({ retained, maximum }),
-      events: { onAnswer: () => {}, onFault: () => {} }
+      events: NO_POOL_EVENTS
     })
     pools.push(pool)
     return pool
   }
-  const request = { organisation: 'o', values: new Map<string, string>(), priority: 1, waitMs: 3000 }
+  const request = { organisation: 'o', values: new Map<string, string>(), priority: 1, waitMs: 3000, beginsTransaction: false }
   /** Requests connections concurrently and returns the leases that are granted within 40 ms. */
   const acquire = async (pool: UpstreamPool, count: number): Promise<ConnectionLease[]> => {
     const leases: ConnectionLease[] = []
