Give the slot back while idle transactions hold all connections

Cause: a request that had its turn kept one of a home's two slots while it waited for a connection, and the steps of the transactions that held the connections waited for that slot, until one of them ran out of time. Waiting before the queue instead would have left it without the refusal at once. Change: such a request gives its slot back, and queues again once it has a connection.

--- a/src/entry/pools/upstream-pool.ts
+++ b/src/entry/pools/upstream-pool.ts
@@ -37,7 +37,10 @@
   readonly size: number
   /** Whether a connection is idle or may be opened. */
   readonly hasRoom: boolean
-  /** Whether a request with an organisation would wait until other requests return their connections. */
+  /**
+   * Whether a request with an organisation would wait although statements run elsewhere: beyond the bounds of its
+   * organisation, or since idle transactions hold all connections.
+   */
   mustWait: (request: Pick<LeaseRequest, 'organisation' | 'beginsTransaction'>) => boolean
   /**
    * Leases a connection, waiting for one if necessary.
@@ -113,12 +116,17 @@
   get size (): number { return this.openCount + this.opener.count }
   get hasRoom (): boolean { return this.idle.count > 0 || this.canOpen }
   private get openCount (): number { return this.idle.count + this.leases.inUse.size }
+  private get isHeldByIdleTransactions (): boolean {
+    return this.inUse > 0 && this.opener.count === 0 && !this.hasRoom &&
+      [...this.leases.inUse].every(({ isIdleTransaction }) => isIdleTransaction)
+  }
+
   private get canOpen (): boolean {
     return !this.closed && this.size < this.options.limits().maximum && !this.opener.isPaused
   }
 
   mustWait (request: Pick<LeaseRequest, 'organisation' | 'beginsTransaction'>): boolean {
-    return isOrganised(request) && !this.closed && (!this.hasRoom || !this.admits(request))
+    return isOrganised(request) && !this.closed && (!this.admits(request) || this.isHeldByIdleTransactions)
   }
 
   async acquire (request: LeaseRequest): Promise<ConnectionLease> {
--- a/src/entry/requests/acquire-connection.ts
+++ b/src/entry/requests/acquire-connection.ts
@@ -26,18 +26,23 @@
 ): Promise<AcquiredConnection> {
   const { organisation, values, priority, costMs, softDeadline, beginsTransaction = false } = scope
   const startedAt = performance.now()
-  const dueInMs = softDeadline - startedAt
-  const waitMs = connectionWaitMs(maximumWaitMs, dueInMs)
+  const waitMs = connectionWaitMs(maximumWaitMs, softDeadline - startedAt)
   const leftMs = (): number => Math.max(1, waitMs - (performance.now() - startedAt))
   let releaseSlot = (): void => {}
   let lease: ConnectionLease | undefined
   const acquire = async (): Promise<ConnectionLease> =>
     await pool.acquire({ organisation, values, priority, waitMs: leftMs(), beginsTransaction })
+  const enter = async (allowedMs: number): Promise<() => void> => await queue.enter({
+    organisation: organisation ?? '', priority, costMs, waitMs: allowedMs, dueInMs: softDeadline - performance.now()
+  })
   try {
-    // A request that waits for others to return their connections would keep its slot from requests that can run.
-    lease = pool.mustWait({ organisation, beginsTransaction }) ? await acquire() : undefined
-    const queueWaitMs = lease === undefined ? waitMs : leftMs()
-    releaseSlot = await queue.enter({ organisation: organisation ?? '', priority, costMs, waitMs: queueWaitMs, dueInMs })
+    releaseSlot = await enter(waitMs)
+    if (pool.mustWait({ organisation, beginsTransaction })) {
+      // With its slot it would block the steps of the transactions that hold the connections.
+      releaseSlot()
+      lease = await acquire()
+      releaseSlot = await enter(leftMs())
+    }
     lease ??= await acquire()
     metrics.queue('done', performance.now() - startedAt)
     return { lease, releaseSlot }
