Shorten the load test by using the registry of upstreams

Cause: the test built pool, queue and health of each upstream itself. Change: it uses createUsedUpstreams, and marks a transaction as busy before its step waits, as requests do.

--- a/test/entry/pools/group-load.ts
+++ b/test/entry/pools/group-load.ts
@@ -6,18 +6,16 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
 import { RequestError } from '../../../src/core/errors/index.ts'
+import { silentLogger } from '../../../src/core/logger/index.ts'
 import { candidateHomes } from '../../../src/entry/homes/candidate-homes.ts'
 import { createHomeSelector, type HomeSelector } from '../../../src/entry/homes/home-choice.ts'
 import { connectionLimits } from '../../../src/entry/pools/connection-limits.ts'
-import { createStatementQueue } from '../../../src/entry/pools/statement-queue.ts'
-import { createUpstreamHealth } from '../../../src/entry/pools/upstream-health.ts'
 import type { KnownHost } from '../../../src/entry/registry/index.ts'
-import { createUpstreamPool } from '../../../src/entry/pools/upstream-pool.ts'
-import type { UpstreamResources } from '../../../src/entry/pools/used-upstreams.ts'
+import { createUsedUpstreams } from '../../../src/entry/pools/used-upstreams.ts'
+import type { KnownUpstream } from '../../../src/entry/directory/index.ts'
 import type { UpstreamConnection } from '../../../src/entry/ports/index.ts'
 import { acquireConnection } from '../../../src/entry/requests/acquire-connection.ts'
 import { chooseReadUpstream } from '../../../src/entry/requests/choose-upstream.ts'
-import type { RequestScope } from '../../../src/entry/requests/types.ts'
 import { homesOf } from '../../../src/placement/upstream-homes.ts'
 
 const SLOTS = 5
@@ -59,18 +57,7 @@
     this.opened++
     this.openNow++
     await this.run(OPEN_MS)
-    const listeners: Array<() => void> = []
-    const connection = {
-      closed: false,
-      onClose: (listener: () => void) => { listeners.push(listener) },
-      close: () => {
-        if (!connection.closed) {
-          connection.closed = true
-          this.openNow--
-          listeners.forEach((listener) => listener())
-        }
-      }
-    }
+    const connection = { closed: false, onClose: ignore, close: () => { connection.closed = true; this.openNow-- } }
     return connection as unknown as UpstreamConnection
   }
 }
@@ -84,18 +71,14 @@
   inTime: number
   /** Requests refused after all retries. */
   refused: number
-  /** Attempts refused. */
-  attemptsRefused: number
-  /** Sum of the times of all answers, in milliseconds. */
-  answeredMs: number
   opened: number
 }
 
 interface LoadOptions {
   clock: Clock
   hosts: number
-  /** Weight of each organisation in the load at a time, in milliseconds since the start. */
-  weights: (elapsedMs: number) => number[]
+  /** Weight of each organisation in the load. */
+  weights: number[]
   /** Rate of all requests at a time, as a factor of that of {@link KINDS}. */
   rate: (elapsedMs: number) => number
   durationMs: number
@@ -116,7 +99,7 @@
   for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs++) {
     for (const kind of KINDS) {
       if (draw() < kind.perSecond * options.rate(elapsedMs) / 1000) {
-        const organisation = `o${drawWeighted(options.weights(elapsedMs), draw())}`
+        const organisation = `o${drawWeighted(options.weights, draw())}`
         void group.request(kind, organisation, () => uniformFloat64(choices))
       }
     }
@@ -133,13 +116,13 @@
 }
 
 class GroupUnderLoad {
-  readonly result = { asked: 0, inTime: 0, refused: 0, attemptsRefused: 0, answeredMs: 0 }
+  readonly result = { asked: 0, inTime: 0, refused: 0 }
   private readonly counts = new Map<string, { asked: number, inTime: number }>()
   private readonly hosts: HostUnderLoad[]
-  private readonly upstreams = DOMAINS.map(() => new SlottedUpstream())
+  private readonly upstreams = new Map(DOMAINS.map((_, index) => [`u${index}`, new SlottedUpstream()]))
   private readonly targets = DOMAINS.map((failureDomain, index) => ({
-    upstream: `u${index}`, group: 'g', failureDomain, slots: SLOTS, draining: false
-  }))
+    upstream: `u${index}`, group: 'g', failureDomain, slots: SLOTS, draining: false, endpoint: { address: '', port: 1 }
+  }) as KnownUpstream)
 
   constructor (hosts: number) {
     const known = Array.from({ length: hosts }, (_, index) => ({
@@ -161,7 +144,7 @@
     return count
   }
 
-  get opened (): number { return this.upstreams.reduce((sum, { opened }) => sum + opened, 0) }
+  get opened (): number { return [...this.upstreams.values()].reduce((sum, { opened }) => sum + opened, 0) }
 
   close (): void { this.hosts.forEach((host) => host.close()) }
 
@@ -176,10 +159,8 @@
         await host.serve(kind, organisation, steps, (name) => this.hosts.find((other) => other.name === name)!)
         const tookMs = performance.now() - startedAt
         counts.forEach((count) => { count.inTime += tookMs <= kind.targetMs ? 1 : 0 })
-        this.result.answeredMs += tookMs
         return
       } catch (thrown) {
-        this.result.attemptsRefused++
         await pause((thrown as RequestError<'Overloaded'>).details?.retryAfterMs ?? 50)
       }
     }
@@ -187,50 +168,35 @@
   }
 }
 
-type Target = { upstream: string, group: string, failureDomain: string, slots: number, draining: boolean }
-
 class HostUnderLoad {
   readonly name: string
   private readonly selector: HomeSelector = createHomeSelector()
-  private readonly resources = new Map<string, UpstreamResources>()
 
   constructor (
-    private readonly self: KnownHost, private readonly targets: Target[],
-    private readonly homes: Map<string, KnownHost[]>, private readonly upstreams: SlottedUpstream[]
+    private readonly self: KnownHost, private readonly targets: KnownUpstream[],
+    private readonly homes: Map<string, KnownHost[]>, private readonly upstreams: Map<string, SlottedUpstream>
   ) {
     this.name = self.name
   }
 
-  close (): void { this.resources.forEach(({ pool }) => pool.close()) }
+  close (): void { [...this.resources.all.keys()].forEach(this.resources.remove) }
 
-  private readonly of = (target: Target): UpstreamResources => {
-    const known = this.resources.get(target.upstream)
-    if (known !== undefined) {
-      return known
-    }
-    const homes = this.homes.get(target.upstream)!
-    const isHome = homes.some(({ name }) => name === this.name)
-    const created: UpstreamResources = {
-      pool: createUpstreamPool({
-        target: { group: 'g', upstream: target.upstream, endpoint: { address: '', port: 1 } },
-        port: { open: this.upstreams[this.targets.indexOf(target)]!.open },
-        limits: () => connectionLimits({ cap: CAP, homes: homes.length, isHome, uptimeMs: 10_000 }),
-        events: { onAnswer: ignore, onFault: ignore, onOpened: ignore, onClosed: ignore, onContended: ignore }
-      }),
-      queue: createStatementQueue({
-        group: 'g', upstream: target.upstream, limits: () => ({ slots: SLOTS, homes: homes.length })
-      }),
-      health: createUpstreamHealth()
-    }
-    this.resources.set(target.upstream, created)
-    return created
-  }
+  private readonly resources = createUsedUpstreams({
+    port: { open: async ({ upstream }) => await this.upstreams.get(upstream)!.open() },
+    logger: silentLogger,
+    limitsOf: ({ upstream }) => {
+      const homes = this.homes.get(upstream)!
+      return connectionLimits({ cap: CAP, homes: homes.length, isHome: homes.includes(this.self), uptimeMs: 10_000 })
+    },
+    homeCountOf: ({ upstream }) => this.homes.get(upstream)!.length,
+    metrics: { opened: ignore, closed: ignore }
+  })
 
-  private chooseHome (target: Target, organisation: string): KnownHost | undefined {
+  private chooseHome (target: KnownUpstream, organisation: string): KnownHost | undefined {
     const homes = this.homes.get(target.upstream)!
-    const candidates = candidateHomes(homes, homes.find(({ name }) => name === this.name), organisation)
+    const candidates = candidateHomes(homes, homes.find((home) => home === this.self), organisation)
     const chosen = this.selector.choose(target.upstream, candidates, new Set(), organisation)
-    return chosen?.name === this.name ? undefined : chosen
+    return chosen === this.self ? undefined : chosen
   }
 
   async serve (
@@ -249,17 +215,17 @@
       await pause(delayMs)
       const ranMs = await executing.execute(kind, organisation, target, steps)
       await pause(delayMs)
-      const { queue } = executing.of(target)
+      const { queue } = executing.resources.of(target)
       const tookMs = performance.now() - sentAt
       this.selector.recordAnswer(
         home, target.upstream, { load: queue.running + queue.waiting, leaving: false }, tookMs - ranMs)
-      this.of(target).health.recordLatency(tookMs)
+      this.resources.of(target).health.recordLatency(tookMs)
     } finally {
       this.selector.recordEnded(home, target.upstream)
     }
   }
 
-  private choose (kind: Kind, organisation: string): { target: Target, home?: KnownHost } {
+  private choose (kind: Kind, organisation: string): { target: KnownUpstream, home?: KnownHost } {
     if (kind.priority === 0) {
       const target = this.targets[0]!
       return { target, home: this.chooseHome(target, organisation) }
@@ -267,24 +233,22 @@
     const context = {
       leadership: { primaryOf: () => 'u0' },
       directory: { ofGroup: () => this.targets },
-      pools: { of: this.of },
+      pools: this.resources,
       homes: {
-        choose: (target: Target, _tried: unknown, name: string) => this.chooseHome(target, name),
+        choose: (target: KnownUpstream, _tried: unknown, name: string) => this.chooseHome(target, name),
         inProgressAt: this.selector.inProgressAt
       },
       failureDomain: this.self.failureDomain,
       drainMs: 5000
     }
     const scope = { group: 'g', organisation, triedHomes: new Set() }
-    return chooseReadUpstream(
-      context as never, scope as unknown as RequestScope, { term: 1, offset: 0 } as never, new Set()
-    ) as unknown as { target: Target, home?: KnownHost }
+    return chooseReadUpstream(context as never, scope as never, {} as never, new Set())!
   }
 
   /** Runs the steps of a request as a home; returns the time at the upstream. */
-  private async execute (kind: Kind, organisation: string, target: Target, steps: number): Promise<number> {
-    const { pool, queue, health } = this.of(target)
-    const upstream = this.upstreams[this.targets.indexOf(target)]!
+  private async execute (kind: Kind, organisation: string, target: KnownUpstream, steps: number): Promise<number> {
+    const { pool, queue, health } = this.resources.of(target)
+    const upstream = this.upstreams.get(target.upstream)!
     const { durationMs, targetMs, timeoutMs, priority } = kind
     const softDeadline = performance.now() + targetMs
     const scope = {
@@ -297,10 +261,10 @@
     for (let step = 1; step < steps; step++) {
       lease.setIdleTransaction(true)
       await pause(15)
+      lease.setIdleTransaction(false)
       const leaveStep = await queue.enter({
         organisation, costMs: durationMs, dueInMs: softDeadline - performance.now(), priority: -1, waitMs: timeoutMs
       })
-      lease.setIdleTransaction(false)
       ranMs += 15 + await runStep(upstream, durationMs)
       leaveStep()
     }
--- a/test/entry/pools/organisations-load.test.ts
+++ b/test/entry/pools/organisations-load.test.ts
@@ -24,7 +24,7 @@
   })
 
   const play = async (rate: (elapsedMs: number) => number, weights = ORGANISATIONS, durationMs = 30_000) =>
-    await playGroup({ clock, hosts: 58, durationMs, weights: () => weights, rate })
+    await playGroup({ clock, hosts: 58, durationMs, weights, rate })
 
   // Guards against connections that are closed for one organisation and opened again for another. When each home ran
   // what arrived at it, closed the connection idle for longest and reads had no preferred replica, 2045 were opened.
