Ignore a transaction's state after its lease has ended

Cause: a step that ended after its connection had been leased again could have changed the state of the next lease. Change: the state is kept once the lease has ended.

--- a/src/entry/pools/connection-lease.ts
+++ b/src/entry/pools/connection-lease.ts
@@ -55,8 +55,9 @@
       },
       onEnd: (listener: () => void) => { endListeners.push(listener) },
       setIdleTransaction: (isIdle: boolean) => {
-        const resumes = pooled.isIdleTransaction && !isIdle
-        pooled.isIdleTransaction = isIdle && !done
+        // The connection may serve another lease once this one has ended.
+        const resumes = !done && pooled.isIdleTransaction && !isIdle
+        pooled.isIdleTransaction = done ? pooled.isIdleTransaction : isIdle
         resumes && onTransactionResumed()
       }
     })
