--- a/src/entry/pools/index.ts
+++ b/src/entry/pools/index.ts
@@ -6,6 +6,7 @@
 import { createUsedUpstreams, describeUsedUpstreams, type UpstreamResources } from './used-upstreams.ts'
 
 export { applySessionValues, ensurePrepared } from './align-connection.ts'
+export { OPEN_TRANSACTION_PRIORITY } from './fair-order.ts'
 export type { ConnectionLease } from './types.ts'
 export type { UpstreamResources } from './used-upstreams.ts'
 export { SILENCE_MS } from './upstream-health.ts'
@@ -22,11 +23,15 @@
 
 registerPlugin({
   name: 'pools',
-  dependencies: ['ports', 'directory', 'desiredState', 'homes'],
+  dependencies: ['ports', 'directory', 'desiredState', 'homes', 'metrics'],
   start: ({ use, logger }) => {
     const { upstreams: port } = use('ports')
     const desiredState = use('desiredState')
     const homes = use('homes')
+    const metrics = use('metrics')
+    const countOpened = metrics.registerCounter('worksward_connections_opened', 'Connections to upstreams that were opened')
+    const countClosed = metrics.registerCounter(
+      'worksward_connections_closed', 'Connections to upstreams that were closed, by reason')
     const startedAt = performance.now()
     const limitsOf = (upstream: KnownUpstream): ConnectionLimits => connectionLimits({
       cap: desiredState.current?.connectionCaps.get(upstream.group),
@@ -35,7 +40,11 @@
       uptimeMs: performance.now() - startedAt
     })
     const { of, remove, all } = createUsedUpstreams({
-      port, logger, limitsOf, homeCountOf: (upstream) => homes.of(upstream).length
+      port,
+      logger,
+      limitsOf,
+      homeCountOf: (upstream) => homes.of(upstream).length,
+      metrics: { opened: () => countOpened('all'), closed: countClosed }
     })
     use('directory').onChange(({ upstream, change }) => {
       if (change === 'gone' || change === 'moved' || change === 'reborn') {
--- a/src/entry/requests/acquire-connection.ts
+++ b/src/entry/requests/acquire-connection.ts
@@ -21,19 +21,33 @@
  * @throws RequestError with verdict `not-run`
  */
 export async function acquireConnection (
-  { metrics }: Pick<EntryContext, 'metrics'>, { organisation, values, priority, costMs, softDeadline }: RequestScope,
-  { pool, queue }: UpstreamResources, maximumWaitMs: number
+  { metrics }: Pick<EntryContext, 'metrics'>, scope: RequestScope, { pool, queue }: UpstreamResources,
+  maximumWaitMs: number
 ): Promise<AcquiredConnection> {
+  const { organisation, values, priority, costMs, softDeadline, beginsTransaction = false } = scope
   const startedAt = performance.now()
   const waitMs = connectionWaitMs(maximumWaitMs, softDeadline - startedAt)
+  const leftMs = (): number => Math.max(1, waitMs - (performance.now() - startedAt))
   let releaseSlot = (): void => {}
+  let lease: ConnectionLease | undefined
+  const acquire = async (): Promise<ConnectionLease> =>
+    await pool.acquire({ organisation, values, priority, waitMs: leftMs(), beginsTransaction })
+  const enter = async (allowedMs: number): Promise<() => void> => await queue.enter({
+    organisation: organisation ?? '', priority, costMs, waitMs: allowedMs, dueInMs: softDeadline - performance.now()
+  })
   try {
-    releaseSlot = await queue.enter({ priority, costMs, waitMs })
-    const leftMs = Math.max(1, waitMs - (performance.now() - startedAt))
-    const lease = await pool.acquire({ organisation, values, priority, waitMs: leftMs })
+    releaseSlot = await enter(waitMs)
+    if (pool.mustWait({ organisation, beginsTransaction })) {
+      // With its slot it would block the steps of the transactions that hold the connections.
+      releaseSlot()
+      lease = await acquire()
+      releaseSlot = await enter(leftMs())
+    }
+    lease ??= await acquire()
     metrics.queue('done', performance.now() - startedAt)
     return { lease, releaseSlot }
   } catch (thrown) {
+    lease?.release()
     releaseSlot()
     metrics.queue('failed', performance.now() - startedAt)
     throw thrown
