Close the idle connection that is least likely to be needed

Cause: an organisation's rate divided by its idle connections overrates the second and later ones: they are used only while the others are in use. Change: the expected use of a connection is the rate times the probability that the organisation's other idle ones are in use, at 50 ms for each statement.

--- a/src/entry/pools/idle-connections.ts
+++ b/src/entry/pools/idle-connections.ts
@@ -12,6 +12,8 @@
  * is longer because an organisation can't reuse the connections of another.
  */
 const SURPLUS_IDLE_SHARED_MS = 10_000
+/** Time for which a request holds a connection, in seconds: between a statement and a short transaction. */
+const HOLD_SECONDS = 0.05
 
 interface IdleConnections {
   readonly count: number
@@ -22,10 +24,10 @@
   /** Removes a connection; returns whether it was idle. */
   remove: (pooled: PooledConnection) => boolean
   /**
-   * Closes the connection with the lowest expected use: that of its organisation, shared by its idle connections. Of
-   * equal ones the one that has been idle longest is closed.
+   * Closes the connection with the lowest expected use: the statements of its organisation that would find all of its
+   * other idle connections in use. Of equal ones the one that has been idle longest is closed.
    *
-   * @param useOf - returns the expected use by an organisation, in statements per second
+   * @param useOf - returns the expected statements per second of an organisation
    * @returns whether there was one
    */
   closeLeastUsed: (useOf: (organisation: string) => number) => boolean
@@ -101,7 +103,7 @@
   let best = 0
   let leastUse = Infinity
   idle.forEach(({ organisation }, index) => {
-    const use = useOf(organisation) / counts.get(organisation)!
+    const use = useOfLast(useOf(organisation), counts.get(organisation)!)
     if (use < leastUse) {
       best = index
       leastUse = use
@@ -110,6 +112,18 @@
   return best
 }
 
+/**
+ * Returns the expected use of the last of several connections: the rate times the probability that the others are in
+ * use (Poisson distribution, without the factor that is about 1 for rates at which connections are scarce).
+ */
+function useOfLast (perSecond: number, connections: number): number {
+  let use = perSecond
+  for (let others = 1; others < connections; others++) {
+    use *= perSecond * HOLD_SECONDS / others
+  }
+  return use
+}
+
 function surplusIdleMs (open: PooledConnection[]): number {
   const isShared = new Set(open.map(({ organisation }) => organisation)).size > 1
   return isShared ? SURPLUS_IDLE_SHARED_MS : SURPLUS_IDLE_MS
