Check for an idle connection first

Cause: the check whether idle transactions hold all connections counted the attempts to connect for each statement. Change: it looks first for a connection that is idle.

--- a/src/entry/pools/upstream-pool.ts
+++ b/src/entry/pools/upstream-pool.ts
@@ -117,7 +117,7 @@
   get hasRoom (): boolean { return this.idle.count > 0 || this.canOpen }
   private get openCount (): number { return this.idle.count + this.leases.inUse.size }
   private get isHeldByIdleTransactions (): boolean {
-    return this.inUse > 0 && this.opener.count === 0 && !this.hasRoom &&
+    return !this.hasRoom && this.inUse > 0 && this.opener.count === 0 &&
       [...this.leases.inUse].every(({ isIdleTransaction }) => isIdleTransaction)
   }
 
