Run a statement where it arrives while that closes no other connection

Cause: homes forwarded nearly every statement of an organisation to the home that it prefers, and the bonus of the preferred replica outweighed the penalty for another failure domain.

Change: a home runs a statement itself if its organisation has an idle connection there, or one can be opened without closing another.

--- a/src/entry/pools/idle-connections.ts
+++ b/src/entry/pools/idle-connections.ts
@@ -17,6 +17,8 @@
 
 interface IdleConnections {
   readonly count: number
+  /** Whether an organisation has an idle connection. */
+  has: (organisation: string) => boolean
   /** Adds a connection as the most recently used one. */
   add: (pooled: PooledConnection) => void
   /** Removes and returns the best match for a request; undefined if its organisation has no idle connection. */
@@ -51,6 +53,7 @@
   const idle: PooledConnection[] = []
   return {
     get count () { return idle.length },
+    has: (organisation) => idle.some((pooled) => pooled.organisation === organisation),
     add: (pooled) => {
       pooled.idleSince = performance.now()
       idle.push(pooled)
--- a/src/entry/pools/upstream-pool.ts
+++ b/src/entry/pools/upstream-pool.ts
@@ -37,6 +37,8 @@
   readonly size: number
   /** Whether a connection is idle or may be opened. */
   readonly hasRoom: boolean
+  /** Whether an organisation has an idle connection, or one may be opened without closing that of another. */
+  hasRoomFor: (organisation: string) => boolean
   /**
    * Whether a request with an organisation would wait although statements run elsewhere: beyond the bounds of its
    * organisation, or since idle transactions hold all connections.
@@ -115,6 +117,7 @@
   get waiting (): number { return this.waiters.count }
   get size (): number { return this.openCount + this.opener.count }
   get hasRoom (): boolean { return this.idle.count > 0 || this.canOpen }
+  hasRoomFor (organisation: string): boolean { return this.canOpen || this.idle.has(organisation) }
   private get openCount (): number { return this.idle.count + this.leases.inUse.size }
   private get isHeldByIdleTransactions (): boolean {
     return !this.hasRoom && this.inUse > 0 && this.opener.count === 0 &&
--- a/src/entry/requests/choose-upstream.ts
+++ b/src/entry/requests/choose-upstream.ts
@@ -6,6 +6,7 @@
 import type { KnownUpstream } from '../directory/index.ts'
 import type { KnownHost } from '../registry/index.ts'
 import { comparePositions, type LogPosition } from '../../positions/position.ts'
+import { chooseHome } from './choose-home.ts'
 import type { ChosenUpstream, EntryContext, RequestScope } from './types.ts'
 import { acceptsNewWork } from './wait-rules.ts'
 
@@ -27,10 +28,10 @@
 const LAGGING_COST_MS = 400
 /**
  * Bonus of the replica that the organisation of a read prefers, in milliseconds. Connections serve one organisation
- * each, so its reads are concentrated. At a home without room an opened connection takes the place of another one,
- * which then has to be opened again; each takes 12 ms of a slot and a network round trip, 20 ms in all.
+ * each, so its reads are concentrated where that saves opening one, which takes 12 ms of a slot and a network round
+ * trip. Less than {@link CROSS_DOMAIN_COST_MS}: a connection lasts for many reads, and each read would cross domains.
  */
-const PREFERRED_BONUS_MS = 40
+const PREFERRED_BONUS_MS = 20
 /**
  * Reduction of the bonus for each millisecond by which the preferred replica is slower than the fastest upstream of the
  * group. A smaller one kept reads at replicas with a queue: at 2.5 times the load of the test, 109 attempts for 9501
@@ -74,7 +75,7 @@
       continue
     }
     const resources = context.pools.of(target)
-    const home = context.homes.choose(target, triedHomes, organisation)
+    const home = chooseHome(context, target, { triedHomes, organisation })
     const cost = readCostMs(
       createCandidate(context, { target, resources, home }, position, target.upstream === primary)
     ) - (target.upstream === preferred ? bonusMs(context, upstreams, resources) : 0)
--- a/src/entry/requests/primary-access.ts
+++ b/src/entry/requests/primary-access.ts
@@ -7,6 +7,7 @@
 import type { KnownUpstream } from '../directory/index.ts'
 import { SILENCE_MS } from '../pools/index.ts'
 import { acquireConnection } from './acquire-connection.ts'
+import { chooseHome } from './choose-home.ts'
 import { createForwardingExecutor } from './forwarding-executor.ts'
 import { createLocalExecutor, type LocalExecutor } from './local-executor.ts'
 import { isLeaseValid } from './primary-rights.ts'
@@ -74,7 +75,7 @@
 function createPrimaryForwardingExecutor (
   context: PrimaryContext, scope: RequestScope, target: KnownUpstream, epoch: number
 ): StatementExecutor | undefined {
-  const home = context.homes.choose(target, scope.triedHomes, scope.organisation)
+  const home = chooseHome(context, target, scope)
   if (home === undefined) {
     return undefined
   }
