Log where the time of a request went

Cause: the line of a request told its whole time only, so neither a wait for a grant nor one at a home could be told from a slow upstream. Change: request.done and request.failed carry the time until the operation was granted, until it had a slot and a connection here, at a home beyond the statement itself, and at the upstream.

--- a/src/entry/requests/acquire-connection.ts
+++ b/src/entry/requests/acquire-connection.ts
@@ -1,5 +1,6 @@
 /** Acquires an execution slot and a pooled connection at an upstream. `wait-rules.ts` bounds the wait. */
 import type { ConnectionLease, UpstreamResources } from '../pools/index.ts'
+import { addTimeSpent } from './time-spent.ts'
 import type { EntryContext, RequestScope } from './types.ts'
 import { connectionWaitMs } from './wait-rules.ts'
 
@@ -44,7 +45,9 @@
       releaseSlot = await enter(leftMs())
     }
     lease ??= await acquire()
-    metrics.queue('done', performance.now() - startedAt)
+    const waitedMs = performance.now() - startedAt
+    metrics.queue('done', waitedMs)
+    addTimeSpent(scope, 'queueMs', waitedMs)
     return { lease, releaseSlot }
   } catch (thrown) {
     lease?.release()
--- a/src/entry/requests/forwarding-executor.ts
+++ b/src/entry/requests/forwarding-executor.ts
@@ -8,6 +8,7 @@
 import { encodeStep, lostAnswerError, toTimedAnswer } from './forwarded-steps.ts'
 import type { TimedAnswer } from './run-statement.ts'
 import { ROLLBACK_MS, type BeginResult, type StatementExecutor, type TransactionStep } from './statement-executor.ts'
+import { addTimeSpent } from './time-spent.ts'
 import type { EntryContext, RequestScope } from './types.ts'
 
 /** Destination of forwarded statements. */
@@ -56,7 +57,9 @@
       return await avoidOnError(scope, async () => {
         const reply = await homes.forward(home, { upstream, type, body, timeoutMs, onLateReply })
         resources.health.recordAnswer()
-        resources.health.recordLatency(performance.now() - sentAt)
+        const tookMs = performance.now() - sentAt
+        resources.health.recordLatency(tookMs)
+        addTimeSpent(scope, 'homeMs', tookMs - (reply.ranMs ?? 0))
         return reply
       })
     },
--- a/src/entry/requests/record-answer.ts
+++ b/src/entry/requests/record-answer.ts
@@ -2,6 +2,7 @@
 import type { FailureKind, StatementAnswer } from '../ports/index.ts'
 import type { TimedAnswer } from './run-statement.ts'
 import type { StatementExecutor } from './statement-executor.ts'
+import { addTimeSpent } from './time-spent.ts'
 import type { EntryContext, RequestScope } from './types.ts'
 
 /** Failures after which an answer's position proves nothing: the upstream is not the primary, or its log is behind. */
@@ -15,9 +16,11 @@
  * @param timed - the answer and its times
  */
 export function recordAnswer (
-  { freshness, costs }: Pick<EntryContext, 'freshness' | 'costs'>, { group, database }: RequestScope,
+  { freshness, costs }: Pick<EntryContext, 'freshness' | 'costs'>, scope: RequestScope,
   { answer, sentAt, ranMs, epoch }: TimedAnswer
 ): void {
+  const { group, database } = scope
+  addTimeSpent(scope, 'upstreamMs', ranMs)
   if (epoch !== undefined && answer.position !== undefined && !NON_PRIMARY_FAILURES.has(answer.failure?.kind)) {
     freshness.of(group).record(epoch, sentAt, answer.position)
   }
--- a/src/entry/requests/request-log.ts
+++ b/src/entry/requests/request-log.ts
@@ -1,6 +1,7 @@
 /** Logs each request of a caller and records its duration in the metrics. */
 import type { CallerRequest, StatementAnswer } from '../ports/index.ts'
 import { formatPosition } from '../../positions/position.ts'
+import { timeSpentFields } from './time-spent.ts'
 import type { EntryContext, RequestScope } from './types.ts'
 
 /** Details of a request for the log; fields that do not apply are undefined. */
@@ -59,6 +60,7 @@
     position: formatPosition(position),
     version: stateAtStart.version,
     ageMs: Math.round(stateAtStart.ageMs),
+    ...timeSpentFields(scope),
     ms: Math.round(durationMs)
   })
 }
--- a/src/entry/requests/single-statement.ts
+++ b/src/entry/requests/single-statement.ts
@@ -9,6 +9,7 @@
 import { findCallerRoute } from './caller-route.ts'
 import { resolveReadConstraint, serveRead } from './reads.ts'
 import { limitRequestOf, raiseFloor, startRequestScope, type SessionState } from './session-state.ts'
+import { addTimeSpent } from './time-spent.ts'
 import type { ExecutableStatement, RequestScope } from './types.ts'
 import { serveWrite } from './writes.ts'
 
@@ -30,6 +31,7 @@
   const scope = startRequestScope(session, statement.requestId, callerRoute)
   scope.hasLastingEffect = statement.access === 'write'
   const takenAt = await limits.take(organisation, limitRequestOf(session, route))
+  addTimeSpent(scope, 'grantMs', performance.now() - arrivedAt)
   const giveBackUnlessRun = (verdict: Verdict): void => {
     if (verdict === 'not-run') {
       limits.refund(organisation, takenAt)
--- a/src/entry/requests/types.ts
+++ b/src/entry/requests/types.ts
@@ -86,4 +86,12 @@
   home?: string
   /** Names of homes that failed to serve it. */
   triedHomes: Set<string>
+  /** Where its time went, in milliseconds, summed over its attempts; for the log. */
+  timeSpent?: Partial<Record<TimePart, number>>
 }
+
+/**
+ * Parts of the time of a request: until its operation was granted, until it had a slot and a connection of this host,
+ * at a home beyond the statement itself, and at the upstream.
+ */
+export type TimePart = 'grantMs' | 'queueMs' | 'homeMs' | 'upstreamMs'
