Don't return the operation that a retry has used

Seen: a host that holds operations granted in advance and retries a statement returned all of them to the owner, the one that the retry had used included. The owner granted it again, so an organisation could run more than its limit while statements were retried.

Cause: the count of a retry lowered the number of operations left, but not the number of those that can be returned.

Why it holds: each change of the operations left now bounds the returnable ones by them.

--- a/src/entry/limits/organisation-grants.ts
+++ b/src/entry/limits/organisation-grants.ts
@@ -89,6 +89,12 @@
   return true
 }
 
+/** Counts an operation that runs whether or not one is left; without one it is owed to the owner. */
+export function countUnconditionally (grants: OrganisationGrants): void {
+  grants.left--
+  grants.returnable = Math.max(0, Math.min(grants.returnable, grants.left))
+}
+
 /**
  * Computes how many operations to request from the owner in addition to those that wait.
  *
--- a/src/entry/limits/prefetched-grants.ts
+++ b/src/entry/limits/prefetched-grants.ts
@@ -9,8 +9,8 @@
 import { createLocalRefusals, type LocalRefusals } from './local-refusals.ts'
 import type { OperationOutcome } from './operation-counts.ts'
 import {
-  computeAdvance, consumeGrant, countRequest, createOrganisationGrants, grantsByPriority, recordAnswer, refundGrant,
-  type GrantAnswer, type OrganisationGrants
+  computeAdvance, consumeGrant, countRequest, countUnconditionally, createOrganisationGrants, grantsByPriority,
+  recordAnswer, refundGrant, type GrantAnswer, type OrganisationGrants
 } from './organisation-grants.ts'
 import { createUnusedReturns, type UnusedReturns } from './unused-returns.ts'
 import { requestsOf, type OperationRequest, type WaitingOperation } from './waiting-operations.ts'
@@ -233,7 +233,7 @@
         count('expired', 1)
       }
     },
-    countRetry: (name) => { organisationOf(name).grants.left-- },
+    countRetry: (name) => countUnconditionally(organisationOf(name).grants),
     retain: (declared) => {
       [...organisations].filter(([name, { waiting }]) => !declared.has(name) && waiting.length === 0)
         .forEach(([name]) => organisations.delete(name))
--- a/test/entry/limits/unused-operations.test.ts
+++ b/test/entry/limits/unused-operations.test.ts
@@ -75,6 +75,18 @@
     expect([returned.length, counts['expired']]).toEqual([1, 1])
   })
 
+  it('go back without the one that a retry has used', async () => {
+    // An operation that has run and is returned as well is granted twice, which exceeds the bound of the limit.
+    const takings = Promise.all(Array.from({ length: 8 }, async () => await take({})))
+    await clock.tickAsync(110)
+    await takings
+    const unused = counts['granted']! - counts['used']!
+    expect(unused).toEqual(2)
+    grants.countRetry('red')
+    await clock.tickAsync(500)
+    expect(returned.map(({ operations }) => operations)).toEqual([1])
+  })
+
   it('are credited only by the bucket that granted them, and no more than it granted', () => {
     clock.tick(10_000)
     const reports: LogFields[] = []
