Keep when and by which bucket an operation of a limit was granted

Seen: (1) While requests failed before they were sent, an operation was refunded and taken again without end, and ran in a later window than the one whose inflow it came from; as many as were in progress at a time ran in addition to the bound once the upstream recovered. (2) An operation whose turn came, or that was used from those granted in advance, after another bucket had answered was returned to that bucket, which credited it without having granted it. (3) The same happened where the buckets of two owners had the same number: numbers begin with the start time of the process in milliseconds, and hosts that regain power start at the same time.

Cause: the host dated an operation by its last use, and knew its bucket by the number alone.

One whose bucket is not the last one at its turn can't be refunded. A bucket is known by its owner and number, and operations are returned to that owner.

--- a/src/entry/limits/index.ts
+++ b/src/entry/limits/index.ts
@@ -30,11 +30,11 @@
    *
    * @param organisation - the organisation
    * @param request - priority and longest wait of the operation
-   * @returns the time at which it was taken, on the monotonic clock, in milliseconds
+   * @returns the time from which its age counts, on the monotonic clock, in milliseconds
    * @throws RequestError `LimitReached` with verdict `not-run` and the time after which to retry
    */
   take: (organisation: Organisation, request: OperationRequest) => Promise<number>
-  /** Refunds an operation that did not run; `takenAt` is the time at which it was taken. */
+  /** Refunds an operation that did not run; `takenAt` is the result of `take`. */
   refund: (organisation: Organisation, takenAt: number) => void
   /** Counts the retry of an operation that may have run. */
   countRetry: (organisation: string) => void
--- a/src/entry/limits/organisation-grants.ts
+++ b/src/entry/limits/organisation-grants.ts
@@ -30,11 +30,21 @@
   owner: string
 }
 
+/** Bucket of a limit at its owner. */
+export interface GrantingBucket {
+  /** Name of the host that owns the limit. */
+  owner: string
+  /** Instance of the bucket; unique only on its host. */
+  id: number
+}
+
 /** Grants that this host holds for one organisation; times on the monotonic clock, in milliseconds. */
 export interface OrganisationGrants {
   /** Unused operations; negative after retries that were counted without a grant. */
   left: number
   usableUntil: number
+  /** Time from which the age of the unused operations counts: that of the oldest one. */
+  heldSince: number
   /** How many of the unused operations the last bucket granted, so that they can be returned to it. */
   returnable: number
   /** Operations that may no longer be used here and are returned with the next batch. */
@@ -42,8 +52,8 @@
   /** Exponentially decayed number of recent operations, and when it was updated. */
   recentCount: number
   recentCountAt: number
-  /** Bucket that granted last, and when its first answer arrived. */
-  bucket?: number
+  /** Bucket that granted last, and when its first answer arrived; undefined if operations can't be returned. */
+  bucket?: GrantingBucket | undefined
   bucketSince: number
   /** Last answer of the owner; undefined when no host answered. */
   lastAnswer?: GrantAnswer
@@ -59,6 +69,7 @@
   return {
     left: 0,
     usableUntil: -Infinity,
+    heldSince: -Infinity,
     returnable: 0,
     toReturn: 0,
     recentCount: 0,
@@ -78,15 +89,15 @@
  * Takes one granted operation.
  *
  * @param grants - the grants
- * @returns false when none is left or the grants have expired
+ * @returns the time from which its age counts; undefined when none is left or the grants have expired
  */
-export function consumeGrant (grants: OrganisationGrants): boolean {
+export function consumeGrant (grants: OrganisationGrants): number | undefined {
   if (grants.left < 1 || performance.now() > grants.usableUntil) {
-    return false
+    return undefined
   }
   grants.left--
   grants.returnable = Math.min(grants.returnable, grants.left)
-  return true
+  return grants.heldSince
 }
 
 /** Counts an operation that runs whether or not one is left; without one it is owed to the owner. */
@@ -147,9 +158,10 @@
 ): number {
   const now = performance.now()
   let expired = 0
-  if (answer !== undefined && answer.bucket !== grants.bucket) {
+  if (answer !== undefined && !isGrantedBy(answer, grants.bucket)) {
     expired = grants.toReturn
-    Object.assign(grants, { bucket: answer.bucket, bucketSince: now, returnable: 0, toReturn: 0 })
+    const bucket = answer.bucket === undefined ? undefined : { owner: answer.owner, id: answer.bucket }
+    Object.assign(grants, { bucket, bucketSince: now, returnable: 0, toReturn: 0 })
   }
   const inAdvance = Math.max(0, (answer?.granted ?? 0) - forWaiting)
   if (inAdvance > 0) {
@@ -159,6 +171,7 @@
       grants.left = 0
       grants.returnable = 0
     }
+    grants.heldSince = grants.left > 0 ? grants.heldSince : now
     grants.left += inAdvance
     grants.returnable = Math.min(grants.left, grants.returnable + inAdvance)
     grants.usableUntil = now + PREFETCH_MS
@@ -167,12 +180,17 @@
   return expired
 }
 
+/** Whether an answer comes from a bucket; buckets of two hosts may have the same number. */
+function isGrantedBy (answer: GrantAnswer, bucket: GrantingBucket | undefined): boolean {
+  return answer.bucket === bucket?.id && (bucket === undefined || answer.owner === bucket.owner)
+}
+
 /**
  * Refunds an operation that did not run, so that it is used again or returned.
  *
  * @param grants - the grants
- * @param takenAt - when it was taken
- * @returns false when it was taken too long ago
+ * @param takenAt - time from which its age counts
+ * @returns false when it is too old
  */
 export function refundGrant (grants: OrganisationGrants, takenAt: number): boolean {
   const now = performance.now()
@@ -184,7 +202,10 @@
     grants.left = 0
     grants.returnable = 0
   }
-  grants.usableUntil = grants.left > 0 ? grants.usableUntil : now + RETURN_INTERVAL_MS
+  grants.usableUntil = grants.left > 0
+    ? grants.usableUntil
+    : Math.min(now + RETURN_INTERVAL_MS, takenAt + RETURN_WITHIN_MS)
+  grants.heldSince = grants.left > 0 ? Math.min(grants.heldSince, takenAt) : takenAt
   grants.left++
   grants.returnable = Math.max(0, Math.min(grants.left, grants.returnable + (takenAt >= grants.bucketSince ? 1 : 0)))
   return true
--- a/src/entry/limits/prefetched-grants.ts
+++ b/src/entry/limits/prefetched-grants.ts
@@ -36,11 +36,11 @@
    *
    * @param organisation - name of the organisation
    * @param request - priority and wait
-   * @returns the time at which it was taken, on the monotonic clock, in milliseconds
+   * @returns the time from which its age counts, on the monotonic clock, in milliseconds
    * @throws RequestError `LimitReached` with verdict `not-run`
    */
   take: (organisation: string, request: OperationRequest) => Promise<number>
-  /** Refunds an operation that did not run; `takenAt` is the time at which it was taken. */
+  /** Refunds an operation that did not run; `takenAt` is the result of `take`. */
   refund: (organisation: string, takenAt: number) => void
   /** Counts the retry of an operation that may have run, even when no grant is left. */
   countRetry: (organisation: string) => void
@@ -52,6 +52,9 @@
 /** Retry delay of a caller without a stated timeout, in milliseconds. */
 const DEFAULT_TIMEOUT_MS = 1000
 
+/** Time of an operation that is too old to be refunded. */
+const NOT_REFUNDABLE = -Infinity
+
 /** Grants and waiting operations of an organisation. */
 interface OrganisationState {
   name: string
@@ -101,7 +104,8 @@
   const run = (): void => {
     count('used', 1)
     endWait(request)
-    resolve(performance.now())
+    // Only the bucket that granted an operation may be credited with it.
+    resolve(bucket === organisation.grants.bucket ? performance.now() : NOT_REFUNDABLE)
   }
   if (turnMs <= 0) {
     run()
@@ -144,6 +148,20 @@
   }
 }
 
+/** Gives operations granted in advance to those that still wait. */
+function serveFromAdvance ({ count }: HostContext, { grants, waiting }: OrganisationState): void {
+  while (waiting.length > 0) {
+    const takenAt = consumeGrant(grants)
+    if (takenAt === undefined) {
+      return
+    }
+    const { request, resolve } = waiting.shift()!
+    count('used', 1)
+    endWait(request)
+    resolve(takenAt)
+  }
+}
+
 /** Requests operations until none waits. */
 async function requestGrants (context: HostContext, organisation: OrganisationState): Promise<void> {
   const { requestGrant, limitOf, count, returns } = context
@@ -162,9 +180,7 @@
       const request = requests.find(({ priority }) => priority === grant.priority)
       serveGrant(context, organisation, request?.wanted ?? 0, grant)
     })
-    while (waiting.length > 0 && consumeGrant(grants)) {
-      startTurn(context, organisation, waiting.shift()!, 0)
-    }
+    serveFromAdvance(context, organisation)
     returns.schedule(organisation)
   }
   organisation.isRequesting = false
@@ -216,9 +232,10 @@
     take: async (name, request) => {
       const organisation = organisationOf(name)
       countRequest(organisation.grants)
-      if (consumeGrant(organisation.grants)) {
+      const takenAt = consumeGrant(organisation.grants)
+      if (takenAt !== undefined) {
         count('used', 1)
-        return performance.now()
+        return takenAt
       }
       if (organisation.refusals.isRefused(request.priority)) {
         throw refusalOf(context, organisation, request)
--- a/src/entry/limits/unused-returns.ts
+++ b/src/entry/limits/unused-returns.ts
@@ -4,7 +4,9 @@
  */
 import type { ReturnedOperations } from './limit-frames.ts'
 import type { OperationOutcome } from './operation-counts.ts'
-import { holdsOperations, removeUnused, RETURN_INTERVAL_MS, type OrganisationGrants } from './organisation-grants.ts'
+import {
+  holdsOperations, removeUnused, RETURN_INTERVAL_MS, type GrantingBucket, type OrganisationGrants
+} from './organisation-grants.ts'
 
 /** Grants of an organisation. */
 interface HeldGrants {
@@ -27,7 +29,7 @@
   /** Sees to it that unused operations are returned once they can no longer be used. */
   schedule: (organisation: HeldGrants) => void
   /** Returns an operation that a bucket granted and that must not be used here. */
-  giveBack: (organisation: HeldGrants, bucket: number | undefined) => void
+  giveBack: (organisation: HeldGrants, bucket: GrantingBucket | undefined) => void
   close: () => void
 }
 
@@ -42,10 +44,10 @@
   const returnUnused = ({ name, grants }: HeldGrants): void => {
     const { returned, expired } = removeUnused(grants)
     count('expired', expired)
-    const { bucket, lastAnswer } = grants
-    if (returned > 0 && bucket !== undefined && lastAnswer !== undefined) {
+    const { bucket } = grants
+    if (returned > 0 && bucket !== undefined) {
       count('returned', returned)
-      returnOperations?.(lastAnswer.owner, { organisation: name, operations: returned, bucket })
+      returnOperations?.(bucket.owner, { organisation: name, operations: returned, bucket: bucket.id })
     } else {
       count('expired', returned)
     }
--- a/test/entry/limits/unused-operations.test.ts
+++ b/test/entry/limits/unused-operations.test.ts
@@ -13,10 +13,15 @@
   let grants: PrefetchedGrants
   let returned: Array<{ owner: string, operations: number, bucket: number }>
   let counts: Record<string, number>
+  /** Owner that answers, and its bucket. */
+  let owner: string
+  let bucket: number
   beforeEach(() => {
     clock = fakeTimers.install({ toFake: ['performance', 'setTimeout', 'clearTimeout'] })
     returned = []
     counts = {}
+    owner = 'h4'
+    bucket = 7
     grants = createPrefetchedGrants({
       limitOf: () => LIMIT,
       count: (outcome, operations) => { counts[outcome] = (counts[outcome] ?? 0) + operations },
@@ -26,13 +31,13 @@
           granted: wanted,
           retryAfterMs: 0,
           version: 1,
-          owner: 'h4',
-          bucket: 7,
+          owner,
+          bucket,
           byPriority: byPriority.map((request) =>
             ({ priority: request.priority, granted: request.wanted, turnsMs: [100], retryAfterMs: 0 }))
         }
       },
-      returnOperations: (owner, { operations, bucket }) => returned.push({ owner, operations, bucket })
+      returnOperations: (to, { operations, bucket: id }) => returned.push({ owner: to, operations, bucket: id })
     })
   })
   afterEach(() => {
@@ -75,6 +80,44 @@
     expect([returned.length, counts['expired']]).toEqual([1, 1])
   })
 
+  it('are not used again and again while requests fail', async () => {
+    // An operation that circulates at a host runs in a later window than the one whose inflow it was granted from.
+    const [first] = await Promise.all([take({}), clock.tickAsync(110)])
+    await clock.tickAsync(250)
+    grants.refund('red', first)
+    const [second] = await Promise.all([take({}), clock.tickAsync(10)])
+    await clock.tickAsync(250)
+    grants.refund('red', second)
+    await clock.tickAsync(300)
+    expect([counts['granted'], returned.length, counts['expired']]).toEqual([1, 0, 1])
+  })
+
+  it('do not go to another bucket than the one that granted them', async () => {
+    // Only the bucket that granted an operation may credit it, or the next one grants more than the limit.
+    const taking = take({})
+    await clock.tickAsync(50)
+    bucket = 8
+    // An operation that does not wait gets its answer from the new bucket before the turn of the other one.
+    void take({})
+    await clock.tickAsync(53)
+    grants.refund('red', await taking)
+    await clock.tickAsync(300)
+    expect(returned).toEqual([])
+  })
+
+  it('do not go to another owner whose bucket has the same number', async () => {
+    // Numbers begin with the start time of the process, and hosts that regain power start at the same time.
+    const holder: { cancelWait?: (() => void) | undefined } = {}
+    take(holder).catch(() => {})
+    await clock.tickAsync(50)
+    owner = 'h5'
+    void take({})
+    await clock.tickAsync(10)
+    holder.cancelWait!()
+    await clock.tickAsync(300)
+    expect(returned).toEqual([])
+  })
+
   it('go back without the one that a retry has used', async () => {
     // An operation that has run and is returned as well is granted twice, which exceeds the bound of the limit.
     const takings = Promise.all(Array.from({ length: 8 }, async () => await take({})))
@@ -90,18 +133,18 @@
   it('are credited only by the bucket that granted them, and no more than it granted', () => {
     clock.tick(10_000)
     const reports: LogFields[] = []
-    const owner = createLimitOwner({
+    const limitOwner = createLimitOwner({
       desiredState: () => ({ organisations: new Map([['red', { name: 'red', limit: LIMIT }]]) }),
       counting: () => COUNTING,
       reachableShare: () => 1,
       onPressure: (_organisation, fields) => reports.push(fields)
     })
     const ask = () =>
-      owner.grant('red', 100, { isFirst: true, exclusiveSince: 0 }, [{ priority: 2, wanted: 100, maximumWaitMs: 0 }])!
-    const { granted, bucket } = ask()
-    owner.credit({ organisation: 'red', operations: granted, bucket: bucket! + 1 })
+      limitOwner.grant('red', 100, { isFirst: true, exclusiveSince: 0 }, [{ priority: 2, wanted: 100, maximumWaitMs: 0 }])!
+    const { granted, bucket: granting } = ask()
+    limitOwner.credit({ organisation: 'red', operations: granted, bucket: granting! + 1 })
     expect(ask().granted).toEqual(0)
-    owner.credit({ organisation: 'red', operations: granted + 50, bucket: bucket! })
+    limitOwner.credit({ organisation: 'red', operations: granted + 50, bucket: granting! })
     expect(ask().granted).toEqual(granted)
     clock.tick(1000)
     ask()
