Leave the floor of a priority that waits less than a more urgent one

Seen: a route with a shorter target than a more urgent route of the same organisation got no operation at all while the organisation asked for more than its limit (waits of 300 ms and 600 ms: none in 10 s); neither did a route without a wait.

Cause: the more urgent priority drew the bucket down to the level of its own wait. There a turn came later than the other one could wait, and its floor was never granted.

Why it holds: a priority leaves the level at which the floors of less urgent ones that have asked lately have their turn in time.

--- a/src/entry/limits/priority-demand.ts
+++ b/src/entry/limits/priority-demand.ts
@@ -111,6 +111,20 @@
     })
     return shortest
   }
+  /**
+   * Lowest level at which each less urgent priority can still take its floor within its own wait; -Infinity for none.
+   * Without this bound a priority with a shorter wait than a more urgent one got nothing at all.
+   */
+  const levelForFloorsAfter = (priority: number, perSecond: number): number => {
+    const since = performance.now() - WAIT_MEMORY_MS
+    let lowest = -Infinity
+    demands.forEach(({ maximumWaitMs, askedAt, floorLeft }, other) => {
+      if (other > priority && askedAt >= since) {
+        lowest = Math.max(lowest, levelForWait(maximumWaitMs, perSecond) + Math.floor(floorLeft))
+      }
+    })
+    return lowest
+  }
   return {
     record: ({ priority, wanted, maximumWaitMs }, perSecond) => {
       const now = performance.now()
@@ -125,7 +139,8 @@
       })
     },
     lowestLevel: ({ priority, maximumWaitMs }, { perSecond, depth }, share) => {
-      const own = levelForWait(maximumWaitMs, perSecond * share)
+      const own = Math.max(
+        levelForWait(maximumWaitMs, perSecond * share), levelForFloorsAfter(priority, perSecond * share))
       const urgentWaitMs = shortestWaitBefore(priority)
       if (urgentWaitMs === undefined) {
         return own
--- a/test/entry/limits/limit-owner.test.ts
+++ b/test/entry/limits/limit-owner.test.ts
@@ -41,6 +41,23 @@
     }
   })
 
+  it('grants each priority its floor, also one that waits less than a more urgent one', () => {
+    // A more urgent priority with a longer wait drew the bucket so low that no turn came in time for the other one.
+    for (const [urgentWaitMs, maximumWaitMs] of [[125, 250], [600, 50], [600, 300], [125, 0]] as const) {
+      clock.tick(20_000)
+      let granted = 0
+      for (let turn = 0; turn < 1000; turn++) {
+        clock.tick(10)
+        const requests = [
+          { priority: 0, wanted: 1, maximumWaitMs: urgentWaitMs }, { priority: 1, wanted: 1, maximumWaitMs }
+        ]
+        const grant = owner.grant('red', 2, { isFirst: true, exclusiveSince: 0 }, requests)!
+        granted += grant.byPriority!.find(({ priority }) => priority === 1)!.granted
+      }
+      expect([urgentWaitMs, granted >= Math.floor(perSecond * 0.05 * 10)]).toEqual([urgentWaitMs, true])
+    }
+  })
+
   it('grants everything when there is no limit, and nothing to an unknown organisation', () => {
     const ownership = { isFirst: true, exclusiveSince: 0 }
     expect(owner.grant('free', 7, ownership)).toEqual({ granted: 7, retryAfterMs: 0 })
