Let a statement that holds a connection go first when it needs its slot again

Seen: with all connections of a home but one in idle transactions, statements and the steps of these transactions waited until their waits timed out (up to half of the target), although the upstream was idle.

Cause: a statement that had given its slot back and then got a connection waited for a slot as if it had just arrived. Statements ahead of it took all slots and waited for its connection. They kept the slots, since not all connections were held by idle transactions; so no step of a transaction could run either.

Why it holds: with the priority of the steps, the statement takes the next slot that is free. A slot is kept by a statement without a connection only while another connection is in use by one that has a slot.

--- a/src/entry/pools/fair-order.ts
+++ b/src/entry/pools/fair-order.ts
@@ -11,7 +11,10 @@
  * Without organisations the order is by priority, then by expected duration, then by arrival.
  */
 
-/** Priority of steps of open transactions; ahead of all other statements, whose priorities start at 0. */
+/**
+ * Priority of steps of open transactions, and of statements that hold a connection and wait for a slot again; ahead of
+ * all other statements, whose priorities start at 0.
+ */
 export const OPEN_TRANSACTION_PRIORITY = -1
 /** One turn in so many goes to the statement that has used the largest part of its allowed wait. */
 const LONGEST_WAIT_TURN = 8
--- a/src/entry/requests/acquire-connection.ts
+++ b/src/entry/requests/acquire-connection.ts
@@ -1,5 +1,5 @@
 /** Acquires an execution slot and a pooled connection at an upstream. `wait-rules.ts` bounds the wait. */
-import type { ConnectionLease, UpstreamResources } from '../pools/index.ts'
+import { OPEN_TRANSACTION_PRIORITY, type ConnectionLease, type UpstreamResources } from '../pools/index.ts'
 import type { EntryContext, RequestScope } from './types.ts'
 import { connectionWaitMs } from './wait-rules.ts'
 
@@ -32,8 +32,8 @@
   let lease: ConnectionLease | undefined
   const acquire = async (): Promise<ConnectionLease> =>
     await pool.acquire({ organisation, values, priority, waitMs: leftMs(), beginsTransaction })
-  const enter = async (allowedMs: number): Promise<() => void> => await queue.enter({
-    organisation: organisation ?? '', priority, costMs, waitMs: allowedMs, dueInMs: softDeadline - performance.now()
+  const enter = async (allowedMs: number, rank = priority): Promise<() => void> => await queue.enter({
+    organisation: organisation ?? '', priority: rank, costMs, waitMs: allowedMs, dueInMs: softDeadline - performance.now()
   })
   try {
     releaseSlot = await enter(waitMs)
@@ -41,7 +41,8 @@
       // With its slot it would block the steps of the transactions that hold the connections.
       releaseSlot()
       lease = await acquire()
-      releaseSlot = await enter(leftMs())
+      // Its turn has come once, and it holds a connection: requests ahead of it could wait for that with all slots.
+      releaseSlot = await enter(leftMs(), OPEN_TRANSACTION_PRIORITY)
     }
     lease ??= await acquire()
     metrics.queue('done', performance.now() - startedAt)
--- a/test/entry/pools/connection-sharing.test.ts
+++ b/test/entry/pools/connection-sharing.test.ts
@@ -2,6 +2,7 @@
 import { expect } from 'earl'
 import fakeTimers, { type Clock } from '@sinonjs/fake-timers'
 import { RequestError } from '../../../src/core/errors/index.ts'
+import { OPEN_TRANSACTION_PRIORITY } from '../../../src/entry/pools/fair-order.ts'
 import { createStatementQueue } from '../../../src/entry/pools/statement-queue.ts'
 import { createUpstreamPool, type UpstreamPool } from '../../../src/entry/pools/upstream-pool.ts'
 import type { ConnectionLease, PoolContention } from '../../../src/entry/pools/types.ts'
@@ -117,6 +118,50 @@
     releaseSlot()
   })
 
+  it('do not wait for a slot while the slots wait for connections', async () => {
+    // Otherwise neither they nor the steps of open transactions would run until the waits time out.
+    const idle = []
+    for (let index = 0; index < MAXIMUM; index++) {
+      idle.push(...(await request(`o${index}`, 1, true)).leases)
+    }
+    const queue = createStatementQueue({ group: 'g', upstream: 'u', limits: () => ({ slots: 1, homes: 1 }) })
+    const enterStep = async (lease: ConnectionLease) => {
+      lease.setIdleTransaction(false)
+      return await queue.enter({ organisation: 'o', priority: OPEN_TRANSACTION_PRIORITY, costMs: 5, waitMs: 1000, dueInMs: 500 })
+    }
+    const begin = (organisation: string, priority: number): { isDone: boolean } => {
+      const state = { isDone: false }
+      const scope = {
+        organisation, values: new Map(), priority, costMs: 5, softDeadline: performance.now() + 800
+      }
+      acquireConnection({ metrics: { queue: () => {} } } as never, scope as never, { pool, queue } as never, 400)
+        .then(({ releaseSlot }) => {
+          state.isDone = true
+          setTimeout(releaseSlot, 5)
+        }, () => {})
+      return state
+    }
+    const first = begin('small', 1)
+    await clock.tickAsync(5)
+    const freeSlots = await Promise.all([enterStep(idle[1]!), enterStep(idle[2]!)])
+    idle[0]!.release()
+    await clock.tickAsync(20)
+    begin('urgent', 0)
+    begin('other', 0)
+    for (const [index, freeSlot] of freeSlots.entries()) {
+      freeSlot()
+      idle[index + 1]!.setIdleTransaction(true)
+      await clock.tickAsync(1)
+    }
+    let isStepDone = false
+    void enterStep(idle[3]!).then((freeSlot) => {
+      isStepDone = true
+      freeSlot()
+    })
+    await clock.tickAsync(50)
+    expect([first.isDone, isStepDone]).toEqual([true, true])
+  })
+
   it('are closed for another organisation where they are expected to be used least', async () => {
     const used = ['often', 'seldom', 'often', 'o3', 'o4', 'o5', 'o6', 'o7', 'o8', 'o3', 'o4', 'o5', 'o6', 'o7', 'o8']
     for (const organisation of used) {
