End the lease of a connection only once

Seen: a statement whose time had passed when it was about to be sent released its connection twice. If the pool had already leased the connection to a waiting request, it lost count of it, and so opened more connections than the host's part of the cap.

Cause: the second end of a lease removed the connection from those in use, although its callbacks were skipped.

Why it holds: a lease that has ended does nothing any more, as the interface says.

--- a/src/entry/pools/connection-lease.ts
+++ b/src/entry/pools/connection-lease.ts
@@ -34,12 +34,14 @@
     const endListeners: Array<() => void> = []
     let done = false
     const finish = (): boolean => {
-      const first = !done
+      if (done) {
+        return false
+      }
       done = true
       pooled.isIdleTransaction = false
       inUse.delete(pooled)
       endListeners.splice(0).forEach((listener) => listener())
-      return first
+      return true
     }
     return Object.assign(Object.create(pooled) as ConnectionLease, {
       release: () => {
--- a/test/entry/pools/upstream-pool.test.ts
+++ b/test/entry/pools/upstream-pool.test.ts
@@ -71,6 +71,16 @@
     return leases
   }
 
+  it('counts a connection that was leased again when its former lease is ended twice', async () => {
+    // Otherwise the pool loses count of the connection and opens more than its maximum.
+    const pool = createPool()
+    const [first] = await acquire(pool, 1)
+    first!.release()
+    const [second] = await acquire(pool, 1)
+    first!.release()
+    expect([second!.connection === first!.connection, pool.inUse, pool.size]).toEqual([true, 1, 1])
+  })
+
   it('opens no more than its maximum although the upstream has capacity', async () => {
     const pool = createPool()
     const leases = await acquire(pool, 6)
