Wake up an idle process less often

Periodic checks of pools, tables and the directory now expire together: each of 18 pools woke the process once per second at a time of its own.

--- a/src/entry/directory/index.ts
+++ b/src/entry/directory/index.ts
@@ -1,5 +1,6 @@
 /** Plug-in `directory`: follows the directory's table and notifies listeners of changes to the upstreams. */
 import { registerPlugin } from '../../core/kernel/index.ts'
+import { startAlignedInterval } from '../../core/time/aligned-interval.ts'
 import type { StoreRow } from '../ports/index.ts'
 import { CHANGE_BATCH_MS, followTable } from '../registry/follow-table.ts'
 import '../registry/change-notifications.ts'
@@ -64,7 +65,7 @@
       onReadRequest: (listener) => { requestRead = listener }
     })
     /** Removal of an upstream requires another read of the table, which confirms that its row is still missing. */
-    const expiryCheck = setInterval(() => {
+    const stopExpiryCheck = startAlignedInterval(() => {
       if (directory.hasExpired()) {
         requestRead()
       }
@@ -78,7 +79,7 @@
       },
       dump: () => ({ upstreams: directory.all() }),
       close: () => {
-        clearInterval(expiryCheck)
+        stopExpiryCheck()
         follower.close()
       }
     }
--- a/src/entry/pools/upstream-pool.ts
+++ b/src/entry/pools/upstream-pool.ts
@@ -4,6 +4,7 @@
  * that has none available.
  */
 import { RequestError } from '../../core/errors/index.ts'
+import { startAlignedInterval } from '../../core/time/aligned-interval.ts'
 import type { UpstreamConnection, UpstreamPort, UpstreamTarget } from '../ports/index.ts'
 import type { ConnectionLimits } from './connection-limits.ts'
 import { createConnectionLeases } from './connection-lease.ts'
@@ -100,10 +101,10 @@
       waiters.rejectAll(error)
     }
   })
-  const trimTimer = setInterval(() => {
+  const stopTrimming = startAlignedInterval(() => {
     idle.closeSurplus(leases.inUse, () => size() > options.limits().retained)
     serveWaiters()
-  }, TRIM_INTERVAL_MS).unref()
+  }, TRIM_INTERVAL_MS)
 
   return {
     target,
@@ -125,7 +126,7 @@
     },
     close: () => {
       closed = true
-      clearInterval(trimTimer)
+      stopTrimming()
       idle.closeAll()
       waiters.rejectAll(poolClosedError(target))
     }
--- a/src/entry/registry/table-ages.ts
+++ b/src/entry/registry/table-ages.ts
@@ -1,5 +1,6 @@
 /** Reports how old the confirmations of the followed tables are: a gauge, and a log line when one becomes too old. */
 import type { Logger } from '../../core/logger/index.ts'
+import { startAlignedInterval } from '../../core/time/aligned-interval.ts'
 import type { Metrics } from '../../metrics/index.ts'
 import { CHANGE_IN_FORCE_MS } from '../ports/change-bound.ts'
 import type { TableConfirmation } from './followed-table.ts'
@@ -49,11 +50,11 @@
       table, source, ageMs: Math.round(ageMs)
     })
   }
-  const timer = setInterval(() => {
+  const stopChecks = startAlignedInterval(() => {
     confirmations.forEach((confirmation, table) => check(table, confirmation()))
   }, CHECK_INTERVAL_MS)
   return {
     add: (table, confirmation) => { confirmations.set(table, confirmation) },
-    close: () => clearInterval(timer)
+    close: stopChecks
   }
 }
