Compile all functions of the bundle when its code cache is written

The cache held only what runs while the modules are loaded, so each process compiled the functions that serve requests at their first calls.

--- a/deploy/compile.cjs
+++ b/deploy/compile.cjs
@@ -1,10 +1,12 @@
 // Writes the V8 code cache of a bundle: `node OPTIONS deploy/compile.cjs BUNDLE`. OPTIONS must be those that the bundle
-// will run with. Functions are compiled at their first call, so the bundle is run once with `--version`.
+// will run with. All functions are compiled, so that a process that has just started compiles none at its first requests.
 const { writeFileSync } = require('node:fs')
-const { compiledFileOf, readBundle, runBundle } = require('./load-bundle.cjs')
+const { setFlagsFromString } = require('node:v8')
+const { compiledFileOf, readBundle } = require('./load-bundle.cjs')
 
 const [, , file] = process.argv
+setFlagsFromString('--no-lazy')
 const script = readBundle(file)
-process.argv.splice(2, 1, '--version')
-runBundle(script, file)
-process.on('exit', () => writeFileSync(compiledFileOf(file), script.createCachedData()))
+// The cache holds a hash of the flags, which must be those of the deployed process.
+setFlagsFromString('--lazy')
+writeFileSync(compiledFileOf(file), script.createCachedData())
