--- a/src/core/logger/index.ts
+++ b/src/core/logger/index.ts
@@ -47,6 +47,7 @@
  */
 export function createLogger (options: LoggerOptions): LeveledLogger {
   const sink = options.stream ?? process.stderr
+  const common = formatFields(options.fields)
   /** Number of levels that are written, from the most severe one. */
   let writtenLevels = 0
   const setLevel = (level: LogLevel | 'silent'): void => {
@@ -55,10 +56,10 @@
   setLevel(options.level)
   return {
     setLevel,
-    log: (level, event, fields) => {
+    log: (level, event, fields = {}) => {
       if (LOG_LEVELS.indexOf(level) < writtenLevels) {
-        const lineFields = { time: new Date().toISOString(), level, event, ...options.fields, ...fields }
-        sink.write(`${formatFields(lineFields)}\n`)
+        const start = `time=${new Date().toISOString()} level=${level} event=${event}`
+        sink.write(`${[start, common, formatFields(fields)].filter((part) => part !== '').join(' ')}\n`)
       }
     }
   }
