--- a/src/entry/pools/upstream-pool.ts
+++ b/src/entry/pools/upstream-pool.ts
@@ -4,6 +4,7 @@
  * organisation that has none available. `connection-bounds.ts` limits what one organisation holds.
  */
 import { RequestError } from '../../core/errors/index.ts'
+import { startAlignedInterval } from '../../core/time/aligned-interval.ts'
 import type { UpstreamConnection, UpstreamPort, UpstreamTarget } from '../ports/index.ts'
 import type { ConnectionLimits } from './connection-limits.ts'
 import { createConnectionBounds, isOrganised, type ConnectionBounds } from './connection-bounds.ts'
@@ -81,7 +82,7 @@
   private readonly leases
   private readonly opener: ConnectionOpener
   private readonly contention
-  private readonly trimTimer: NodeJS.Timeout
+  private readonly stopTrimming: () => void
   private closed = false
 
   constructor (private readonly options: UpstreamPoolOptions) {
@@ -110,7 +111,7 @@
         this.waiters.rejectAll(error)
       }
     })
-    this.trimTimer = setInterval(() => this.trim(), TRIM_INTERVAL_MS).unref()
+    this.stopTrimming = startAlignedInterval(() => this.trim(), TRIM_INTERVAL_MS)
   }
 
   get inUse (): number { return this.leases.inUse.size }
@@ -155,7 +156,7 @@
 
   close (): void {
     this.closed = true
-    clearInterval(this.trimTimer)
+    this.stopTrimming()
     this.idle.closeAll()
     this.waiters.rejectAll(poolClosedError(this.target))
   }
