Don't take hosts that start at once for failed ones

Cause: a log of 16 hosts that start at once on 0.12 cores each has 184 lines home.failed and 76 limit.owner-failed in the first 2.5 s, most for links that did not open within 200 ms while both event loops were busy. A home was then skipped, all others were probed, and limits had no owner.

Change: a link to a process that is known for less than 2 s may be late: it is no failure of its host, and an answer counts as late after 500 instead of 150 ms. In the first 2 s of a process statements wait 500 ms for a link. A refused connection counts as before.

Result: unit tests of the failure detector; the effect on a deployment has not been measured here.

--- a/src/entry/homes/home-watch.ts
+++ b/src/entry/homes/home-watch.ts
@@ -10,8 +10,10 @@
 import type { Logger } from '../../core/logger/index.ts'
 import { TIMED_OUT, withTimeout } from '../../core/time/deadline.ts'
 import type { Peers } from '../../peers/index.ts'
+import { isLinkPending } from '../../peers/refusal.ts'
 import type { KnownHost } from '../registry/index.ts'
 import type { HomeSelector } from './home-choice.ts'
+import type { StartingHosts } from './starting-hosts.ts'
 
 /** Time without an answer after which a home is probed, in milliseconds. */
 export const PROBE_AFTER_IDLE_MS = 150
@@ -20,6 +22,8 @@
  * while its processor quota is exhausted, up to 100 ms.
  */
 export const SUSPECT_AFTER_MS = 150
+/** The same time for a home that may have started just now, in milliseconds; see starting-hosts.ts. */
+export const SUSPECT_STARTING_AFTER_MS = 500
 /**
  * Time from the probe until the link is closed, in milliseconds. It is about the deadline of a statement on most
  * routes: a write in progress cannot be sent again, so a late answer is better than an unknown outcome.
@@ -38,6 +42,7 @@
   logger: Logger
   /** Homes that this host may forward statements to. */
   homes: () => KnownHost[]
+  starting: StartingHosts
 }
 
 /** Detects homes that do not respond. */
@@ -46,7 +51,7 @@
    * Checks whether a home is alive. A home that has answered within {@link PROBE_AFTER_IDLE_MS} is not probed.
    *
    * @param home - the home
-   * @returns whether it has answered within {@link SUSPECT_AFTER_MS}
+   * @returns whether it has answered within {@link SUSPECT_AFTER_MS}, or {@link SUSPECT_STARTING_AFTER_MS}
    */
   isAlive: (home: KnownHost) => Promise<boolean>
   /**
@@ -57,7 +62,10 @@
    * @returns stops probing
    */
   probeWhileWaiting: (home: KnownHost, onSuspected: () => void) => () => void
-  /** Records that a home was unreachable or did not answer. */
+  /**
+   * Records that a home was unreachable or did not answer. Does nothing if the link to a home that may have started
+   * just now is still being opened.
+   */
   recordFailure: (home: KnownHost, thrown: unknown) => void
 }
 
@@ -68,7 +76,7 @@
  * @returns the failure detector
  */
 export function createHomeFailureDetector (options: FailureDetectorOptions): HomeFailureDetector {
-  const { links, selector, logger } = options
+  const { links, selector, logger, starting } = options
   /** Probes in progress by home, shared by all callers; each resolves to whether the answer came in time. */
   const probing = new Map<string, Promise<boolean>>()
   const probeRounds = createProbeRounds(options, (home) => { void isAlive(home) })
@@ -81,6 +89,9 @@
     }
   }
   const recordFailure = (home: KnownHost, thrown: unknown): void => {
+    if (isLinkPending(thrown) && starting.isStarting(home)) {
+      return
+    }
     recordSilence(home)
     logger.log('info', 'home.failed', { peer: home.name, reason: describeThrown(thrown) })
   }
@@ -100,7 +111,8 @@
     }
   }
   const suspectUnlessAnswered = async (home: KnownHost, answer: Promise<boolean>): Promise<boolean> => {
-    const inTime = await withTimeout(answer, SUSPECT_AFTER_MS)
+    const inTime = await withTimeout(
+      answer, starting.isStarting(home) ? SUSPECT_STARTING_AFTER_MS : SUSPECT_AFTER_MS)
     if (inTime === TIMED_OUT) {
       recordSilence(home)
       const silentMs = Math.round(performance.now() - selector.lastAnswerAt(home))
--- a/src/entry/homes/index.ts
+++ b/src/entry/homes/index.ts
@@ -9,6 +9,7 @@
 import { createHomeSelector, type HomeSelector } from './home-choice.ts'
 import { createHomeFailureDetector, type HomeFailureDetector } from './home-watch.ts'
 import type { HomeReply } from './messages.ts'
+import { trackStartingHosts } from './starting-hosts.ts'
 import { createUpstreamHomes } from './upstream-homes.ts'
 
 export * from './messages.ts'
@@ -93,7 +94,8 @@
     const { of, isHome, others } = createUpstreamHomes({
       registry, desiredState: use('desiredState'), directory
     })
-    const detector = createHomeFailureDetector({ links, selector, logger, homes: others })
+    const starting = trackStartingHosts(registry)
+    const detector = createHomeFailureDetector({ links, selector, logger, homes: others, starting })
     handle('home-alive', async () => ({}))
     let { liveHosts } = registry.current
     registry.onChange(() => {
--- a/src/peers/index.ts
+++ b/src/peers/index.ts
@@ -38,9 +38,12 @@
 /**
  * Timeout to open a link for statements, and maximum wait of a statement for the link, in milliseconds. The wait is
  * short because another host can run the statement; a link to a busy peer opens later and serves later statements.
+ * After the start of the process all links have to be opened, and waiting costs less than opening others instead.
  */
 const WORK_CONNECT_MS = 1000
-const WORK_LINK_WAIT_MS = 200
+const WORK_LINK_WAIT_MS = { usual: 200, atStart: 500 } as const
+/** Time after the start of the process for which statements wait longer for their links, in milliseconds. */
+const START_MS = 2000
 /** Time for the last replies to be written when this process closes its links, in milliseconds. */
 const REPLY_FLUSH_MS = 200
 
@@ -56,12 +59,14 @@
       host, key, handlers, address: settings.host.address, port: settings.listen.peers, logger: context.logger
     })
     const client = createPeerClient({ host, key, dialer: context.dialer })
+    const startedAt = performance.now()
     const work = createPeerClient({
       host,
       key,
       dialer: context.dialer,
       connectTimeoutMs: WORK_CONNECT_MS,
-      linkWaitMs: WORK_LINK_WAIT_MS,
+      linkWaitMs: () =>
+        performance.now() - startedAt < START_MS ? WORK_LINK_WAIT_MS.atStart : WORK_LINK_WAIT_MS.usual,
       replaceSilentLinks: false
     })
     return {
--- a/src/peers/peer-client.ts
+++ b/src/peers/peer-client.ts
@@ -5,6 +5,7 @@
 import { formatEndpoint, type Dialer, type Endpoint } from '../core/wire/dialer.ts'
 import { peerUnavailableError, type OpenLink } from './open-link.ts'
 import { createPeerLinks, type LinkEntry, type PeerLinks } from './peer-links.ts'
+import { PeerLinkPending } from './refusal.ts'
 import type { ReplyFrame } from './types.ts'
 
 /** Options of {@link createPeerClient}. */
@@ -15,10 +16,10 @@
   /** Timeout to connect and authenticate, in milliseconds. */
   connectTimeoutMs?: number
   /**
-   * Maximum time a request waits for its link, in milliseconds. The link continues to open for later requests, since
-   * an aborted attempt costs a busy peer as much as a successful one.
+   * Returns the maximum time that a request waits for its link, in milliseconds; the connect timeout by default. The
+   * link continues to open for later requests, since an aborted attempt costs a busy peer as much as a successful one.
    */
-  linkWaitMs?: number
+  linkWaitMs?: () => number
   /**
    * Whether requests without an answer replace the links that are silent (`peer-links.ts`). Otherwise the owner of the
    * client detects silent links itself.
@@ -64,7 +65,7 @@
  */
 export function createPeerClient (options: PeerClientOptions): PeerClient {
   const { host, key, dialer, connectTimeoutMs = CONNECT_TIMEOUT_MS, replaceSilentLinks = true } = options
-  const { linkWaitMs = connectTimeoutMs } = options
+  const { linkWaitMs = () => connectTimeoutMs } = options
   let nextId = 1
   let lateAnswers = 0
   const links = createPeerLinks({
@@ -72,9 +73,9 @@
   })
 
   const waitForLink = async ({ opening }: LinkEntry, name: string): Promise<OpenLink> => {
-    const link = await withTimeout(opening, linkWaitMs)
+    const link = await withTimeout(opening, linkWaitMs())
     if (link === TIMED_OUT) {
-      throw peerUnavailableError(name, 'no answer to the connection attempt', 'not-run')
+      throw new PeerLinkPending(name)
     }
     return link
   }
--- a/test/entry/homes/home-watch.test.ts
+++ b/test/entry/homes/home-watch.test.ts
@@ -7,9 +7,11 @@
 import { createHomeSelector, type HomeSelector } from '../../../src/entry/homes/home-choice.ts'
 import {
   createHomeFailureDetector, DISCONNECT_AFTER_MS, PROBE_AFTER_IDLE_MS, PROBE_ALL, SUSPECT_AFTER_MS,
+  SUSPECT_STARTING_AFTER_MS,
   type HomeFailureDetector
 } from '../../../src/entry/homes/home-watch.ts'
 import type { KnownHost } from '../../../src/entry/registry/index.ts'
+import { PeerLinkPending } from '../../../src/peers/refusal.ts'
 
 /** Time until a home without an answer is suspected: the turn of the event loop after the timeout takes 1 ms here. */
 const SUSPECTED_MS = SUSPECT_AFTER_MS + 1
@@ -22,6 +24,9 @@
   /** Homes that this host may forward statements to. */
   homes: KnownHost[] = [HOME]
   disconnects = 0
+  isStarting = false
+  /** Whether the link to it is still being opened. */
+  isLinkPending = false
   readonly selector: HomeSelector = createHomeSelector()
   readonly detector: HomeFailureDetector
 
@@ -30,9 +35,13 @@
       selector: this.selector,
       homes: () => this.homes,
       logger: silentLogger,
+      starting: { isStarting: () => this.isStarting },
       links: {
         request: async (_home, _type, _body, timeoutMs) => {
           this.requests++
+          if (this.isLinkPending) {
+            throw new PeerLinkPending('h1')
+          }
           await pause(Math.min(answerMs, timeoutMs))
           if (answerMs > timeoutMs) {
             throw new RequestError('may-have-run', 'PeerUnavailable', { peer: 'h1', reason: 'no answer in time' })
@@ -54,6 +63,26 @@
   beforeEach(() => { clock = fakeTimers.install() })
   afterEach(() => clock.uninstall())
 
+  it('does not take a home that starts for silent while the first link to it opens, or while it answers late', async () => {
+    const home = new SlowHome(SUSPECT_STARTING_AFTER_MS - 100)
+    home.isStarting = true
+    home.isLinkPending = true
+    expect(await home.detector.isAlive(HOME)).toEqual(false)
+    expect(home.isSkipped).toEqual(false)
+    home.isLinkPending = false
+    const alive = home.detector.isAlive(HOME)
+    await clock.tickAsync(SUSPECT_STARTING_AFTER_MS)
+    expect(await alive).toEqual(true)
+    expect(home.isSkipped).toEqual(false)
+  })
+
+  it('takes a home that has run for long for silent if no link to it opens', async () => {
+    const home = new SlowHome(0)
+    home.isLinkPending = true
+    expect(await home.detector.isAlive(HOME)).toEqual(false)
+    expect(home.isSkipped).toEqual(true)
+  })
+
   it('skips a slow home until it answers, and keeps its link', async () => {
     const home = new SlowHome(DISCONNECT_AFTER_MS - 100)
     const alive = home.detector.isAlive(HOME)
--- a/test/peers/peer-client.test.ts
+++ b/test/peers/peer-client.test.ts
@@ -53,7 +53,7 @@
 
   it('keeps opening a link after a request stopped waiting, and uses it for later requests', async () => {
     const client = createPeerClient({
-      host: 'asker', key: KEY, dialer: dial, connectTimeoutMs: REQUEST_MS, linkWaitMs: LINK_WAIT_MS
+      host: 'asker', key: KEY, dialer: dial, connectTimeoutMs: REQUEST_MS, linkWaitMs: () => LINK_WAIT_MS
     })
     const ask = async (): Promise<unknown> => await client.request(endpoint, 'echo', { value: 1 }, REQUEST_MS)
     const first = await ask().catch((thrown: unknown) => thrown)
