Grant the whole rate of a limit after a common start of all hosts

Cause: after a loss of power of all hosts each owner of a limit granted a quarter of its rate for 1.5 s and began with few operations; in a log of 16 hosts, 127 requests were refused for that within 2.5 s. The warm-up covers hosts that still ask a previous owner, of which there are none then.

Change: a process that replaces a row of the registry records there when it can have started at the latest (startedAtMs, optional; a missing one counts as unknown). If all rows show starts within 5 s, and none is new, retired or leaving, the owner skips the warm-up, and its first bucket fills from the time at which the last earlier process had ended, as if that had left it empty.

Result: in one window, the operations granted before the loss and after it are those of one bucket and the initial ones of a new one, as after any change of the owner.

--- a/src/entry/limits/limit-order.ts
+++ b/src/entry/limits/limit-order.ts
@@ -5,12 +5,13 @@
  */
 import { orderByScore } from '../../placement/upstream-homes.ts'
 import type { KnownHost, Registry } from '../registry/index.ts'
+import { createCommonStart } from './common-start.ts'
 import type { Ownership } from './limit-owner.ts'
 import type { ProcessPauseWatch } from './process-pauses.ts'
 
 /** Options of {@link createOwnerOrder}. */
 interface OwnerOrderOptions {
-  registry: Pick<Registry, 'current' | 'self' | 'onChange'>
+  registry: Pick<Registry, 'current' | 'self' | 'onChange' | 'storeNowAtLeastMs'>
   pauses: Pick<ProcessPauseWatch, 'runningSince'>
 }
 
@@ -39,6 +40,8 @@
   /** Time of the last change of the list of live hosts. */
   let hostsChangedAt = performance.now()
   let { liveHosts: knownHosts } = registry.current
+  const commonStart = createCommonStart(registry)
+  const { runningSince: runningAtFirst } = pauses
   registry.onChange(() => {
     if (registry.current.liveHosts !== knownHosts) {
       knownHosts = registry.current.liveHosts
@@ -60,7 +63,9 @@
     of: orderOf,
     ownershipOf: (organisation) => ({
       isFirst: orderOf(organisation)[0]?.name === registry.self.name,
-      exclusiveSince: Math.max(hostsChangedAt, pauses.runningSince)
+      exclusiveSince: Math.max(hostsChangedAt, pauses.runningSince),
+      // Fallback owners may have granted operations in a pause of this process.
+      earlierEndedAt: pauses.runningSince === runningAtFirst ? commonStart.earlierEndedAt() : undefined
     }),
     retain: (organisations) => {
       [...orders.keys()].filter((name) => !organisations.has(name)).forEach((name) => orders.delete(name))
--- a/src/entry/limits/limit-owner.ts
+++ b/src/entry/limits/limit-owner.ts
@@ -5,6 +5,8 @@
  * An owner grants the fraction of the limit that equals its fraction of reachable hosts, since in a partition each side
  * has an owner and both together must stay within the limit. A fallback owner, and an owner in its warm-up, grants at
  * most {@link FALLBACK}. A new bucket starts full only when no other host can have owned the limit for a whole window.
+ * After a common start of all hosts there is no previous owner that some hosts still ask, so the warm-up is left out.
+ * The first bucket then fills from the time at which the last earlier process had ended, as if that had left it empty.
  */
 import type { DesiredState } from '../ports/index.ts'
 import { bucketParametersOf, type LimitCounting } from './bucket-parameters.ts'
@@ -24,6 +26,11 @@
   isFirst: boolean
   /** Time since which no other host can have owned the limit, on the monotonic clock, in milliseconds. */
   exclusiveSince: number
+  /**
+   * Time at which the last process ended that may have owned the limit before those that run now, on the monotonic
+   * clock, in milliseconds; undefined if one may still run (common-start.ts).
+   */
+  earlierEndedAt?: number
 }
 
 /** Options of {@link createLimitOwner}. */
@@ -115,12 +122,13 @@
 }
 
 function createOwned (
-  { isFirst, exclusiveSince }: Ownership, windowMs: number, before: OwnedOrganisation | undefined
+  { isFirst, exclusiveSince, earlierEndedAt }: Ownership, windowMs: number, before: OwnedOrganisation | undefined
 ): OwnedOrganisation {
   const now = performance.now()
   const startsFull = isFirst && now - exclusiveSince >= windowMs
   return {
-    bucket: createTokenBucket(startsFull),
+    // A bucket that replaces another one on this host must not fill again for the time before.
+    bucket: createTokenBucket(startsFull, isFirst && before === undefined ? earlierEndedAt : undefined),
     requestedAt: now,
     // An owner of long standing skips the warm-up.
     firstSince: startsFull ? exclusiveSince : undefined,
@@ -130,9 +138,12 @@
 }
 
 /** Computes the fraction of the limit that this host may grant, and updates `firstSince`. */
-function grantableShare (owned: OwnedOrganisation, { isFirst }: Ownership, reachableShare: () => number): number {
+function grantableShare (
+  owned: OwnedOrganisation, { isFirst, earlierEndedAt }: Ownership, reachableShare: () => number
+): number {
   const now = performance.now()
   owned.firstSince = isFirst ? owned.firstSince ?? now : undefined
-  const isEstablished = owned.firstSince !== undefined && now - owned.firstSince >= FALLBACK.warmUpMs
+  const isEstablished = owned.firstSince !== undefined &&
+    (earlierEndedAt !== undefined || now - owned.firstSince >= FALLBACK.warmUpMs)
   return isEstablished ? reachableShare() : Math.min(reachableShare(), FALLBACK.share)
 }
--- a/src/entry/limits/token-bucket.ts
+++ b/src/entry/limits/token-bucket.ts
@@ -39,13 +39,14 @@
  *
  * @param startsFull - true when no host can have granted operations recently; otherwise the bucket starts with
  *   `initial` tokens
+ * @param filledSince - time since when it has been filling, on the monotonic clock; now by default
  * @returns the bucket
  */
-export function createTokenBucket (startsFull: boolean): TokenBucket {
+export function createTokenBucket (startsFull: boolean, filledSince = performance.now()): TokenBucket {
   let level: number | undefined
-  let filledAt = performance.now()
+  let filledAt = Math.min(filledSince, performance.now())
   /** End of the time slots that were assigned to refused requests. */
-  let reservedUntil = filledAt
+  let reservedUntil = performance.now()
 
   const fill = ({ perSecond, depth, initial }: BucketParameters, share: number): number => {
     const now = performance.now()
--- a/src/entry/registry/own-row.ts
+++ b/src/entry/registry/own-row.ts
@@ -20,7 +20,7 @@
   row: HostRow
   store: Pick<StorePort, 'write'>
   state: Pick<RegistryState, 'current' | 'ownHost' | 'confirmedAgeMs'>
-  registryStore: Pick<RegistryStore, 'refresh' | 'write' | 'writeOnly'>
+  registryStore: Pick<RegistryStore, 'refresh' | 'write' | 'writeOnly' | 'storeNowAtMostMs'>
   logger: Logger
 }
 
@@ -42,6 +42,7 @@
  */
 export function createOwnRow ({ self, row, store, state, registryStore, logger }: OwnRowOptions): OwnRow {
   const key = registryKeys.host(self.name)
+  const startedAt = performance.now()
   let isStopping = false
 
   /** Writes the row unless another process has replaced it; a missing row is written by `register`. */
@@ -62,6 +63,10 @@
       }
       const wasRegistered = Number.isFinite(state.confirmedAgeMs())
       row.replaces = wasRegistered ? undefined : own?.version
+      // Tells a common start of all hosts, which concerns processes that replace a row only (limits/common-start.ts).
+      row.startedAtMs = row.replaces === undefined
+        ? undefined
+        : Math.ceil(registryStore.storeNowAtMostMs() - (performance.now() - startedAt))
       // After a timeout the next turn reads the table, which shows whether the row was written.
       const written = await registryStore.writeOnly({
         expected: [{ key, version: own?.version ?? 0 }],
--- a/src/entry/registry/types.ts
+++ b/src/entry/registry/types.ts
@@ -17,6 +17,11 @@
   leaving: z.boolean().optional(),
   /** Version of the row that the process replaced when it registered first; absent if there was none. */
   replaces: z.number().optional(),
+  /**
+   * Latest time at which the process can have started, on the store's clock, in milliseconds; absent if it is unknown,
+   * or if the process replaced no row.
+   */
+  startedAtMs: z.number().optional(),
   /**
    * Present if a peer has retired the host: when its last lease expires on the store's clock, in milliseconds, had the
    * store carried out the write at once. Failovers go by `retirements.ts`.
--- a/test/entry/limits/limit-owner.test.ts
+++ b/test/entry/limits/limit-owner.test.ts
@@ -40,6 +40,24 @@
     }
   })
 
+  it('grants the whole rate after a common start, as if the processes before it had left an empty bucket', () => {
+    const earlierEndedAt = performance.now()
+    clock.tick(500)
+    const ownership = { isFirst: true, exclusiveSince: performance.now(), earlierEndedAt }
+    expect(owner.grant('red', 100, ownership)?.granted).toEqual(Math.floor(initial + perSecond / 2))
+    clock.tick(1000)
+    expect(owner.grant('red', 100, ownership)?.granted).toEqual(Math.floor(perSecond))
+  })
+
+  it('does not fill a bucket that replaces another one for the time before', () => {
+    const earlierEndedAt = performance.now()
+    clock.tick(1000)
+    owner.grant('red', 100, { isFirst: true, exclusiveSince: performance.now(), earlierEndedAt })
+    clock.tick(1500)
+    const replaced = owner.grant('red', 100, { isFirst: true, exclusiveSince: performance.now(), earlierEndedAt })
+    expect(replaced?.granted).toEqual(initial)
+  })
+
   it('grants everything when there is no limit, and nothing to an unknown organisation', () => {
     const ownership = { isFirst: true, exclusiveSince: 0 }
     expect(owner.grant('free', 7, ownership)).toEqual({ granted: 7, retryAfterMs: 0 })
