Warm a host up before it reports itself ready

Cause: a host reported itself ready as soon as it knew an upstream. Its first requests opened links, connections and proofs.

Change: while at least half of the asked hosts are ready, a registered host opens links to the homes and the owners of limits, fetches a proof for each group that needs one, and opens two connections to each upstream that it is a home of, for the organisations that prefer it. After 2 s it is ready in any case. Otherwise all hosts return at once, and the rest is skipped. The answer to home-alive has the optional field ready, sent only while a host is not. Event readiness.warm; metric worksward_first_served_milliseconds, registered with the first served request.

--- a/src/entry/homes/index.ts
+++ b/src/entry/homes/index.ts
@@ -2,7 +2,9 @@
  * Plug-in `homes`. A home of an upstream is a host that holds connections to it; the other hosts forward statements to
  * a home. This plug-in computes the homes, selects one for each statement and detects those that fail.
  */
+import * as z from 'zod'
 import { registerPlugin } from '../../core/kernel/index.ts'
+import { orderByScore } from '../../placement/upstream-homes.ts'
 import type { KnownUpstream } from '../directory/index.ts'
 import type { KnownHost } from '../registry/index.ts'
 import { createForwarder, silentHomeError, type ForwardRequest } from './pass-on.ts'
@@ -21,6 +23,11 @@
  */
 export const FORWARDING_GRACE_MS = 30
 
+/** Time that a host has to say whether it is ready, in milliseconds; a busy process needs some hundred. */
+const READY_TIMEOUT_MS = 500
+
+const aliveAnswerSchema = z.object({ ready: z.boolean().optional() })
+
 /** Whether a host responds; `unknown` until it has been sent a request. */
 type Reachability = 'answers' | 'silent' | 'unknown'
 
@@ -70,6 +77,17 @@
    * @returns the host; undefined when all are silent
    */
   firstResponsive: (hosts: KnownHost[]) => KnownHost | undefined
+  /** Home of an upstream that an organisation prefers; undefined if there is none. */
+  preferredBy: (upstream: KnownUpstream, organisation: string) => KnownHost | undefined
+  /**
+   * Opens the link to a host and asks whether it is ready for callers. A host that does not answer counts as failed no
+   * more than before.
+   *
+   * @returns whether it is ready; undefined if it does not answer
+   */
+  isReady: (host: KnownHost) => Promise<boolean | undefined>
+  /** Sets the function that tells whether this host is ready; until then it says so. */
+  setReadiness: (isReady: () => boolean) => void
   /** Records that a host has answered a request that was not sent through this plug-in. */
   recordAnswer: (host: KnownHost) => void
   /** Records that a host was unreachable or did not answer. */
@@ -96,7 +114,9 @@
     })
     const starting = trackStartingHosts(registry)
     const detector = createHomeFailureDetector({ links, selector, logger, homes: others, starting })
-    handle('home-alive', async () => ({}))
+    let isReadyHere = (): boolean => true
+    // A missing field means that the host is ready, as every host of an older release says.
+    handle('home-alive', async () => isReadyHere() ? {} : { ready: false })
     let { liveHosts } = registry.current
     registry.onChange(() => {
       if (registry.current.liveHosts !== liveHosts) {
@@ -124,6 +144,17 @@
         },
         forward: createForwarder({ links, selector, detector, count, time }),
         inProgressAt: selector.inProgressAt,
+        preferredBy: (upstream, organisation) => orderByScore(organisation, of(upstream))[0],
+        isReady: async (host) => {
+          try {
+            const { ready } = aliveAnswerSchema.parse(await links.request(host, 'home-alive', {}, READY_TIMEOUT_MS))
+            selector.recordAnswer(host, '')
+            return ready !== false
+          } catch {
+            return undefined
+          }
+        },
+        setReadiness: (isReady) => { isReadyHere = isReady },
         ...createReachability(selector, detector)
       },
       dump: () => Object.fromEntries(directory.all().map((upstream) =>
--- a/src/entry/limits/index.ts
+++ b/src/entry/limits/index.ts
@@ -6,6 +6,7 @@
 import type { EntrySettings } from '../../core/config/entry-settings.ts'
 import { registerPlugin, type PluginContext } from '../../core/kernel/index.ts'
 import type { OperationLimit, Organisation } from '../ports/index.ts'
+import type { KnownHost } from '../registry/index.ts'
 import { grantedByOrganisation } from './granted-metric.ts'
 import { createOwnerOrder } from './limit-order.ts'
 import { createLimitOwner, type LimitOwner } from './limit-owner.ts'
@@ -29,6 +30,8 @@
   refund: (organisation: Organisation) => void
   /** Counts the retry of an operation that may have run. */
   countRetry: (organisation: string) => void
+  /** Returns the host that owns the limit of an organisation; undefined if it has no limit or no host is known. */
+  ownerOf: (organisation: string) => KnownHost | undefined
 }
 
 declare module '../../core/kernel/index.ts' {
@@ -74,7 +77,10 @@
       () => grantedByOrganisation(owner.owned()))
 
     return {
-      service: serviceOf(createPrefetchedGrants({ requestGrant, limitOf }), limitOf),
+      service: {
+        ...serviceOf(createPrefetchedGrants({ requestGrant, limitOf }), limitOf),
+        ownerOf: (organisation) => limitOf(organisation) === undefined ? undefined : order.of(organisation)[0]
+      },
       dump: () => Object.fromEntries([...owner.owned()].map(([name, owned]) => [name, { ...owned, ...limitOf(name) }])),
       close: pauses.close
     }
@@ -97,7 +103,7 @@
 /** Builds the service, which skips organisations without a limit. */
 function serviceOf (
   grants: PrefetchedGrants, limitOf: (organisation: string) => OperationLimit | undefined
-): Limits {
+): Omit<Limits, 'ownerOf'> {
   return {
     take: async ({ name, limit }) => {
       if (limit !== undefined) {
--- a/src/entry/pools/upstream-pool.ts
+++ b/src/entry/pools/upstream-pool.ts
@@ -42,6 +42,13 @@
    * @throws RequestError with verdict `not-run` if the pool is closed, the upstream fails or the wait times out
    */
   acquire: (request: LeaseRequest) => Promise<ConnectionLease>
+  /**
+   * Opens a connection ahead of its use, unless the maximum is reached.
+   *
+   * @param organisation - organisation that the connection serves; empty for none
+   * @returns whether a connection is open afterwards
+   */
+  openAhead: (organisation: string) => Promise<boolean>
   /** Rejects new and waiting requests; leased connections are closed when they are returned. */
   close: () => void
 }
@@ -123,6 +130,7 @@
       serveWaiters()
       return await wait.result
     },
+    openAhead: async (organisation) => await openAhead(organisation, opener, canOpen, openCount),
     close: () => {
       closed = true
       clearInterval(trimTimer)
@@ -132,6 +140,15 @@
   }
 }
 
+async function openAhead (
+  organisation: string, opener: Pick<ConnectionOpener, 'open'>, canOpen: () => boolean, openCount: () => number
+): Promise<boolean> {
+  if (canOpen()) {
+    await opener.open(organisation)
+  }
+  return openCount() > 0
+}
+
 function createPooledConnection (
   connection: UpstreamConnection, organisation: string, onClose: (pooled: PooledConnection) => void
 ): PooledConnection {
--- a/src/entry/readiness/index.ts
+++ b/src/entry/readiness/index.ts
@@ -1,11 +1,13 @@
 /**
  * Plug-in `readiness`: serves the health check of load balancers, and on a separate port the metrics and the state
- * dump. The process is ready once it has a desired state and knows an upstream, until it begins to stop.
+ * dump. The process is ready once it has a desired state, knows an upstream and is warm, until it begins to stop.
  */
 import { createServer, type Server } from 'node:http'
 import type { EntrySettings } from '../../core/config/entry-settings.ts'
 import { registerPlugin } from '../../core/kernel/index.ts'
 import { parseEndpoint, type Endpoint } from '../../core/wire/dialer.ts'
+import { createWarmUp } from './warm-up.ts'
+import { createWarmUpPlan } from './warm-up-steps.ts'
 
 declare module '../../core/kernel/index.ts' {
   interface Services { readiness: Record<string, never> }
@@ -16,14 +18,35 @@
 
 registerPlugin({
   name: 'readiness',
-  dependencies: ['desiredState', 'entry', 'metrics', 'directory'],
+  dependencies: [
+    'desiredState', 'entry', 'metrics', 'directory', 'registry', 'homes', 'limits', 'freshness', 'leadership', 'pools'
+  ],
   start: async (context) => {
     const { listen, host } = context.settings as EntrySettings
     const desiredState = context.use('desiredState')
     const directory = context.use('directory')
     const { registry } = context.use('metrics')
-    const isReady = (): boolean =>
-      desiredState.current !== undefined && directory.all().length > 0 && !context.stopping.aborted
+    const homes = context.use('homes')
+    const warmUp = createWarmUp(createWarmUpPlan({
+      registry: context.use('registry'),
+      directory,
+      desiredState,
+      homes,
+      limits: context.use('limits'),
+      freshness: context.use('freshness'),
+      leadership: context.use('leadership'),
+      pools: context.use('pools')
+    }), context.logger)
+    const knowsUpstreams = (): boolean => desiredState.current !== undefined && directory.all().length > 0
+    const startWhenKnown = (): void => {
+      if (knowsUpstreams()) {
+        warmUp.start()
+      }
+    }
+    desiredState.onChange(startWhenKnown)
+    directory.onChange(startWhenKnown)
+    const isReady = (): boolean => knowsUpstreams() && warmUp.isDone && !context.stopping.aborted
+    homes.setReadiness(isReady)
     const readinessServer = createServer((_request, response) => {
       response.writeHead(isReady() ? OK : UNAVAILABLE).end()
     })
--- a/src/entry/requests/index.ts
+++ b/src/entry/requests/index.ts
@@ -8,6 +8,7 @@
 import type { CallerLink } from '../ports/index.ts'
 import { failureOf } from './answers.ts'
 import { serveForwarded } from './serve-forwarded.ts'
+import { recordFirstServed } from './first-served.ts'
 import { createPositionProver } from './prove-position.ts'
 import { createCallerRequests, type CallerRequests } from './caller-requests.ts'
 import { createSession } from './session.ts'
@@ -76,6 +77,7 @@
     const metrics = context.use('metrics')
     const { logger } = context
     const connections = new Set<CallerRequests>()
+    const onDone = recordFirstServed(metrics)
     let areCallersEnded = false
     let refused = 0
     let flushBy = Infinity
@@ -99,7 +101,7 @@
         desiredState: () => desiredState.current,
         desiredStateAgeMs: () => desiredState.ageMs,
         waitForDesiredState: desiredState.waitForFirst,
-        onDone: metrics.recordRequest,
+        onDone,
         onStopped: () => { refused++ }
       })
       const connection = createCallerRequests({
