--- a/src/entry/homes/starting-hosts.ts
+++ b/src/entry/homes/starting-hosts.ts
@@ -8,7 +8,7 @@
 import type { KnownHost, Registry } from '../registry/index.ts'
 
 /** Time for which a process counts as starting after this host has seen it first, in milliseconds. */
-export const STARTING_MS = 2000
+const STARTING_MS = 2000
 
 /** The hosts that may have started just now. */
 export interface StartingHosts {
--- a/src/entry/pools/index.ts
+++ b/src/entry/pools/index.ts
@@ -9,6 +9,7 @@
 export type { ConnectionLease } from './types.ts'
 export type { UpstreamResources } from './used-upstreams.ts'
 export { SILENCE_MS } from './upstream-health.ts'
+export { IN_PROGRESS_PER_SLOT } from './statement-queue.ts'
 
 /** Service of the plug-in. */
 export interface Pools extends UpstreamControl {
--- a/src/entry/pools/statement-queue.ts
+++ b/src/entry/pools/statement-queue.ts
@@ -11,7 +11,7 @@
  * Statements in progress per slot of an upstream. While one runs, the next is already in transit, so that the slot
  * isn't idle for a network round trip.
  */
-const IN_PROGRESS_PER_SLOT = 2
+export const IN_PROGRESS_PER_SLOT = 2
 /**
  * Minimum number of statements that a home may have in progress. With one, statements would wait at a busy home while
  * other homes leave their slots unused.
--- a/src/entry/readiness/warm-up.ts
+++ b/src/entry/readiness/warm-up.ts
@@ -23,7 +23,7 @@
 }
 
 /** A step of the warm-up; updates its progress while it runs. */
-export type WarmUpStep = (progress: StepProgress) => Promise<void>
+type WarmUpStep = (progress: StepProgress) => Promise<void>
 
 /** What a warm-up does. */
 export interface WarmUpPlan {
--- a/src/entry/registry/snapshot-refresh.ts
+++ b/src/entry/registry/snapshot-refresh.ts
@@ -33,7 +33,7 @@
  * it takes 56 to 94. Until all hosts have read the registry, 58 of them send 800 calls a second, of the 6,000 that the
  * store takes.
  */
-export const UNREGISTERED_PAUSE_MS = 75
+const UNREGISTERED_PAUSE_MS = 75
 /**
  * Time for which a host that is not registered reads that often, in milliseconds, and its mean pause afterwards. A
  * store that rejects single hosts for longer would charge for all their calls.
--- a/src/entry/requests/index.ts
+++ b/src/entry/requests/index.ts
@@ -7,6 +7,8 @@
 import { createRetryBudget } from '../../retries/retry-budget.ts'
 import type { CallerLink } from '../ports/index.ts'
 import { failureOf } from './answers.ts'
+import { placesAtReturn } from './return-order.ts'
+import { createReturnQueue, type ReturnQueue } from './return-queue.ts'
 import { serveForwarded } from './serve-forwarded.ts'
 import { recordFirstServed } from './first-served.ts'
 import { createPositionProver } from './prove-position.ts'
@@ -53,6 +55,18 @@
   }
 }
 
+/** Creates the order of requests at the return, which begins with the first desired state. */
+function createEntryReturnQueue ({ use }: PluginContext): ReturnQueue {
+  const directory = use('directory')
+  const registry = use('registry')
+  const queue = createReturnQueue(() => {
+    const slots = directory.all().reduce((sum, upstream) => sum + upstream.slots, 0)
+    return placesAtReturn(slots, registry.current.liveHosts.length)
+  })
+  use('desiredState').onChange(queue.begin)
+  return queue
+}
+
 /** Returns the time until the connections are closed, in milliseconds; 0 without a planned stop. */
 function flushTime (flushBy: number): number {
   return Number.isFinite(flushBy) ? Math.max(0, flushBy - performance.now()) : 0
@@ -78,6 +92,7 @@
     const { logger } = context
     const connections = new Set<CallerRequests>()
     const onDone = recordFirstServed(metrics)
+    const returnQueue = createEntryReturnQueue(context)
     let areCallersEnded = false
     let refused = 0
     let flushBy = Infinity
@@ -101,6 +116,7 @@
         desiredState: () => desiredState.current,
         desiredStateAgeMs: () => desiredState.ageMs,
         waitForDesiredState: desiredState.waitForFirst,
+        returnQueue,
         onDone,
         onStopped: () => { refused++ }
       })
@@ -137,6 +153,7 @@
         logger.log('info', 'callers.drained', { left: connections.size, refused, forwarded: forwarded.inProgress })
       },
       close: async () => {
+        returnQueue.close()
         logCutRequests(logger, await listener.close(flushTime(flushBy)))
       }
     }
--- a/src/entry/requests/session-state.ts
+++ b/src/entry/requests/session-state.ts
@@ -17,6 +17,8 @@
   floor: LogPosition | undefined
   /** Details of the current request for the log. */
   trace: RequestTrace
+  /** Time that the current request has waited before it is served, which counts against its deadlines. */
+  waitedMs: number
   /** Whether its requests have been answered because this host is stopping; nothing is sent for them any more. */
   isInterrupted: boolean
 }
@@ -30,7 +32,8 @@
 export function createSessionState (
   { context, link, desiredState }: Pick<SessionState, 'context' | 'link' | 'desiredState'>
 ): SessionState {
-  return { context, link, desiredState, names: createSessionNames(), floor: undefined, trace: {}, isInterrupted: false }
+  const names = createSessionNames()
+  return { context, link, desiredState, names, floor: undefined, trace: {}, waitedMs: 0, isInterrupted: false }
 }
 
 /**
@@ -65,8 +68,8 @@
     database: route.database,
     costMs: session.context.costs.of(route.database),
     values: session.names.values,
-    deadline: new Deadline(route.timeoutMs),
-    softDeadline: performance.now() + route.targetMs,
+    deadline: new Deadline(Math.max(1, route.timeoutMs - session.waitedMs)),
+    softDeadline: performance.now() + route.targetMs - session.waitedMs,
     attempts: 0,
     triedHomes: new Set()
   }
--- a/src/entry/requests/session.ts
+++ b/src/entry/requests/session.ts
@@ -6,6 +6,8 @@
 import { doneAnswer, failureAnswer, failureOf } from './answers.ts'
 import { reportRequest, type StateAtStart } from './request-log.ts'
 import { MAXIMUM_NAMES } from './session-names.ts'
+import { waitAtReturn } from './return-order.ts'
+import { spreadRetryMs, type ReturnQueue } from './return-queue.ts'
 import { createSessionState, type SessionState } from './session-state.ts'
 import { createSessionTransaction, type SessionTransaction } from './session-transaction.ts'
 import { serveSingleStatement } from './single-statement.ts'
@@ -28,6 +30,8 @@
   desiredStateAgeMs: () => number
   /** Waits for the first desired state until a timeout; returns whether one is known. */
   waitForDesiredState: (timeoutMs: number) => Promise<boolean>
+  /** Orders requests while all hosts return after a loss of power. */
+  returnQueue: Pick<ReturnQueue, 'isOrdering' | 'enter'>
   /** Called after each request with its outcome. */
   onDone: (outcome: string, durationMs: number) => void
   /** Called for each request that is not served, or not to its end, because this host is stopping. */
@@ -90,17 +94,33 @@
 async function awaitDesiredState ({ link, desiredState, waitForDesiredState }: SessionOptions): Promise<void> {
   if (desiredState() === undefined && !await waitForDesiredState(DESIRED_STATE_WAIT_MS)) {
     throw new RequestError('not-run', 'NoUpstream', {
-      group: link.database, reason: 'no desired state is known here yet', retryAfterMs: RETRY_AFTER_MS
+      group: link.database,
+      reason: 'no desired state is known here yet',
+      // The callers of all hosts that start would otherwise return at the same time.
+      retryAfterMs: spreadRetryMs(RETRY_AFTER_MS / 2, RETRY_AFTER_MS, DESIRED_STATE_WAIT_MS * 2)
     })
   }
 }
 
 async function executeRequest (
-  options: SessionOptions, handlers: StatementHandlers, { id, statement }: CallerRequest
+  options: SessionOptions, handlers: StatementHandlers, session: SessionState, isInTransaction: boolean,
+  { id, statement }: CallerRequest
 ): Promise<StatementAnswer> {
-  await awaitDesiredState(options)
+  const { returnQueue, context: { costs }, link, desiredState } = options
   const handle = handlers[statement.type] as (statement: CallerStatement, id: string) => Promise<StatementAnswer>
-  return await handle(statement, id)
+  const arrivedAt = performance.now()
+  session.waitedMs = 0
+  await awaitDesiredState(options)
+  if (!returnQueue.isOrdering || isInTransaction) {
+    return await handle(statement, id)
+  }
+  const leave = await waitAtReturn(statement, { queue: returnQueue, costs, link, desiredState, arrivedAt })
+  session.waitedMs = performance.now() - arrivedAt
+  try {
+    return await handle(statement, id)
+  } finally {
+    leave()
+  }
 }
 
 /** Reports whether an upstream ran the statement successfully; only its answers carry a signature. */
@@ -145,7 +165,7 @@
     session.trace = {}
     const answer = await new Promise<StatementAnswer>((resolve) => {
       answerNow = resolve
-      void executeRequest(options, handlers, request)
+      void executeRequest(options, handlers, session, transaction.isOpen, request)
         .catch((thrown: unknown) => ({ rows: [], failure: failureOf(thrown, true), state: transaction.state }))
         .then(resolve)
     })
--- a/test/core/overlapping.test.ts
+++ b/test/core/overlapping.test.ts
@@ -6,7 +6,11 @@
 describe('overlapping attempts', () => {
   let clock: Clock
   beforeEach(() => { clock = fakeTimers.install() })
-  afterEach(() => { clock.uninstall() })
+  afterEach(async () => {
+    // Runs what the test runner has queued on the paused clock; it would lose the results otherwise.
+    await clock.tickAsync(10)
+    clock.uninstall()
+  })
 
   it('return the answer of a later attempt while the first one is lost', async () => {
     let attempts = 0
--- a/test/entry/readiness/warm-up.test.ts
+++ b/test/entry/readiness/warm-up.test.ts
@@ -15,7 +15,11 @@
 describe('a warm-up', () => {
   let clock: Clock
   beforeEach(() => { clock = fakeTimers.install() })
-  afterEach(() => clock.uninstall())
+  afterEach(async () => {
+    // Runs what the test runner has queued on the paused clock; it would lose the results otherwise.
+    await clock.tickAsync(10)
+    clock.uninstall()
+  })
 
   it('ends at its limit although a step does not end, and reports what is missing', async () => {
     const report = new Report()
