--- a/src/entry/limits/index.ts
+++ b/src/entry/limits/index.ts
@@ -6,6 +6,7 @@
 import type { EntrySettings } from '../../core/config/entry-settings.ts'
 import { registerPlugin, type PluginContext } from '../../core/kernel/index.ts'
 import type { OperationLimit, Organisation } from '../ports/index.ts'
+import type { KnownHost } from '../registry/index.ts'
 import { grantedByOrganisation } from './granted-metric.ts'
 import { createOwnerOrder } from './limit-order.ts'
 import { createLimitOwner, type LimitOwner } from './limit-owner.ts'
@@ -38,6 +39,8 @@
   refund: (organisation: Organisation, takenAt: number) => void
   /** Counts the retry of an operation that may have run. */
   countRetry: (organisation: string) => void
+  /** Returns the host that owns the limit of an organisation; undefined if it has no limit or no host is known. */
+  ownerOf: (organisation: string) => KnownHost | undefined
 }
 
 declare module '../../core/kernel/index.ts' {
@@ -96,7 +99,10 @@
       () => grantedByOrganisation(owner.owned()))
 
     return {
-      service: serviceOf(grants, limitOf),
+      service: {
+        ...serviceOf(grants, limitOf),
+        ownerOf: (organisation) => limitOf(organisation) === undefined ? undefined : order.of(organisation)[0]
+      },
       dump: () => Object.fromEntries([...owner.owned()].map(([name, owned]) => [name, { ...owned, ...limitOf(name) }])),
       close: () => {
         pauses.close()
@@ -125,7 +131,7 @@
 /** Builds the service, which skips organisations without a limit. */
 function serviceOf (
   grants: PrefetchedGrants, limitOf: (organisation: string) => OperationLimit | undefined
-): Limits {
+): Omit<Limits, 'ownerOf'> {
   return {
     take: async ({ name, limit }, request) =>
       limit === undefined ? performance.now() : await grants.take(name, request),
--- a/src/entry/limits/token-bucket.ts
+++ b/src/entry/limits/token-bucket.ts
@@ -41,12 +41,13 @@
  *
  * @param startsFull - true when no host can have granted operations recently; otherwise the bucket starts with
  *   `initial` tokens
+ * @param filledSince - time since when it has been filling, on the monotonic clock; now by default
  * @returns the bucket
  */
-export function createTokenBucket (startsFull: boolean): TokenBucket {
+export function createTokenBucket (startsFull: boolean, filledSince = performance.now()): TokenBucket {
   const id = nextId++
   let level: number | undefined
-  let filledAt = performance.now()
+  let filledAt = Math.min(filledSince, performance.now())
   /** Operations taken and not returned; no more than these can be credited. */
   let taken = 0
 
--- a/src/entry/pools/index.ts
+++ b/src/entry/pools/index.ts
@@ -10,6 +10,7 @@
 export type { ConnectionLease } from './types.ts'
 export type { UpstreamResources } from './used-upstreams.ts'
 export { SILENCE_MS } from './upstream-health.ts'
+export { IN_PROGRESS_PER_SLOT } from './statement-queue.ts'
 
 /** Service of the plug-in. */
 export interface Pools extends UpstreamControl {
--- a/src/entry/pools/upstream-pool.ts
+++ b/src/entry/pools/upstream-pool.ts
@@ -57,9 +57,9 @@
    * Opens a connection ahead of its use, unless the pool would exceed the number that it retains.
    *
    * @param organisation - organisation that it will serve; empty for none
-   * @returns whether an attempt to connect was started
+   * @returns whether a connection is open afterwards
    */
-  openAhead: (organisation: string) => boolean
+  openAhead: (organisation: string) => Promise<boolean>
   /** Rejects new and waiting requests; leased connections are closed when they are returned. */
   close: () => void
 }
@@ -148,10 +148,11 @@
     return await wait.result
   }
 
-  openAhead (organisation: string): boolean {
-    const mayOpen = this.canOpen && this.size < this.options.limits().retained
-    mayOpen && void this.opener.open(organisation)
-    return mayOpen
+  async openAhead (organisation: string): Promise<boolean> {
+    if (this.canOpen && this.size < this.options.limits().retained) {
+      await this.opener.open(organisation)
+    }
+    return this.openCount > 0
   }
 
   close (): void {
--- a/src/entry/requests/index.ts
+++ b/src/entry/requests/index.ts
@@ -7,7 +7,10 @@
 import { createRetryBudget } from '../../retries/retry-budget.ts'
 import type { CallerLink } from '../ports/index.ts'
 import { failureOf } from './answers.ts'
+import { placesAtReturn } from './return-order.ts'
+import { createReturnQueue, type ReturnQueue } from './return-queue.ts'
 import { serveForwarded } from './serve-forwarded.ts'
+import { recordFirstServed } from './first-served.ts'
 import { createPositionProver } from './prove-position.ts'
 import { createCallerRequests, type CallerRequests } from './caller-requests.ts'
 import { createSession } from './session.ts'
@@ -52,6 +55,18 @@
   }
 }
 
+/** Creates the order of requests at the return, which begins with the first desired state. */
+function createEntryReturnQueue ({ use }: PluginContext): ReturnQueue {
+  const directory = use('directory')
+  const registry = use('registry')
+  const queue = createReturnQueue(() => {
+    const slots = directory.all().reduce((sum, upstream) => sum + upstream.slots, 0)
+    return placesAtReturn(slots, registry.current.liveHosts.length)
+  })
+  use('desiredState').onChange(queue.begin)
+  return queue
+}
+
 /** Returns the time until the connections are closed, in milliseconds; 0 without a planned stop. */
 function flushTime (flushBy: number): number {
   return Number.isFinite(flushBy) ? Math.max(0, flushBy - performance.now()) : 0
@@ -76,6 +91,8 @@
     const metrics = context.use('metrics')
     const { logger } = context
     const connections = new Set<CallerRequests>()
+    const onDone = recordFirstServed(metrics)
+    const returnQueue = createEntryReturnQueue(context)
     let areCallersEnded = false
     let refused = 0
     let flushBy = Infinity
@@ -99,7 +116,8 @@
         desiredState: () => desiredState.current,
         desiredStateAgeMs: () => desiredState.ageMs,
         waitForDesiredState: desiredState.waitForFirst,
-        onDone: metrics.recordRequest,
+        returnQueue,
+        onDone,
         onStopped: () => { refused++ }
       })
       const connection = createCallerRequests({
@@ -135,6 +153,7 @@
         logger.log('info', 'callers.drained', { left: connections.size, refused, forwarded: forwarded.inProgress })
       },
       close: async () => {
+        returnQueue.close()
         logCutRequests(logger, await listener.close(flushTime(flushBy)))
       }
     }
--- a/test/entry/homes/capacity-changes.test.ts
+++ b/test/entry/homes/capacity-changes.test.ts
@@ -16,6 +16,7 @@
   const registry = {
     self: { name: 'h0', process: 'p' },
     current: EMPTY_SNAPSHOT,
+    storeNowAtLeastMs: () => 0,
     onChange: (listener: () => void) => { listeners.push(listener) }
   }
   const change = (capacities: Array<number | undefined>): KnownHost[] => {
