--- a/test/frozen/message-examples.ts
+++ b/test/frozen/message-examples.ts
@@ -74,7 +74,7 @@
     refused: [...NOTHING, {}, { transaction: '9' }, { transaction: 1.5 }],
     answers: [{ load: 0, leaving: true }]
   },
-  'home-alive': { questions: [{}, undefined], refused: [], answers: [{}] },
+  'home-alive': { questions: [{}, undefined], refused: [], answers: [{}, { ready: false }] },
   'limit-take': {
     questions: [{ organisation: 'red', wanted: 3, version: 7 }, { organisation: 'red', wanted: 1, version: -1 }],
     refused: [
--- a/test/frozen/rows.test.ts
+++ b/test/frozen/rows.test.ts
@@ -112,4 +112,15 @@
     await suite.settle(registry.publishStopped('other', 2))
     expect(rowOf('h1')).toEqual(`${before},"stopped":{"g":5,"other":2}}`)
   })
+
+  it('tells when a process that replaces another one can have started', async () => {
+    const { version } = suite.world.store.tables.get('worksward')!.get('host/h2')!
+    await suite.world.kill('h2')
+    await suite.world.startHost('h2')
+    await suite.clock.tickAsync(200)
+    const { port, process, startedAtMs } = JSON.parse(rowOf('h2')) as Record<string, unknown>
+    expect(rowOf('h2')).toEqual(`{"address":"127.0.0.1","port":${String(port)},"failureDomain":"x",` +
+      `"process":"${String(process)}","replaces":${version},"startedAtMs":${String(startedAtMs)}}`)
+    expect(typeof startedAtMs).toEqual('number')
+  })
 })
