Reword what had to be read twice in the limits and pools

Cause: the timeout assumed for a caller was called a retry delay; a function that removes the cancellation of a wait was named as if it ended the wait; some statements were written as logical expressions.

Change: names, comments and statements; no change of behaviour.

--- a/src/entry/limits/prefetched-grants.ts
+++ b/src/entry/limits/prefetched-grants.ts
@@ -49,7 +49,7 @@
   close: () => void
 }
 
-/** Retry delay of a caller without a stated timeout, in milliseconds. */
+/** Timeout assumed for a caller that states none, in milliseconds; retry delays are never longer. */
 const DEFAULT_TIMEOUT_MS = 1000
 
 /** Time of an operation that is too old to be refunded. */
@@ -82,15 +82,15 @@
   })
 }
 
-/** Forgets the function that ends the wait of an operation, which is over. */
-function endWait ({ holder }: OperationRequest): void {
+/** Removes the function that ends the wait of an operation, since the wait is over. */
+function clearCancelWait ({ holder }: OperationRequest): void {
   if (holder !== undefined) {
     holder.cancelWait = undefined
   }
 }
 
 function refuse (context: HostContext, organisation: OrganisationState, { request, reject }: WaitingOperation): void {
-  endWait(request)
+  clearCancelWait(request)
   reject(refusalOf(context, organisation, request))
 }
 
@@ -103,7 +103,7 @@
   const { bucket } = organisation.grants
   const run = (): void => {
     count('used', 1)
-    endWait(request)
+    clearCancelWait(request)
     // Only the bucket that granted an operation may be credited with it.
     resolve(bucket === organisation.grants.bucket ? performance.now() : NOT_REFUNDABLE)
   }
@@ -130,11 +130,11 @@
   const { grants, waiting, refusals } = organisation
   const { priority, granted, turnsMs, retryAfterMs } = grant
   for (let index = 0; index < granted; index++) {
-    const at = waiting.findIndex(({ request }) => request.priority === priority)
+    const waitingIndex = waiting.findIndex(({ request }) => request.priority === priority)
     if (grants.left < 0) {
       grants.left++
-    } else if (at >= 0) {
-      startTurn(context, organisation, waiting.splice(at, 1)[0]!, turnsMs[index] ?? 0)
+    } else if (waitingIndex >= 0) {
+      startTurn(context, organisation, waiting.splice(waitingIndex, 1)[0]!, turnsMs[index] ?? 0)
     } else {
       context.returns.giveBack(organisation, grants.bucket)
     }
@@ -157,7 +157,7 @@
     }
     const { request, resolve } = waiting.shift()!
     count('used', 1)
-    endWait(request)
+    clearCancelWait(request)
     resolve(takenAt)
   }
 }
--- a/src/entry/pools/connection-lease.ts
+++ b/src/entry/pools/connection-lease.ts
@@ -60,7 +60,9 @@
         // The connection may serve another lease once this one has ended.
         const resumes = !done && pooled.isIdleTransaction && !isIdle
         pooled.isIdleTransaction = done ? pooled.isIdleTransaction : isIdle
-        resumes && onTransactionResumed()
+        if (resumes) {
+          onTransactionResumed()
+        }
       }
     })
   }
--- a/src/entry/pools/fair-order.ts
+++ b/src/entry/pools/fair-order.ts
@@ -45,7 +45,7 @@
 interface Share {
   /** Virtual start of its next statement, in milliseconds: the expected duration of what it has run. */
   virtualMs: number
-  /** Virtual start of its next statement that was not counted yet, during {@link FairOrder.aheadOf}. */
+  /** Working value of {@link FairOrder.aheadOf}: virtual start of its next statement that was not counted yet. */
   countedMs: number
 }
 
@@ -143,7 +143,7 @@
       return ahead
     }
     if (request.organisation === '' && this.organised === 0) {
-      this.waiting.forEach((other) => { isShorter(request, other) || countIn(ahead, other) })
+      this.waiting.filter((other) => !isShorter(request, other)).forEach((other) => countIn(ahead, other))
       return ahead
     }
     const now = performance.now()
@@ -176,7 +176,9 @@
     for (const other of peers) {
       if (other.organisation !== organisation) {
         const share = ofPriority.shares.get(other.organisation)
-        share !== undefined && (share.countedMs = virtualTimeOf(ofPriority, other.organisation))
+        if (share !== undefined) {
+          share.countedMs = virtualTimeOf(ofPriority, other.organisation)
+        }
       } else if (other.costMs <= costMs) {
         countIn(ahead, other)
         startMs += other.costMs
@@ -189,7 +191,9 @@
         const share = ofPriority.shares.get(other.organisation)
         if ((share?.countedMs ?? ofPriority.virtualMs) <= startMs) {
           countIn(ahead, other)
-          share !== undefined && (share.countedMs += other.costMs)
+          if (share !== undefined) {
+            share.countedMs += other.costMs
+          }
         } else {
           restMs += other.costMs
         }
@@ -284,7 +288,11 @@
   if (shares.size < MAXIMUM_ORGANISATIONS) {
     return
   }
-  shares.forEach((share, organisation) => { share.virtualMs <= virtualMs && shares.delete(organisation) })
+  shares.forEach((share, organisation) => {
+    if (share.virtualMs <= virtualMs) {
+      shares.delete(organisation)
+    }
+  })
   if (shares.size >= MAXIMUM_ORGANISATIONS) {
     shares.clear()
   }
--- a/src/entry/pools/upstream-pool.ts
+++ b/src/entry/pools/upstream-pool.ts
@@ -146,7 +146,9 @@
 
   openAhead (organisation: string): boolean {
     const mayOpen = this.canOpen && this.size < this.options.limits().retained
-    mayOpen && void this.opener.open(organisation)
+    if (mayOpen) {
+      void this.opener.open(organisation)
+    }
     return mayOpen
   }
 
@@ -210,7 +212,9 @@
     let bounds = this.evaluateBounds()
     const takeLease = (request: LeaseRequest): ConnectionLease | undefined => {
       const lease = bounds.admits(request) ? this.leaseIdle(request) : undefined
-      lease !== undefined && bounds.count(request)
+      if (lease !== undefined) {
+        bounds.count(request)
+      }
       return lease
     }
     // A request that was served no longer competes, so that others may exceed their bounds.
--- a/src/entry/requests/transaction.ts
+++ b/src/entry/requests/transaction.ts
@@ -18,7 +18,7 @@
   route: Route
   /** Organisation on whose behalf it runs. */
   organisation: Organisation
-  /** When it was taken from the limit of the organisation, on the monotonic clock, in milliseconds. */
+  /** Time from which the age of its operation of the limit counts, on the monotonic clock, in milliseconds. */
   takenAt: number
   readOnly: boolean
   /** Which upstreams may run a read-only transaction. */
@@ -31,7 +31,7 @@
 export interface CallerTransaction {
   readonly route: Route
   readonly organisation: Organisation
-  /** When it was taken from the limit of the organisation, on the monotonic clock, in milliseconds. */
+  /** Time from which the age of its operation of the limit counts, on the monotonic clock, in milliseconds. */
   readonly takenAt: number
   /** Whether it has begun at an upstream. */
   readonly begun: boolean
