Count each begin of a transaction that a lost home may have run

Seen: when a home was lost, the begin of a transaction was repeated at other homes, each of which may have run the first statement; only one operation of the limit was counted for all of them, and it was refunded if the last attempt failed. While homes are lost, an organisation so ran more than its limit.

Cause: the begin leaves nothing behind, so its attempts were treated as if they had not run. The limit counts what reaches an upstream.

Why it holds: an attempt through a home whose outcome is unknown is recorded as sent. Before the next attempt it is counted like the retry of a single read, and the operation is refunded only if the last attempt has not run.

--- a/src/entry/requests/begin-transaction.ts
+++ b/src/entry/requests/begin-transaction.ts
@@ -12,7 +12,7 @@
 import type { EntryContext, RequestScope } from './types.ts'
 
 /** Services needed to begin a transaction. */
-export type BeginContext = ReadContext & Pick<EntryContext, 'costs'>
+export type BeginContext = ReadContext & Pick<EntryContext, 'costs' | 'limits'>
 
 /** The transaction to begin. */
 interface BeginOptions {
@@ -63,6 +63,10 @@
     if (decision.action === 'give-up') {
       throw error
     }
+    if (scope.sent === true) {
+      context.limits.countRetry(scope.organisation ?? '')
+      scope.sent = false
+    }
     if (decision.excludeUpstream) {
       triedUpstreams.add(upstream)
     }
@@ -84,11 +88,14 @@
     if (failure === undefined) {
       return { begun }
     }
+    scope.sent = false
     const error = new RequestError('not-run', 'NoUpstream', {
       group: scope.group, reason: failure.kind, retryAfterMs: RETRY_PAUSE_MS
     })
     return { cause: { type: 'failure', kind: failure.kind }, error }
   } catch (thrown) {
+    // A home runs the first step together with the begin; on a connection of this host the step is sent afterwards.
+    scope.sent = executor.home !== undefined && toRequestError(thrown, 'may-have-run').verdict !== 'not-run'
     const error = toRequestError(thrown, 'not-run', true)
     return { cause: { type: 'error', error, reason: error.message }, error }
   }
--- a/src/entry/requests/session-transaction.ts
+++ b/src/entry/requests/session-transaction.ts
@@ -70,7 +70,7 @@
     ensureKeyHeld(session, open)
     return await open.execute(scope, statement)
   } catch (thrown) {
-    if (!open.begun) {
+    if (!open.begun && scope.sent !== true) {
       session.context.limits.refund(open.organisation, open.takenAt)
     }
     return { ...failureAnswer('aborted', '', 'failed'), failure: failureOf(thrown, true) }
