Leave no more for floors than a bucket can spare

Seen: with a bucket of one operation a priority got only its own floor for 10 s after a less urgent one without a wait had asked once.

Why it holds: the level is bounded like the reserve, by half of the depth without one operation, so a full bucket always has an operation above it. It is left for a second after the other priority has asked; a host refuses for 0.4 s at most before it asks again.

--- a/src/entry/limits/priority-demand.ts
+++ b/src/entry/limits/priority-demand.ts
@@ -30,6 +30,11 @@
 const FLOOR_SHARE = 0.05
 /** Time for which an unused floor accumulates, in milliseconds; at least one operation does. */
 const FLOOR_MEMORY_MS = 400
+/**
+ * Time for which operations are left for the floor of a priority that has stopped asking, in milliseconds. It exceeds
+ * the 0.4 s for which a host refuses a priority without asking.
+ */
+const FLOOR_CLAIM_MS = 1000
 
 const SECOND_MS = 1000
 
@@ -116,7 +121,7 @@
    * Without this bound a priority with a shorter wait than a more urgent one got nothing at all.
    */
   const levelForFloorsAfter = (priority: number, perSecond: number): number => {
-    const since = performance.now() - WAIT_MEMORY_MS
+    const since = performance.now() - FLOOR_CLAIM_MS
     let lowest = -Infinity
     demands.forEach(({ maximumWaitMs, askedAt, floorLeft }, other) => {
       if (other > priority && askedAt >= since) {
@@ -139,13 +144,13 @@
       })
     },
     lowestLevel: ({ priority, maximumWaitMs }, { perSecond, depth }, share) => {
-      const own = Math.max(
-        levelForWait(maximumWaitMs, perSecond * share), levelForFloorsAfter(priority, perSecond * share))
+      const largest = Math.max(0, depth * share - 1) * MAXIMUM_RESERVED_SHARE
+      const forFloors = Math.min(largest, levelForFloorsAfter(priority, perSecond * share))
+      const own = Math.max(levelForWait(maximumWaitMs, perSecond * share), forFloors)
       const urgentWaitMs = shortestWaitBefore(priority)
       if (urgentWaitMs === undefined) {
         return own
       }
-      const largest = Math.max(0, depth * share - 1) * MAXIMUM_RESERVED_SHARE
       const reserved = Math.min(largest, 1 + Math.ceil(rateBefore(priority) * RESERVED_MS / SECOND_MS))
       const isOverloaded = rateBefore(Infinity) > perSecond * share
       const turns = isOverloaded ? 0 : levelForWait(urgentWaitMs * TURN_SHARE, perSecond * share)
--- a/test/entry/limits/token-bucket.test.ts
+++ b/test/entry/limits/token-bucket.test.ts
@@ -74,6 +74,20 @@
     expect(bucket.grant(100, PARAMETERS, 0.5).granted).toEqual(Math.floor(remainder + PARAMETERS.perSecond / 2 / 2))
   })
 
+  it('does not keep the operations of a small bucket for the floor of a less urgent priority', () => {
+    const bucket = createTokenBucket(true)
+    const grants = createPriorityGrants()
+    const inForce = { bucket, parameters: { perSecond: 3, depth: 1, initial: 1 }, share: 1 }
+    grants.grant([{ priority: 0, wanted: 1, maximumWaitMs: 0 }], 0, inForce)
+    grants.grant([{ priority: 1, wanted: 1, maximumWaitMs: 0 }], 0, inForce)
+    let granted = 0
+    for (let turn = 0; turn < 12; turn++) {
+      clock.tick(400)
+      granted += grants.grant([{ priority: 0, wanted: 1, maximumWaitMs: 0 }], 0, inForce).granted
+    }
+    expect(granted).toEqual(12)
+  })
+
   it('applies a lower limit immediately', () => {
     const bucket = createBucket(false)
     for (let turn = 0; turn < 60; turn++) {
