--- a/src/entry/pools/upstream-pool.ts
+++ b/src/entry/pools/upstream-pool.ts
@@ -215,7 +215,9 @@
     let bounds = this.evaluateBounds()
     const takeLease = (request: LeaseRequest): ConnectionLease | undefined => {
       const lease = bounds.admits(request) ? this.leaseIdle(request) : undefined
-      lease !== undefined && bounds.count(request)
+      if (lease !== undefined) {
+        bounds.count(request)
+      }
       return lease
     }
     // A request that was served no longer competes, so that others may exceed their bounds.
