Avoid an upstream that is an outlier among its siblings

Reads kept going to a replica that is several times slower than the others of its group or fails a part of its reads while its probe succeeds: the cost of a read knows only one average latency per upstream, and no failures that were answered.

Each host keeps decayed outcomes of reads for each upstream (its own, and at a home those that it ran for others) and compares them within the group. The event upstream.avoided reports changes.

--- a/src/core/logger/events.ts
+++ b/src/core/logger/events.ts
@@ -120,6 +120,7 @@
   'store.recovered': { level: 'info', fields: 'confirmedAgeMs, version', when: 'the store answers this host again' },
   'transaction.begin-retried': { level: 'info', fields: 'id, group, upstream, home, reason', when: 'the start of a transaction is retried at another upstream' },
   'upstream.no-report': { level: 'info', fields: 'upstream, group, reason', when: 'an upstream did not answer a query for its role and term' },
+  'upstream.avoided': { level: 'info', fields: 'group, upstream, avoided, slowness, failedPart, siblingsSlowness, siblingsFailedPart', when: 'reads begin or cease to avoid an upstream that is several times slower than the others of its group or fails more of its reads; duration of reads relative to the expected one and failed part, of the upstream and of the others; at most once per second for each upstream' },
   'upstream.reachable': { level: 'info', fields: 'group, upstream', when: 'an upstream answers this host again' },
   'upstream.unreachable': { level: 'warn', fields: 'group, upstream, fault, reason', when: 'an upstream does not answer a host that uses it' },
   'write.retried': { level: 'info', fields: 'id, group, upstream, home, reason', when: 'a write that did not run is retried' }
--- a/src/entry/pools/index.ts
+++ b/src/entry/pools/index.ts
@@ -15,6 +15,8 @@
 export interface Pools extends UpstreamControl {
   /** Returns the pool, queue and health of an upstream in the directory. */
   of: (upstream: KnownUpstream) => UpstreamResources
+  /** Returns the names of those upstreams of a group that a read should avoid; see outlier-detection.ts. */
+  outliersOf: (group: string, upstreams: readonly KnownUpstream[]) => ReadonlySet<string>
 }
 
 declare module '../../core/kernel/index.ts' {
@@ -39,7 +41,7 @@
       isHome: homes.isHome(upstream),
       uptimeMs: performance.now() - startedAt
     })
-    const { of, remove, all } = createUsedUpstreams({
+    const { of, outliersOf, remove, all } = createUsedUpstreams({
       port,
       logger,
       limitsOf,
@@ -53,7 +55,7 @@
     })
     const control = createUpstreamControl({ port, logger, healthOf: (upstream) => of(upstream).health })
     return {
-      service: { of, ...control },
+      service: { of, outliersOf, ...control },
       dump: () => describeUsedUpstreams(all),
       close: () => { [...all.keys()].forEach(remove) }
     }
--- a/src/entry/pools/upstream-health.ts
+++ b/src/entry/pools/upstream-health.ts
@@ -4,6 +4,7 @@
  * decays towards the initial value, so that an upstream that was slow is tried again.
  */
 import { laterPosition, type LogPosition } from '../../positions/position.ts'
+import { OutcomeRecord } from './outcome-record.ts'
 import type { UpstreamFault } from './types.ts'
 
 /** Weight of a new sample in the moving average of the latency. */
@@ -36,6 +37,8 @@
   readonly lagging: boolean
   /** Expected duration of a statement, in milliseconds. */
   readonly latencyMs: number
+  /** Recent outcomes of reads, by which the upstream is compared with its siblings. */
+  readonly outcomes: OutcomeRecord
   /** Highest log position that any answer has carried. */
   readonly highestPosition: LogPosition | undefined
   /** Records the log position of an answer, which may be a refusal. */
@@ -79,6 +82,7 @@
     return latency - excess * (1 - 0.5 ** (age / LATENCY_HALF_LIFE_MS))
   }
   return {
+    outcomes: new OutcomeRecord(),
     get lastAnswerAt () { return lastAnswerAt },
     get isSilent () { return pendingRequests > 0 && performance.now() - waitingSince >= SILENCE_MS },
     get unreachableSince () { return unreachableSince },
--- a/src/entry/pools/used-upstreams.ts
+++ b/src/entry/pools/used-upstreams.ts
@@ -8,6 +8,7 @@
 import type { ConnectionLimits } from './connection-limits.ts'
 import { createStatementQueue, type StatementQueue } from './statement-queue.ts'
 import type { CloseReason, PoolEvents } from './types.ts'
+import { OutlierDetector, type OutlierReport } from './outlier-detection.ts'
 import { createUpstreamHealth, type UpstreamHealth } from './upstream-health.ts'
 import { createUpstreamPool, type UpstreamPool } from './upstream-pool.ts'
 
@@ -41,6 +42,14 @@
 interface UsedUpstreams {
   /** Returns the resources of an upstream, created at the first call. */
   of: (upstream: KnownUpstream) => UpstreamResources
+  /**
+   * Compares the upstreams of a group with each other.
+   *
+   * @param group - the group
+   * @param upstreams - all of its upstreams
+   * @returns names of those that a read should avoid
+   */
+  outliersOf: (group: string, upstreams: readonly KnownUpstream[]) => ReadonlySet<string>
   /** Closes the pool of an upstream and drops its resources. */
   remove: (name: string) => void
   /** Resources of all upstreams in use, by name. */
@@ -55,13 +64,25 @@
  */
 export function createUsedUpstreams (options: UsedUpstreamsOptions): UsedUpstreams {
   const used = new Map<string, UpstreamResources>()
+  const detectors = new Map<string, OutlierDetector>()
+  const of = (upstream: KnownUpstream): UpstreamResources => {
+    const resources = used.get(upstream.upstream) ?? createUpstreamResources(upstream, options)
+    used.set(upstream.upstream, resources)
+    return resources
+  }
   return {
-    of: (upstream) => {
-      const resources = used.get(upstream.upstream) ?? createUpstreamResources(upstream, options)
-      used.set(upstream.upstream, resources)
-      return resources
+    of,
+    outliersOf: (group, upstreams) => {
+      let detector = detectors.get(group)
+      if (detector === undefined) {
+        detector = new OutlierDetector((report) => logOutlier(options.logger, group, report))
+        detectors.set(group, detector)
+      }
+      return detector.avoidedBy(upstreams.map((known) =>
+        ({ upstream: known.upstream, outcomes: of(known).health.outcomes })))
     },
     remove: (name) => {
+      detectors.forEach((detector) => detector.forget(name))
       used.get(name)?.pool.close()
       used.delete(name)
     },
@@ -86,6 +107,22 @@
   return { pool, queue, health }
 }
 
+/** Logs that the judgement of an upstream has changed. */
+function logOutlier (
+  logger: Logger, group: string,
+  { upstream, avoided, slowness, failedPart, siblingsSlowness, siblingsFailedPart }: OutlierReport
+): void {
+  logger.log('info', 'upstream.avoided', {
+    group,
+    upstream,
+    avoided,
+    slowness: slowness.toFixed(2),
+    failedPart: failedPart.toFixed(2),
+    siblingsSlowness: siblingsSlowness.toFixed(2),
+    siblingsFailedPart: siblingsFailedPart.toFixed(2)
+  })
+}
+
 /** Records a pool's events in its upstream's health, and logs when the upstream becomes unreachable or reachable. */
 function createPoolEvents (
   health: UpstreamHealth, fields: { group: string, upstream: string }, logger: Logger, metrics: ConnectionMetrics
--- a/src/entry/requests/attempt.ts
+++ b/src/entry/requests/attempt.ts
@@ -1,7 +1,7 @@
 /** Runs one attempt of a single statement and converts its outcome to the input of `retry-rules.ts`. */
 import { describeThrown, toRequestError, type RequestError } from '../../core/errors/index.ts'
 import { verdictOf, type StatementAnswer } from '../ports/index.ts'
-import { recordAnswer } from './record-answer.ts'
+import { recordAnswer, recordReadOutcome } from './record-answer.ts'
 import type { RetryCause } from './retry-rules.ts'
 import type { StatementExecutor } from './statement-executor.ts'
 import type { ExecutableStatement, EntryContext, RequestScope } from './types.ts'
@@ -25,6 +25,7 @@
   try {
     const timed = await executor.runSingle(scope, statement, statement.access === 'read')
     recordAnswer(context, scope, timed)
+    statement.access === 'read' && recordReadOutcome(executor, scope, timed)
     const { failure } = timed.answer
     scope.sent = failure === undefined || verdictOf(failure.kind) !== 'not-run'
     return { answer: timed.answer }
--- a/src/entry/requests/choose-upstream.ts
+++ b/src/entry/requests/choose-upstream.ts
@@ -40,6 +40,12 @@
 /** Penalty for an upstream that failed recently, in milliseconds; higher than any other cost. */
 const AVOIDED_COST_MS = 5000
 
+/**
+ * Penalty for an upstream that is an outlier among its siblings, in milliseconds. Lower than that of one that failed:
+ * it serves most of its reads, and is the last choice before those that can't be reached.
+ */
+const OUTLIER_COST_MS = 1000
+
 /** Services needed to compare upstreams. */
 type ChoiceContext = Pick<EntryContext, 'directory' | 'pools' | 'homes' | 'leadership' | 'failureDomain' | 'drainMs'>
 
@@ -63,6 +69,7 @@
 ): ReadChoice | undefined {
   const primary = context.leadership.primaryOf(group)
   const upstreams = context.directory.ofGroup(group)
+  const outliers = context.pools.outliersOf(group, upstreams)
   const preferred = preferredReplica(upstreams, organisation, primary)
   let best: ReadChoice | undefined
   let leastCost = Infinity
@@ -77,7 +84,8 @@
     const home = context.homes.choose(target, triedHomes, organisation)
     const cost = readCostMs(
       createCandidate(context, { target, resources, home }, position, target.upstream === primary)
-    ) - (target.upstream === preferred ? bonusMs(context, upstreams, resources) : 0)
+    ) + (outliers.has(target.upstream) ? OUTLIER_COST_MS : 0) -
+      (target.upstream === preferred ? bonusMs(context, upstreams, resources) : 0)
     if (cost < leastCost) {
       best = { target, resources, home }
       leastCost = cost
--- a/src/entry/requests/record-answer.ts
+++ b/src/entry/requests/record-answer.ts
@@ -26,6 +26,27 @@
   }
 }
 
+/** Failures that show a fault of the upstream, and not of the statement or of the choice of the upstream. */
+const UPSTREAM_FAILURES: ReadonlySet<FailureKind | undefined> = new Set<FailureKind>(['failed', 'timeout'])
+
+/**
+ * Records the outcome of a read, by which its upstream is compared with the others of the group. Other failures are
+ * ignored: the read was not run, or the statement is at fault.
+ *
+ * @param executor - executor that ran the read
+ * @param scope - the request
+ * @param timed - the answer and its time
+ */
+export function recordReadOutcome (
+  { resources }: Pick<StatementExecutor, 'resources'>, { costMs }: Pick<RequestScope, 'costMs'>,
+  { answer: { failure }, ranMs }: Pick<TimedAnswer, 'answer' | 'ranMs'>
+): void {
+  const failed = UPSTREAM_FAILURES.has(failure?.kind)
+  if (failed || failure === undefined) {
+    resources.health.outcomes.record({ ranMs, costMs, failed })
+  }
+}
+
 /**
  * Records the log position of an upstream, and whether it lagged behind the required one.
  *
--- a/src/entry/requests/serve-forwarded.ts
+++ b/src/entry/requests/serve-forwarded.ts
@@ -14,7 +14,7 @@
 import { createForwardedTransactions, type ForwardedTransactions } from './forwarded-transactions.ts'
 import { createLocalExecutor } from './local-executor.ts'
 import { acquireLocalPrimaryExecutor, type PrimaryContext } from './primary-access.ts'
-import { recordAnswer } from './record-answer.ts'
+import { recordAnswer, recordReadOutcome } from './record-answer.ts'
 import { RETRY_PAUSE_MS } from './retry-rules.ts'
 import type { TimedAnswer } from './run-statement.ts'
 import type { StatementExecutor } from './statement-executor.ts'
@@ -131,6 +131,7 @@
   const statement = decodeStatement(message.id, message.step)
   const timed = await executor.runSingle(scope, statement, statement.access === 'read')
   recordAnswer(context, scope, timed)
+  statement.access === 'read' && recordReadOutcome(executor, scope, timed)
   return replyOf(server, executor, timed)
 }
 
--- a/test/entry/pools/group-load.ts
+++ b/test/entry/pools/group-load.ts
@@ -36,6 +36,9 @@
 
 const pause = async (ms: number): Promise<void> => await new Promise((resolve) => { setTimeout(resolve, ms) })
 
+/** Fault of an upstream: a factor for its run times, and the part of the statements that it fails. */
+export interface Fault { slowdown?: number, failedPart?: number }
+
 /** An upstream that runs a fixed number of statements at once, in order of arrival; a new connection takes a slot. */
 class SlottedUpstream {
   private free = SLOTS
@@ -43,9 +46,14 @@
   opened = 0
   openNow = 0
 
+  constructor (private readonly fault: Fault = {}) {}
+
+  /** Whether the next statement fails. */
+  fails (drawn: number): boolean { return drawn < (this.fault.failedPart ?? 0) }
+
   async run (durationMs: number): Promise<void> {
     this.free > 0 ? this.free-- : await new Promise<void>((resolve) => { this.queue.push(resolve) })
-    await pause(durationMs)
+    await pause(durationMs * (this.fault.slowdown ?? 1))
     const next = this.queue.shift()
     next === undefined ? this.free++ : next()
   }
@@ -72,6 +80,8 @@
   /** Requests refused after all retries. */
   refused: number
   opened: number
+  /** Requests answered with a failure of an upstream. */
+  failed: number
 }
 
 interface LoadOptions {
@@ -82,6 +92,8 @@
   /** Rate of all requests at a time, as a factor of that of {@link KINDS}. */
   rate: (elapsedMs: number) => number
   durationMs: number
+  /** Faults of upstreams, by name. */
+  faults?: Record<string, Fault>
 }
 
 /**
@@ -91,7 +103,7 @@
  * @returns what the callers got
  */
 export async function playGroup (options: LoadOptions): Promise<LoadResult> {
-  const group = new GroupUnderLoad(options.hosts)
+  const group = new GroupUnderLoad(options.hosts, options.faults ?? {})
   const { clock, durationMs } = options
   const arrivals = xoroshiro128plus(SEED)
   const draw = (): number => uniformFloat64(arrivals)
@@ -116,15 +128,16 @@
 }
 
 class GroupUnderLoad {
-  readonly result = { asked: 0, inTime: 0, refused: 0 }
+  readonly result = { asked: 0, inTime: 0, refused: 0, failed: 0 }
   private readonly counts = new Map<string, { asked: number, inTime: number }>()
   private readonly hosts: HostUnderLoad[]
-  private readonly upstreams = new Map(DOMAINS.map((_, index) => [`u${index}`, new SlottedUpstream()]))
+  private readonly upstreams: Map<string, SlottedUpstream>
   private readonly targets = DOMAINS.map((failureDomain, index) => ({
     upstream: `u${index}`, group: 'g', failureDomain, slots: SLOTS, draining: false, endpoint: { address: '', port: 1 }
   }) as KnownUpstream)
 
-  constructor (hosts: number) {
+  constructor (hosts: number, faults: Record<string, Fault>) {
+    this.upstreams = new Map(this.targets.map(({ upstream }) => [upstream, new SlottedUpstream(faults[upstream])]))
     const known = Array.from({ length: hosts }, (_, index) => ({
       name: `h${index}`, process: `h${index}-1`, version: 1, address: '', port: 1, failureDomain: DOMAINS[index % 3]!
     }))
@@ -156,9 +169,11 @@
     for (let attempt = 0; attempt < 3; attempt++) {
       const host = this.hosts[Math.floor(draw() * this.hosts.length)]!
       try {
-        await host.serve(kind, organisation, steps, (name) => this.hosts.find((other) => other.name === name)!)
+        const hostOf = (name: string): HostUnderLoad => this.hosts.find((other) => other.name === name)!
+        const failed = await host.serve(kind, organisation, steps, hostOf)
+        this.result.failed += failed ? 1 : 0
         const tookMs = performance.now() - startedAt
-        counts.forEach((count) => { count.inTime += tookMs <= kind.targetMs ? 1 : 0 })
+        counts.forEach((count) => { count.inTime += !failed && tookMs <= kind.targetMs ? 1 : 0 })
         return
       } catch (thrown) {
         await pause((thrown as RequestError<'Overloaded'>).details?.retryAfterMs ?? 50)
@@ -201,11 +216,10 @@
 
   async serve (
     kind: Kind, organisation: string, steps: number, hostOf: (name: string) => HostUnderLoad
-  ): Promise<void> {
+  ): Promise<boolean> {
     const { target, home } = this.choose(kind, organisation)
     if (home === undefined) {
-      await this.execute(kind, organisation, target, steps)
-      return
+      return (await this.execute(kind, organisation, target, steps)).failed
     }
     const delayMs = home.failureDomain === this.self.failureDomain ? 1 : 2
     const sentAt = performance.now()
@@ -213,18 +227,25 @@
     this.selector.recordSent(home, target.upstream)
     try {
       await pause(delayMs)
-      const ranMs = await executing.execute(kind, organisation, target, steps)
+      const { ranMs, failed } = await executing.execute(kind, organisation, target, steps)
       await pause(delayMs)
       const { queue } = executing.resources.of(target)
       const tookMs = performance.now() - sentAt
       this.selector.recordAnswer(
         home, target.upstream, { load: queue.running + queue.waiting, leaving: false }, tookMs - ranMs)
       this.resources.of(target).health.recordLatency(tookMs)
+      this.recordOutcome(kind, target, { ranMs: ranMs / steps, failed })
+      return failed
     } finally {
       this.selector.recordEnded(home, target.upstream)
     }
   }
 
+  /** Records the outcome of a read. */
+  private recordOutcome (kind: Kind, target: KnownUpstream, outcome: { ranMs: number, failed: boolean }): void {
+    kind.priority > 0 && this.resources.of(target).health.outcomes.record({ ...outcome, costMs: kind.durationMs })
+  }
+
   private choose (kind: Kind, organisation: string): { target: KnownUpstream, home?: KnownHost } {
     if (kind.priority === 0) {
       const target = this.targets[0]!
@@ -246,7 +267,9 @@
   }
 
   /** Runs the steps of a request as a home; returns the time at the upstream. */
-  private async execute (kind: Kind, organisation: string, target: KnownUpstream, steps: number): Promise<number> {
+  private async execute (
+    kind: Kind, organisation: string, target: KnownUpstream, steps: number
+  ): Promise<{ ranMs: number, failed: boolean }> {
     const { pool, queue, health } = this.resources.of(target)
     const upstream = this.upstreams.get(target.upstream)!
     const { durationMs, targetMs, timeoutMs, priority } = kind
@@ -270,7 +293,9 @@
     }
     health.recordLatency(ranMs / steps)
     lease.release()
-    return ranMs
+    const outcome = { ranMs, failed: kind.priority > 0 && upstream.fails(Math.random()) }
+    this.recordOutcome(kind, target, { ...outcome, ranMs: ranMs / steps })
+    return outcome
   }
 }
 
--- a/test/entry/requests/preferred-replica.test.ts
+++ b/test/entry/requests/preferred-replica.test.ts
@@ -15,6 +15,7 @@
     leadership: { primaryOf: () => 'u0' },
     directory: { ofGroup: () => upstreams },
     pools: {
+      outliersOf: () => new Set(),
       of: ({ upstream }: { upstream: string }) => ({
         pool: { hasRoom: true, size: 1 },
         queue: { running: observed[upstream]?.busy ?? 0, waiting: 0 },
