Choose a read's upstream by the wait its home reports

A host knew only its own requests at an upstream and its own average latency, so reads joined a queue that other hosts had filled, also at a primary whose slots writes need.

Replies of a home that has a queue carry queued, running and waitMs; without a queue the reply is as before, and so is the choice. The cost of a read is at least the reported wait, which decays like the load, plus its expected duration. A report on less urgent statements is ignored. A primary with a queue costs as much as another failure domain on top.

--- a/src/entry/homes/home-choice.ts
+++ b/src/entry/homes/home-choice.ts
@@ -8,7 +8,7 @@
  */
 import { orderByWeight } from '../../placement/upstream-homes.ts'
 import type { KnownHost } from '../registry/index.ts'
-import { costOf, recordOverhead } from './home-cost.ts'
+import { costOf, recordOverhead, reportedWaitOf } from './home-cost.ts'
 import { countInProgress, createHomeStates, type HomeState } from './seen-homes.ts'
 
 /**
@@ -37,6 +37,8 @@
   load: number
   /** Whether the home is shutting down. */
   leaving: boolean
+  /** How long a statement of the answered one's priority would wait, in milliseconds; absent if none waits. */
+  waitMs?: number
 }
 
 /** Selects homes. */
@@ -66,8 +68,11 @@
    * @param upstream - the upstream that executed the statement
    * @param report - what the home reported about itself
    * @param overheadMs - time that the answer took beyond the statement itself, in milliseconds
+   * @param priority - priority of the statement
    */
-  recordAnswer: (home: KnownHost, upstream: string, report?: HomeReport, overheadMs?: number) => void
+  recordAnswer: (
+    home: KnownHost, upstream: string, report?: HomeReport, overheadMs?: number, priority?: number
+  ) => void
   /** Records that a home was unreachable or did not answer; it is silent, and skipped, until it answers. */
   recordFailure: (home: KnownHost) => void
   /** Whether a home has failed and not answered since. */
@@ -81,6 +86,8 @@
   takeDueProbe: (homes: KnownHost[]) => KnownHost | undefined
   /** Time of the last answer of a home, on the monotonic clock; -Infinity when there was none. */
   lastAnswerAt: (home: KnownHost) => number
+  /** How long a statement of a priority would wait at a home according to its reports, in milliseconds. */
+  waitAt: (home: KnownHost, upstream: string, priority: number) => number
   /** Number of statements in progress at an upstream through all homes. */
   inProgressAt: (upstream: string) => number
   /** Drops the state of hosts that are not in a list. */
@@ -114,13 +121,14 @@
     },
     recordSent: (home, upstream) => countInProgress(states.of(home), upstream, 1),
     recordEnded: (home, upstream) => countInProgress(states.of(home), upstream, -1),
-    recordAnswer: (home, upstream, report, overheadMs) => {
+    recordAnswer: (home, upstream, report, overheadMs, priority = 0) => {
       const state = states.of(home)
       state.lastAnswerAt = performance.now()
       state.isSilent = false
       if (report !== undefined) {
         state.leaving = report.leaving
-        state.loads.set(upstream, { load: report.load, at: performance.now() })
+        const { load, waitMs = 0 } = report
+        state.loads.set(upstream, { load, at: performance.now(), waitMs, priority })
       }
       if (overheadMs !== undefined) {
         recordOverhead(state, overheadMs)
@@ -145,6 +153,7 @@
       return due.host
     },
     lastAnswerAt: (home) => states.of(home).lastAnswerAt,
+    waitAt: (home, upstream, priority) => reportedWaitOf(states.of(home), upstream, priority),
     inProgressAt: states.inProgressAt,
     retainHosts: states.retain,
     forgetUpstream: states.forgetUpstream,
--- a/src/entry/homes/home-cost.ts
+++ b/src/entry/homes/home-cost.ts
@@ -40,6 +40,23 @@
   home.overhead = { meanMs, at: performance.now() }
 }
 
+/**
+ * Returns how long a statement would wait at a home according to its last report, which decays.
+ *
+ * @param home - state of the home
+ * @param upstream - the upstream that executes the statement
+ * @param priority - priority of the statement; a report on less urgent statements does not apply
+ * @returns the wait, in milliseconds; 0 if it is less than one or unknown
+ */
+export function reportedWaitOf ({ loads }: HomeState, upstream: string, priority: number): number {
+  const reported = loads.get(upstream)
+  if (reported === undefined || reported.waitMs === 0 || priority < reported.priority) {
+    return 0
+  }
+  const waitMs = decayed(reported.waitMs, reported.at, LOAD_HALF_LIFE_MS)
+  return waitMs < 1 ? 0 : waitMs
+}
+
 function loadOf ({ loads, inProgress }: HomeState, upstream: string): number {
   const reported = loads.get(upstream)
   const reportedNow = reported === undefined ? 0 : decayed(reported.load, reported.at, LOAD_HALF_LIFE_MS)
--- a/src/entry/homes/index.ts
+++ b/src/entry/homes/index.ts
@@ -57,6 +57,8 @@
    * @throws RequestError `PeerUnavailable` with verdict `not-run`
    */
   ensureAlive: (home: KnownHost) => Promise<void>
+  /** How long a statement of a priority would wait at a home according to its reports, which decay, in milliseconds. */
+  waitAt: (home: KnownHost, upstream: string, priority: number) => number
   /** Number of statements for an upstream that this host has forwarded and that are still in progress. */
   inProgressAt: (upstream: string) => number
   /** Whether a host responds, according to the requests of this host. */
@@ -125,6 +127,7 @@
           return chosen === self ? undefined : chosen
         },
         forward: createForwarder({ links, selector, detector, count, time }),
+        waitAt: selector.waitAt,
         inProgressAt: selector.inProgressAt,
         ...createReachability(selector, detector)
       },
--- a/src/entry/homes/messages.ts
+++ b/src/entry/homes/messages.ts
@@ -72,7 +72,15 @@
   /** Number of the transaction while it is open at the home. */
   transaction: z.number().int().optional(),
   load: z.number(),
-  leaving: z.boolean()
+  leaving: z.boolean(),
+  /**
+   * Number of statements that wait for the upstream there, and of those that run. These fields and `waitMs` are absent
+   * while none waits, and from older processes; the receiver then relies on its own observations.
+   */
+  queued: z.number().optional(),
+  running: z.number().optional(),
+  /** How long a statement of the request's priority would wait there now, in milliseconds. */
+  waitMs: z.number().optional()
 })
 
 const isPosition = hasFields({ term: isCount, position: isCount })
@@ -100,7 +108,14 @@
 
 /** Reads replies. */
 export const homeReply = createReader(homeReplySchema, hasFields({ load: isNumber, leaving: isFlag }, {
-  begun: isAnswer, answer: isAnswer, epoch: isInteger, ranMs: isNumber, transaction: isInteger
+  begun: isAnswer,
+  answer: isAnswer,
+  epoch: isInteger,
+  ranMs: isNumber,
+  transaction: isInteger,
+  queued: isNumber,
+  running: isNumber,
+  waitMs: isNumber
 }))
 
 /** Step of a caller's request. */
--- a/src/entry/homes/pass-on.ts
+++ b/src/entry/homes/pass-on.ts
@@ -19,6 +19,8 @@
   /** Type of the message. */
   type: string
   body: unknown
+  /** Priority of the statement, to which the wait that the home reports applies. */
+  priority?: number
   /** Longest wait for the reply, in milliseconds. */
   timeoutMs: number
   /**
@@ -51,12 +53,12 @@
 export function createForwarder (options: ForwarderOptions): Forward {
   const { selector, detector, count, time } = options
   return async (home, request) => {
-    const { upstream, type } = request
+    const { upstream, type, priority } = request
     const sentAt = performance.now()
     selector.recordSent(home, upstream)
     try {
       const reply = await waitForReply(home, request, options)
-      selector.recordAnswer(home, upstream, reply, performance.now() - sentAt - (reply.ranMs ?? 0))
+      selector.recordAnswer(home, upstream, reply, performance.now() - sentAt - (reply.ranMs ?? 0), priority)
       count('answered')
       return reply
     } catch (thrown) {
--- a/src/entry/homes/seen-homes.ts
+++ b/src/entry/homes/seen-homes.ts
@@ -5,6 +5,18 @@
  */
 import type { KnownHost } from '../registry/index.ts'
 
+/** What a home has reported about one upstream. */
+export interface ReportedLoad {
+  /** Statements and transactions there that use a connection to the upstream or wait for one. */
+  load: number
+  /** Time of the report, on the monotonic clock. */
+  at: number
+  /** How long a statement would wait, in milliseconds; 0 if none waits or the home does not report it. */
+  waitMs: number
+  /** Priority of the statements that `waitMs` applies to; others may be served earlier if theirs is lower. */
+  priority: number
+}
+
 /** Observed state of one home; times on the monotonic clock, in milliseconds. */
 export interface HomeState {
   host: KnownHost
@@ -15,8 +27,8 @@
   /** When it failed, or was last probed while silent. */
   silentAt: number
   leaving: boolean
-  /** Reported load and time of the report, by upstream. */
-  loads: Map<string, { load: number, at: number }>
+  /** What the home has reported last, by upstream. */
+  loads: Map<string, ReportedLoad>
   /** Moving average of the time that answers took beyond the statement itself, and when it was last updated. */
   overhead: { meanMs: number, at: number }
   /** Number of statements in progress there, by upstream. */
--- a/src/entry/pools/index.ts
+++ b/src/entry/pools/index.ts
@@ -6,7 +6,7 @@
 import { createUsedUpstreams, describeUsedUpstreams, type UpstreamResources } from './used-upstreams.ts'
 
 export { applySessionValues, ensurePrepared } from './align-connection.ts'
-export { OPEN_TRANSACTION_PRIORITY } from './fair-order.ts'
+export { OPEN_TRANSACTION_PRIORITY, type QueueRequest } from './fair-order.ts'
 export type { ConnectionLease } from './types.ts'
 export type { UpstreamResources } from './used-upstreams.ts'
 export { SILENCE_MS } from './upstream-health.ts'
--- a/src/entry/pools/statement-queue.ts
+++ b/src/entry/pools/statement-queue.ts
@@ -29,6 +29,8 @@
 export interface StatementQueue {
   readonly running: number
   readonly waiting: number
+  /** Returns how long a statement would wait for the work ahead of it, in milliseconds; 0 while none waits. */
+  waitFor: (request: QueueRequest) => number
   /**
    * Waits until the statement may be sent.
    *
@@ -103,6 +105,7 @@
   return {
     get running () { return running },
     get waiting () { return order.count },
+    waitFor: (request) => expectedWaitMs(order.aheadOf(request).costMs, options.limits()),
     enter: async (request) => {
       const limits = options.limits()
       maximum = maximumInProgress(limits)
--- a/src/entry/requests/acquire-connection.ts
+++ b/src/entry/requests/acquire-connection.ts
@@ -1,5 +1,5 @@
 /** Acquires an execution slot and a pooled connection at an upstream. `wait-rules.ts` bounds the wait. */
-import type { ConnectionLease, UpstreamResources } from '../pools/index.ts'
+import type { ConnectionLease, QueueRequest, UpstreamResources } from '../pools/index.ts'
 import type { EntryContext, RequestScope } from './types.ts'
 import { connectionWaitMs } from './wait-rules.ts'
 
@@ -24,7 +24,7 @@
   { metrics }: Pick<EntryContext, 'metrics'>, scope: RequestScope, { pool, queue }: UpstreamResources,
   maximumWaitMs: number
 ): Promise<AcquiredConnection> {
-  const { organisation, values, priority, costMs, softDeadline, beginsTransaction = false } = scope
+  const { organisation, values, priority, softDeadline, beginsTransaction = false } = scope
   const startedAt = performance.now()
   const waitMs = connectionWaitMs(maximumWaitMs, softDeadline - startedAt)
   const leftMs = (): number => Math.max(1, waitMs - (performance.now() - startedAt))
@@ -32,9 +32,7 @@
   let lease: ConnectionLease | undefined
   const acquire = async (): Promise<ConnectionLease> =>
     await pool.acquire({ organisation, values, priority, waitMs: leftMs(), beginsTransaction })
-  const enter = async (allowedMs: number): Promise<() => void> => await queue.enter({
-    organisation: organisation ?? '', priority, costMs, waitMs: allowedMs, dueInMs: softDeadline - performance.now()
-  })
+  const enter = async (allowedMs: number): Promise<() => void> => await queue.enter(queueRequestOf(scope, allowedMs))
   try {
     releaseSlot = await enter(waitMs)
     if (pool.mustWait({ organisation, beginsTransaction })) {
@@ -53,3 +51,16 @@
     throw thrown
   }
 }
+
+/**
+ * Returns a request as the queue of an upstream sees it.
+ *
+ * @param scope - the request
+ * @param waitMs - maximum wait, in milliseconds
+ * @returns the statement to queue
+ */
+export function queueRequestOf (
+  { organisation = '', priority, costMs, softDeadline }: RequestScope, waitMs: number
+): QueueRequest {
+  return { organisation, priority, costMs, waitMs, dueInMs: softDeadline - performance.now() }
+}
--- a/src/entry/requests/choose-upstream.ts
+++ b/src/entry/requests/choose-upstream.ts
@@ -6,6 +6,7 @@
 import type { KnownUpstream } from '../directory/index.ts'
 import type { KnownHost } from '../registry/index.ts'
 import { comparePositions, type LogPosition } from '../../positions/position.ts'
+import { queueRequestOf } from './acquire-connection.ts'
 import type { ChosenUpstream, EntryContext, RequestScope } from './types.ts'
 import { acceptsNewWork } from './wait-rules.ts'
 
@@ -16,6 +17,11 @@
  * {@link CROSS_DOMAIN_COST_MS}, or reads in the primary's failure domain would go to replicas of other domains.
  */
 const PRIMARY_COST_MS = 12
+/**
+ * Further penalty for a primary at whose home statements wait, in milliseconds. With it a replica of another failure
+ * domain is cheaper, so reads leave the slots to the writes and reads that only the primary can serve.
+ */
+const PRIMARY_QUEUE_COST_MS = CROSS_DOMAIN_COST_MS
 /** Penalty for waiting until a connection is opened or becomes free, in milliseconds. */
 const CONNECTION_WAIT_COST_MS = 25
 /** Penalty if this host has no connection and may not open one, in milliseconds; the wait may take seconds. */
@@ -64,9 +70,9 @@
  * @returns the upstream and its home, if any; undefined if no upstream is left
  */
 export function chooseReadUpstream (
-  context: ChoiceContext, { group, organisation, triedHomes }: RequestScope, position: LogPosition,
-  triedUpstreams: ReadonlySet<string>
+  context: ChoiceContext, scope: RequestScope, position: LogPosition, triedUpstreams: ReadonlySet<string>
 ): ReadChoice | undefined {
+  const { group, organisation, triedHomes } = scope
   const primary = context.leadership.primaryOf(group)
   const upstreams = context.directory.ofGroup(group)
   const outliers = context.pools.outliersOf(group, upstreams)
@@ -83,7 +89,7 @@
     const resources = context.pools.of(target)
     const home = context.homes.choose(target, triedHomes, organisation)
     const cost = readCostMs(
-      createCandidate(context, { target, resources, home }, position, target.upstream === primary)
+      createCandidate(context, scope, { target, resources, home }, position, target.upstream === primary)
     ) + (outliers.has(target.upstream) ? OUTLIER_COST_MS : 0) -
       (target.upstream === preferred ? bonusMs(context, upstreams, resources) : 0)
     if (cost < leastCost) {
@@ -129,6 +135,11 @@
 export interface ReadCandidate {
   /** Average latency of its statements, in milliseconds. */
   latencyMs: number
+  /**
+   * Time until the read would end according to the home that runs it, in milliseconds: the wait in its queue and the
+   * expected duration. Absent if no statement waits there, or if the home does not report it.
+   */
+  expectedEndMs?: number
   /** Number of statements that this host runs, queues or forwards there. */
   busy: number
   /** Number of statements that it runs concurrently. */
@@ -156,10 +167,12 @@
  * @returns the cost, in milliseconds
  */
 export function readCostMs (candidate: ReadCandidate): number {
-  const { latencyMs, busy, slots, throughHome, hasRoom, hasConnections, lagging, hasReachedPosition } = candidate
-  return latencyMs * (1 + busy / slots) +
+  const { latencyMs, expectedEndMs, busy, slots, isPrimary } = candidate
+  const { throughHome, hasRoom, hasConnections, lagging, hasReachedPosition } = candidate
+  return Math.max(latencyMs * (1 + busy / slots), expectedEndMs ?? 0) +
     (candidate.isLocalDomain ? 0 : CROSS_DOMAIN_COST_MS) +
-    (candidate.isPrimary ? PRIMARY_COST_MS : 0) +
+    (isPrimary ? PRIMARY_COST_MS : 0) +
+    (isPrimary && expectedEndMs !== undefined ? PRIMARY_QUEUE_COST_MS : 0) +
     (throughHome || hasRoom ? 0 : CONNECTION_WAIT_COST_MS) +
     (throughHome || hasRoom || hasConnections ? 0 : FIRST_CONNECTION_COST_MS) +
     (lagging && !hasReachedPosition ? LAGGING_COST_MS : 0) +
@@ -167,12 +180,16 @@
 }
 
 function createCandidate (
-  { failureDomain, homes }: ChoiceContext, { target, resources, home }: ReadChoice, position: LogPosition,
-  isPrimary: boolean
+  { failureDomain, homes }: ChoiceContext, scope: RequestScope, { target, resources, home }: ReadChoice,
+  position: LogPosition, isPrimary: boolean
 ): ReadCandidate {
   const { health, pool, queue } = resources
+  const waitMs = home === undefined
+    ? ownWaitMs(queue, scope)
+    : homes.waitAt(home, target.upstream, scope.priority)
   return {
     latencyMs: health.latencyMs,
+    expectedEndMs: waitMs > 0 ? waitMs + scope.costMs : undefined,
     busy: queue.running + queue.waiting + homes.inProgressAt(target.upstream),
     slots: target.slots,
     isLocalDomain: target.failureDomain === failureDomain,
@@ -185,3 +202,8 @@
     avoided: health.avoided
   }
 }
+
+/** Returns how long a read would wait in the queue of this host, which is a home. */
+function ownWaitMs (queue: ReadChoice['resources']['queue'], scope: RequestScope): number {
+  return queue.waiting === 0 ? 0 : queue.waitFor(queueRequestOf(scope, scope.deadline.leftMs))
+}
--- a/src/entry/requests/forwarding-executor.ts
+++ b/src/entry/requests/forwarding-executor.ts
@@ -54,7 +54,8 @@
       const sentAt = performance.now()
       const timeoutMs = scope.deadline.leftMs + FORWARDING_GRACE_MS
       return await avoidOnError(scope, async () => {
-        const reply = await homes.forward(home, { upstream, type, body, timeoutMs, onLateReply })
+        const { priority } = scope
+        const reply = await homes.forward(home, { upstream, type, body, priority, timeoutMs, onLateReply })
         resources.health.recordAnswer()
         resources.health.recordLatency(performance.now() - sentAt)
         return reply
--- a/src/entry/requests/serve-forwarded.ts
+++ b/src/entry/requests/serve-forwarded.ts
@@ -9,7 +9,7 @@
 import type { Peers } from '../../peers/index.ts'
 import type { PeerLink } from '../../peers/types.ts'
 import type { Registry } from '../registry/index.ts'
-import { acquireConnection } from './acquire-connection.ts'
+import { acquireConnection, queueRequestOf } from './acquire-connection.ts'
 import { decodeStep, decodeStatement } from './forwarded-steps.ts'
 import { createForwardedTransactions, type ForwardedTransactions } from './forwarded-transactions.ts'
 import { createLocalExecutor } from './local-executor.ts'
@@ -99,17 +99,26 @@
   }
 }
 
+/** What a home reports about itself. */
+type LoadReport = Pick<HomeReply, 'load' | 'leaving' | 'queued' | 'running' | 'waitMs'>
+
 /** Returns the load of the upstream on this host, and whether this host is shutting down. */
 function loadReportOf (
-  { isLeaving }: ForwardedServer, { resources: { queue } }: StatementExecutor
-): Pick<HomeReply, 'load' | 'leaving'> {
-  return { load: queue.running + queue.waiting, leaving: isLeaving() }
+  { isLeaving }: ForwardedServer, { resources: { queue } }: StatementExecutor, scope?: RequestScope
+): LoadReport {
+  const report: LoadReport = { load: queue.running + queue.waiting, leaving: isLeaving() }
+  if (scope !== undefined && queue.waiting > 0) {
+    report.queued = queue.waiting
+    report.running = queue.running
+    report.waitMs = Math.round(queue.waitFor(queueRequestOf(scope, scope.deadline.leftMs)))
+  }
+  return report
 }
 
 function replyOf (
-  server: ForwardedServer, executor: StatementExecutor, { answer, epoch, ranMs }: TimedAnswer
+  server: ForwardedServer, executor: StatementExecutor, scope: RequestScope, { answer, epoch, ranMs }: TimedAnswer
 ): HomeReply {
-  return { answer, epoch, ranMs: Math.round(ranMs), ...loadReportOf(server, executor) }
+  return { answer, epoch, ranMs: Math.round(ranMs), ...loadReportOf(server, executor, scope) }
 }
 
 /** Serves a single statement, or begins a transaction with its first step. */
@@ -132,7 +141,7 @@
   const timed = await executor.runSingle(scope, statement, statement.access === 'read')
   recordAnswer(context, scope, timed)
   statement.access === 'read' && recordReadOutcome(executor, scope, timed)
-  return replyOf(server, executor, timed)
+  return replyOf(server, executor, scope, timed)
 }
 
 async function serveBegin (
@@ -143,18 +152,18 @@
   const { beginAnswer, firstAnswer, firstError } = await executor.begin(scope, message.begin === 'read-only', step)
   recordAnswer(context, scope, beginAnswer)
   if (beginAnswer.answer.failure !== undefined) {
-    return { begun: beginAnswer.answer, ...loadReportOf(server, executor) }
+    return { begun: beginAnswer.answer, ...loadReportOf(server, executor, scope) }
   }
   if (firstAnswer === undefined) {
     executor.discard()
     return {
       begun: beginAnswer.answer,
       lost: { verdict: firstError!.verdict, reason: firstError!.message },
-      ...loadReportOf(server, executor)
+      ...loadReportOf(server, executor, scope)
     }
   }
   const transaction = await transactions.add(executor, scope, firstAnswer.answer, link)
-  return { ...replyOf(server, executor, firstAnswer), begun: beginAnswer.answer, transaction }
+  return { ...replyOf(server, executor, scope, firstAnswer), begun: beginAnswer.answer, transaction }
 }
 
 /** Serves another step of an open transaction. */
@@ -166,7 +175,7 @@
   try {
     const timed = await runNextStep(context, scope, executor, decodeStep(message.id, message.step))
     const kept = await transactions.settle(message.transaction, transaction, timed.answer)
-    return { ...replyOf(server, executor, timed), transaction: kept }
+    return { ...replyOf(server, executor, scope, timed), transaction: kept }
   } catch (thrown) {
     transactions.discard(message.transaction, transaction)
     throw thrown
--- a/test/entry/homes/home-choice.test.ts
+++ b/test/entry/homes/home-choice.test.ts
@@ -54,6 +54,19 @@
     expect(chosen()).toEqual('a')
   })
 
+  // Guards against reads that avoid an upstream because of a report that was the last one before reports were lost.
+  it('decays the wait that a home has reported, and ignores a report on less urgent statements', () => {
+    selector.recordAnswer(a, 'u', { load: 8, leaving: false, waitMs: 80 }, 1, 1)
+    expect([0, 1, 2].map((priority) => selector.waitAt(a, 'u', priority))).toEqual([0, 80, 80])
+    clock.tick(LOAD_HALF_LIFE_MS)
+    expect(selector.waitAt(a, 'u', 1)).toEqual(40)
+    clock.tick(6 * LOAD_HALF_LIFE_MS)
+    expect([selector.waitAt(a, 'u', 1), selector.waitAt(b, 'u', 1)]).toEqual([0, 0])
+    selector.recordAnswer(a, 'u', { load: 8, leaving: false, waitMs: 80 }, 1, 1)
+    selector.recordAnswer(a, 'u', { load: 8, leaving: false }, 1, 1)
+    expect(selector.waitAt(a, 'u', 1)).toEqual(0)
+  })
+
   it('selects the home with the lower overhead of answers, and decays the overhead', () => {
     selector.recordAnswer(a, 'u', { load: 0, leaving: false }, 120)
     selector.recordAnswer(b, 'u', { load: 2, leaving: false }, 4)
--- a/test/entry/requests/read-cost.test.ts
+++ b/test/entry/requests/read-cost.test.ts
@@ -32,6 +32,13 @@
     equal(costOf({ isLocalDomain: false }), 35)
   })
 
+  // Guards against reads that wait at a home with a queue while this host has little of its own in progress there.
+  it('is the end that a home with a queue expects if that is later, and a primary with a queue is the last choice', () => {
+    equal(costOf({ expectedEndMs: 70 }), 70)
+    equal(costOf({ expectedEndMs: 8, busy: 4 }), 20)
+    equal(costOf({ expectedEndMs: 11, isPrimary: true }) > costOf({ isLocalDomain: false }), true)
+  })
+
   it('includes connection penalties only if the read is not forwarded to a home', () => {
     equal(costOf({ hasRoom: false }), 35)
     equal(costOf({ hasRoom: false, hasConnections: false }), 435)
