--- a/src/entry/homes/seen-homes.ts
+++ b/src/entry/homes/seen-homes.ts
@@ -6,7 +6,7 @@
 import type { KnownHost } from '../registry/index.ts'
 
 /** What a home has reported about one upstream. */
-export interface ReportedLoad {
+interface ReportedLoad {
   /** Statements and transactions there that use a connection to the upstream or wait for one. */
   load: number
   /** Time of the report, on the monotonic clock. */
