--- a/src/entry/homes/index.ts
+++ b/src/entry/homes/index.ts
@@ -65,6 +65,8 @@
    * @throws RequestError `PeerUnavailable` with verdict `not-run`
    */
   ensureAlive: (home: KnownHost) => Promise<void>
+  /** How long a statement of a priority would wait at a home according to its reports, which decay, in milliseconds. */
+  waitAt: (home: KnownHost, upstream: string, priority: number) => number
   /** Number of statements for an upstream that this host has forwarded and that are still in progress. */
   inProgressAt: (upstream: string) => number
   /** Whether a host responds, according to the requests of this host. */
@@ -147,6 +149,7 @@
           return chosen === self ? undefined : chosen
         },
         forward: createForwarder({ links, selector, detector, count, time }),
+        waitAt: selector.waitAt,
         inProgressAt: selector.inProgressAt,
         preferredBy: (upstream, organisation) => orderByScore(organisation, of(upstream))[0],
         isReady: async (host) => {
--- a/src/entry/pools/index.ts
+++ b/src/entry/pools/index.ts
@@ -6,7 +6,7 @@
 import { createUsedUpstreams, describeUsedUpstreams, type UpstreamResources } from './used-upstreams.ts'
 
 export { applySessionValues, ensurePrepared } from './align-connection.ts'
-export { OPEN_TRANSACTION_PRIORITY } from './fair-order.ts'
+export { OPEN_TRANSACTION_PRIORITY, type QueueRequest } from './fair-order.ts'
 export type { ConnectionLease } from './types.ts'
 export type { UpstreamResources } from './used-upstreams.ts'
 export { SILENCE_MS } from './upstream-health.ts'
@@ -16,6 +16,8 @@
 export interface Pools extends UpstreamControl {
   /** Returns the pool, queue and health of an upstream in the directory. */
   of: (upstream: KnownUpstream) => UpstreamResources
+  /** Returns the names of those upstreams of a group that a read should avoid; see outlier-detection.ts. */
+  outliersOf: (group: string, upstreams: readonly KnownUpstream[]) => ReadonlySet<string>
 }
 
 declare module '../../core/kernel/index.ts' {
@@ -40,7 +42,7 @@
       isHome: homes.isHome(upstream),
       uptimeMs: performance.now() - startedAt
     })
-    const { of, remove, all } = createUsedUpstreams({
+    const { of, outliersOf, remove, all } = createUsedUpstreams({
       port,
       logger,
       limitsOf,
@@ -54,7 +56,7 @@
     })
     const control = createUpstreamControl({ port, logger, healthOf: (upstream) => of(upstream).health })
     return {
-      service: { of, ...control },
+      service: { of, outliersOf, ...control },
       dump: () => describeUsedUpstreams(all),
       close: () => { [...all.keys()].forEach(remove) }
     }
--- a/src/entry/requests/forwarding-executor.ts
+++ b/src/entry/requests/forwarding-executor.ts
@@ -55,7 +55,8 @@
       const sentAt = performance.now()
       const timeoutMs = scope.deadline.leftMs + FORWARDING_GRACE_MS
       return await avoidOnError(scope, async () => {
-        const reply = await homes.forward(home, { upstream, type, body, timeoutMs, onLateReply })
+        const { priority } = scope
+        const reply = await homes.forward(home, { upstream, type, body, priority, timeoutMs, onLateReply })
         resources.health.recordAnswer()
         const tookMs = performance.now() - sentAt
         resources.health.recordLatency(tookMs)
--- a/test/entry/requests/preferred-replica.test.ts
+++ b/test/entry/requests/preferred-replica.test.ts
@@ -16,13 +16,14 @@
     leadership: { primaryOf: () => 'u0' },
     directory: { ofGroup: () => upstreams },
     pools: {
+      outliersOf: () => new Set(),
       of: ({ upstream }: { upstream: string }) => ({
         pool: { hasRoom: true, size: 1 },
         queue: { running: observed[upstream]?.busy ?? 0, waiting: 0 },
         health: { latencyMs: 10, avoided: false, lagging: false, ...observed[upstream] }
       })
     },
-    homes: { isHome: () => false, choose: () => ({ name: 'home' }), inProgressAt: () => 0 },
+    homes: { isHome: () => false, choose: () => ({ name: 'home' }), inProgressAt: () => 0, waitAt: () => 0 },
     failureDomain,
     drainMs: 5000
   }
