Try a late read at another upstream with free capacity

A read that was forwarded to a home waited until its deadline when the upstream behind it was slow: the failure detector judges the home, which responds, and the probe of a slow upstream succeeds.

At the checks of a forwarded request, each 150 ms, the caller's host now decides whether a read that has waited for four times its expected duration is tried at another upstream: once, if that one has no queue, failure or lag, and if the budget has a retry, which is withdrawn before the first attempt is abandoned. The home is not judged by it; the upstream is. No timer or promise is added for a statement.

Unit tests show the decision, its bounds and that the home stays eligible.

--- a/src/entry/homes/pass-on.ts
+++ b/src/entry/homes/pass-on.ts
@@ -28,8 +28,17 @@
    * statement can run again elsewhere, or its effects are undone.
    */
   onLateReply?: (reply: HomeReply) => void
+  /**
+   * Called at each check while the request waits, {@link PROBE_AFTER_IDLE_MS} apart, with the time since it was sent in
+   * milliseconds. If it returns true, the request is abandoned; this says nothing about the home. Requires
+   * `onLateReply`.
+   */
+  shouldAbandon?: (elapsedMs: number) => boolean
 }
 
+/** The request was abandoned although its home responds, since its upstream is slow. */
+class AbandonedAtUpstream extends RequestError<'ConnectionLost'> {}
+
 /** Options of {@link createForwarder}. */
 interface ForwarderOptions {
   links: Pick<Peers['work'], 'request'>
@@ -62,8 +71,10 @@
       count('answered')
       return reply
     } catch (thrown) {
-      const isUnavailable = thrown instanceof RequestError && thrown.entry === 'PeerUnavailable'
-      isUnavailable ? detector.recordFailure(home, thrown) : selector.recordAnswer(home, upstream)
+      if (!(thrown instanceof AbandonedAtUpstream)) {
+        const isUnavailable = thrown instanceof RequestError && thrown.entry === 'PeerUnavailable'
+        isUnavailable ? detector.recordFailure(home, thrown) : selector.recordAnswer(home, upstream)
+      }
       count(thrown instanceof RequestError ? thrown.entry : 'unreadable')
       throw thrown
     } finally {
@@ -74,10 +85,12 @@
 }
 
 async function waitForReply (
-  home: KnownHost, { type, body, timeoutMs, onLateReply }: ForwardRequest, { links, detector }: ForwarderOptions
+  home: KnownHost, { upstream, type, body, timeoutMs, onLateReply, shouldAbandon }: ForwardRequest,
+  { links, detector }: ForwarderOptions
 ): Promise<HomeReply> {
   return await new Promise((resolve, reject) => {
-    const endsAt = performance.now() + timeoutMs
+    const sentAt = performance.now()
+    const endsAt = sentAt + timeoutMs
     let isAbandoned = false
     let timer: NodeJS.Timeout | undefined
     const abandon = (): void => {
@@ -87,8 +100,15 @@
     const startTimer = (): void => {
       timer ??= setTimeout(abandon, endsAt - performance.now())
     }
+    const check = (): void => {
+      startTimer()
+      if (!isAbandoned && shouldAbandon?.(performance.now() - sentAt) === true) {
+        isAbandoned = true
+        reject(new AbandonedAtUpstream('may-have-run', 'ConnectionLost', { upstream, reason: 'it is slow to answer' }))
+      }
+    }
     // Most replies come before the first check, so a longer timeout is started only then.
-    const stopProbing = detector.probeWhileWaiting(home, () => onLateReply !== undefined && abandon(), startTimer)
+    const stopProbing = detector.probeWhileWaiting(home, () => onLateReply !== undefined && abandon(), check)
     if (timeoutMs <= PROBE_AFTER_IDLE_MS) {
       startTimer()
     }
--- a/src/entry/requests/forwarding-executor.ts
+++ b/src/entry/requests/forwarding-executor.ts
@@ -17,6 +17,8 @@
   resources: UpstreamResources
   /** Position that the upstream's log must have reached. */
   after?: LogPosition
+  /** Whether a single read that waits for its answer is to be abandoned, by the time since it was sent. */
+  shouldAbandon?: ForwardRequest['shouldAbandon']
   /** Epoch in which the upstream is the primary; set only if the statements require the primary. */
   epoch?: number
 }
@@ -24,7 +26,10 @@
 /** Client of one home for one request or transaction. */
 interface HomeLink {
   /** Sends a message and waits for the reply. A home that fails is not chosen again for the request. */
-  ask: (scope: RequestScope, type: string, body: unknown, onLateReply?: ForwardRequest['onLateReply']) => Promise<HomeReply>
+  ask: (
+    scope: RequestScope, type: string, body: unknown, onLateReply?: ForwardRequest['onLateReply'],
+    shouldAbandon?: ForwardRequest['shouldAbandon']
+  ) => Promise<HomeReply>
   /** Checks that the home responds, since a write sent to an unresponsive home would be in doubt. */
   ensureAlive: (scope: RequestScope) => Promise<void>
   /** Rolls back an open transaction at the home; never rejects. */
@@ -47,7 +52,7 @@
     }
   }
   return {
-    ask: async (scope, type, body, onLateReply) => {
+    ask: async (scope, type, body, onLateReply, shouldAbandon) => {
       scope.deadline.check('not-run', `waiting to be forwarded to ${home.name}`)
       scope.sent = true
       scope.home = home.name
@@ -55,7 +60,9 @@
       const timeoutMs = scope.deadline.leftMs + FORWARDING_GRACE_MS
       return await avoidOnError(scope, async () => {
         const { priority } = scope
-        const reply = await homes.forward(home, { upstream, type, body, priority, timeoutMs, onLateReply })
+        const reply = await homes.forward(home, {
+          upstream, type, body, priority, timeoutMs, onLateReply, shouldAbandon
+        })
         resources.health.recordAnswer()
         resources.health.recordLatency(performance.now() - sentAt)
         return reply
@@ -171,7 +178,9 @@
       }
       const sentAt = performance.now()
       const body = messages.first(scope, { type: 'statement', statement })
-      const reply = await link.ask(scope, 'home-statement', body, isRead ? ignoreLateReply : undefined)
+      const reply = isRead
+        ? await link.ask(scope, 'home-statement', body, ignoreLateReply, options.shouldAbandon)
+        : await link.ask(scope, 'home-statement', body)
       return extractAnswer(target.upstream, sentAt, reply)
     },
     begin,
--- a/src/entry/requests/reads.ts
+++ b/src/entry/requests/reads.ts
@@ -15,6 +15,7 @@
 import { acquirePrimaryExecutor, type PrimaryContext } from './primary-access.ts'
 import { recordLag } from './record-answer.ts'
 import { decideReadRetry, retryLabel, retryReason, type RetryCause } from './retry-rules.ts'
+import { shouldTryElsewhere, type WaitingRead } from './second-try.ts'
 import type { StatementExecutor } from './statement-executor.ts'
 import type { ExecutableStatement, EntryContext, RequestScope } from './types.ts'
 import { WAIT_SHARE } from './wait-rules.ts'
@@ -70,11 +71,13 @@
  * @param scope - the current request
  * @param constraint - where the read may run
  * @param triedUpstreams - upstreams to avoid; those without a connection in time are added
+ * @param tryElsewhere - decides whether a read that waits for an answer is tried at another upstream
  * @returns the executor
  * @throws RequestError with verdict `not-run`
  */
 export async function acquireReadExecutor (
-  context: ReadContext, scope: RequestScope, constraint: ReadConstraint, triedUpstreams: Set<string>
+  context: ReadContext, scope: RequestScope, constraint: ReadConstraint, triedUpstreams: Set<string>,
+  tryElsewhere?: (read: WaitingRead) => boolean
 ): Promise<StatementExecutor> {
   if (constraint.type === 'primary') {
     return await acquirePrimaryExecutor(context, scope)
@@ -87,7 +90,11 @@
     scope.attempts++
     const { target, resources, home } = chosen
     if (home !== undefined) {
-      return createForwardingExecutor(context, { home, target, resources, after: constraint.position })
+      const { position } = constraint
+      const shouldAbandon = tryElsewhere === undefined
+        ? undefined
+        : (elapsedMs: number) => tryElsewhere({ scope, target, position, elapsedMs })
+      return createForwardingExecutor(context, { home, target, resources, after: position, shouldAbandon })
     }
     try {
       const waitMs = Math.max(1, scope.deadline.leftMs * WAIT_SHARE / 2)
@@ -125,8 +132,9 @@
   context: SingleReadContext, scope: RequestScope, statement: ExecutableStatement, constraint: ReadConstraint
 ): Promise<StatementAnswer & { upstream: string }> {
   const triedUpstreams = new Set<string>()
+  const tryElsewhere = (read: WaitingRead): boolean => shouldTryElsewhere(context, read)
   for (;;) {
-    const executor = await acquireReadExecutor(context, scope, constraint, triedUpstreams)
+    const executor = await acquireReadExecutor(context, scope, constraint, triedUpstreams, tryElsewhere)
     const { upstream } = executor.target
     const outcome = await attemptStatement(context, scope, statement, executor)
     if ('answer' in outcome) {
@@ -161,9 +169,11 @@
 /** Takes a retry from the budget. Logs a refusal, since the answer to the caller does not mention the budget. */
 function spendRetry (
   { retryBudget, logger }: Pick<EntryContext, 'retryBudget' | 'logger'>,
-  { requestId, group, attempts, home }: RequestScope, upstream: string, cause: RetryCause
+  scope: RequestScope, upstream: string, cause: RetryCause
 ): boolean {
-  if (retryBudget.tryWithdraw()) {
+  const { requestId, group, attempts, home, retryWithdrawn } = scope
+  scope.retryWithdrawn = false
+  if (retryWithdrawn === true || retryBudget.tryWithdraw()) {
     return true
   }
   logger.log('warn', 'retry.refused', {
--- a/src/entry/requests/types.ts
+++ b/src/entry/requests/types.ts
@@ -74,6 +74,8 @@
   softDeadline: number
   /** Number of attempts so far. */
   attempts: number
+  /** Whether the next retry has been withdrawn from the budget already; see second-try.ts. */
+  retryWithdrawn?: boolean
   /** Whether it begins a transaction. */
   beginsTransaction?: boolean
   /** Whether a statement was sent for it that may run, or may have run. */
