Warm a host up later when all hosts start at once

Cause: at a start of all hosts the warm-up was skipped for good, so at the first start of a deployment, long before its traffic, nothing was warmed up. And the connections of a warm-up were opened at homes ordered without regard to capacity. Change: the warm-up is postponed by 6 s then, and the preferred home of an organisation is computed in one place.

--- a/src/core/logger/events.ts
+++ b/src/core/logger/events.ts
@@ -101,7 +101,7 @@
   'proxy.restore': { level: 'info', fields: 'peer, operator', when: 'an operator puts a proxy back into service' },
   'read.retried': { level: 'info', fields: 'id, group, upstream, home, reason, attempts, floor', when: 'a read is retried at another upstream' },
   'read.upstream-unavailable': { level: 'info', fields: 'id, group, upstream, reason', when: 'no connection was available for a read' },
-  'readiness.warm': { level: 'info', fields: 'tookMs, limitPassed, skipped, links, linksMs, proofs, proofsMs, connections, connectionsMs', when: 'the warm-up of a started process has ended, once per start: how much of each step is ready, as `ready/wanted`, and how long the step took; `skipped` if fewer than half of the hosts were ready' },
+  'readiness.warm': { level: 'info', fields: 'tookMs, limitPassed, postponed, links, linksMs, proofs, proofsMs, connections, connectionsMs', when: 'the warm-up of a started process has ended: how much of each step is ready, as `ready/wanted`, and how long the step took; `postponed` if fewer than half of the hosts were ready, and then a second line when it was done' },
   'registry.host-removed': { level: 'info', fields: 'peer, removed', when: 'the row of a retired host was removed' },
   'registry.host-retired': { level: 'warn', fields: 'peer, process, written', when: 'a host that stopped answering was retired; its leases expire' },
   'registry.leaving': { level: 'info', fields: 'written', when: 'this process recorded in its row that it is stopping' },
--- a/src/entry/homes/home-choice.ts
+++ b/src/entry/homes/home-choice.ts
@@ -6,8 +6,8 @@
  * always the home it prefers, where it is likely to have an open connection. Where hosts differ in capacity, homes are
  * drawn and preferred with a probability proportional to their share (placement/home-shares.ts).
  */
-import { orderByWeight } from '../../placement/upstream-homes.ts'
 import type { KnownHost } from '../registry/index.ts'
+import { preferredHome } from './candidate-homes.ts'
 import { costOf, recordOverhead, reportedWaitOf } from './home-cost.ts'
 import { countInProgress, createHomeStates, type HomeState } from './seen-homes.ts'
 
@@ -112,7 +112,7 @@
       const eligible = homes.filter((home) => !tried.has(home.name) && isEligible(states.of(home)))
       // Every host computes the same preferred home, so an organisation's connections are concentrated there.
       const shareOf = ({ name }: KnownHost): number => shares?.get(name) ?? 1
-      const [preferred] = organisation === '' ? [] : orderByWeight(organisation, eligible, shareOf)
+      const preferred = organisation === '' ? undefined : preferredHome(eligible, organisation, shares)
       const cost = (home: KnownHost): number => costOf(states.of(home), upstream, shareOf(home)) +
         (preferred === undefined || home === preferred ? 0 : NEW_CONNECTION_COST_MS)
       return shares === undefined
--- a/src/entry/homes/index.ts
+++ b/src/entry/homes/index.ts
@@ -4,10 +4,9 @@
  */
 import * as z from 'zod'
 import { registerPlugin } from '../../core/kernel/index.ts'
-import { orderByScore } from '../../placement/upstream-homes.ts'
 import type { KnownUpstream } from '../directory/index.ts'
 import type { KnownHost } from '../registry/index.ts'
-import { candidateHomes } from './candidate-homes.ts'
+import { candidateHomes, preferredHome } from './candidate-homes.ts'
 import { createForwarder, silentHomeError, type ForwardRequest } from './pass-on.ts'
 import { createHomeSelector, type HomeSelector } from './home-choice.ts'
 import { createHomeFailureDetector, type HomeFailureDetector } from './home-watch.ts'
@@ -151,7 +150,10 @@
         forward: createForwarder({ links, selector, detector, count, time }),
         waitAt: selector.waitAt,
         inProgressAt: selector.inProgressAt,
-        preferredBy: (upstream, organisation) => orderByScore(organisation, of(upstream))[0],
+        preferredBy: (upstream, organisation) => {
+          const { homes, shares } = placed(upstream)
+          return preferredHome(homes, organisation, shares)
+        },
         isReady: async (host) => {
           try {
             const { ready } = aliveAnswerSchema.parse(await links.request(host, 'home-alive', {}, READY_TIMEOUT_MS))
--- a/src/entry/readiness/index.ts
+++ b/src/entry/readiness/index.ts
@@ -67,6 +67,7 @@
     return {
       service: {},
       close: () => {
+        warmUp.close()
         for (const server of [readinessServer, inspectionServer]) {
           server.close()
           server.closeAllConnections()
--- a/src/entry/readiness/warm-up.ts
+++ b/src/entry/readiness/warm-up.ts
@@ -3,7 +3,7 @@
  * connections. It is designed for a rolling restart, where readiness decides when callers come. It ends after
  * {@link WARM_UP_LIMIT_MS}, whatever is missing then. When fewer than half of the asked hosts are ready, all hosts
  * return at once: callers come to hosts that are not ready, and the processor time is needed for their requests, so
- * the rest is skipped.
+ * the host reports itself ready and does the rest {@link POSTPONED_MS} later.
  */
 import type { Logger } from '../../core/logger/index.ts'
 import { TIMED_OUT, withTimeout } from '../../core/time/deadline.ts'
@@ -11,6 +11,12 @@
 /** Maximum duration of a warm-up, in milliseconds. */
 export const WARM_UP_LIMIT_MS = 2000
 
+/**
+ * Time by which the warm-up of a host is postponed when all hosts return, in milliseconds. By then callers that were
+ * refused have returned, and upstreams have dropped the connections of the former processes (3 s).
+ */
+export const POSTPONED_MS = 6000
+
 /** How much of a step is ready. */
 export interface StepProgress {
   wanted: number
@@ -39,6 +45,8 @@
   readonly isDone: boolean
   /** Starts it; further calls do nothing. */
   start: () => void
+  /** Drops a postponed warm-up. */
+  close: () => void
 }
 
 /**
@@ -51,6 +59,7 @@
 export function createWarmUp ({ isReturnOfAll, steps }: WarmUpPlan, logger: Pick<Logger, 'log'>): WarmUp {
   let isStarted = false
   let isDone = false
+  let postponed: NodeJS.Timeout | undefined
 
   const reports = new Map<string, StepReport>()
 
@@ -61,26 +70,37 @@
     await run(report).catch(() => {})
     report.tookMs = Math.round(performance.now() - startedAt)
   }
-  const runAll = async (): Promise<boolean> => {
-    const isSkipped = await isReturnOfAll()
-    if (!isSkipped) {
-      await Promise.all(Object.entries(steps).map(async ([name, run]) => await runStep(name, run)))
+  const runSteps = async (): Promise<unknown> =>
+    await Promise.all(Object.entries(steps).map(async ([name, run]) => await runStep(name, run)))
+  const runUnlessPostponed = async (): Promise<'done' | 'postponed'> => {
+    if (await isReturnOfAll()) {
+      return 'postponed'
     }
-    return isSkipped
+    await runSteps()
+    return 'done'
   }
-  const run = async (): Promise<void> => {
-    const startedAt = performance.now()
-    const ended = await withTimeout(runAll(), WARM_UP_LIMIT_MS)
-    isDone = true
+  const report = (startedAt: number, ended: unknown): void => {
     const described = [...reports].flatMap(([name, { ready, wanted, tookMs }]) =>
       [[name, `${ready}/${wanted}`], [`${name}Ms`, tookMs ?? 'unfinished']])
     logger.log('info', 'readiness.warm', {
       tookMs: Math.round(performance.now() - startedAt),
       limitPassed: ended === TIMED_OUT,
-      skipped: ended === true,
+      postponed: ended === 'postponed',
       ...Object.fromEntries(described) as Record<string, string | number>
     })
   }
+  const run = async (): Promise<void> => {
+    const startedAt = performance.now()
+    const ended = await withTimeout(runUnlessPostponed(), WARM_UP_LIMIT_MS)
+    isDone = true
+    report(startedAt, ended)
+    if (ended === 'postponed') {
+      postponed = setTimeout(() => {
+        const resumedAt = performance.now()
+        void withTimeout(runSteps(), WARM_UP_LIMIT_MS).then((end) => report(resumedAt, end))
+      }, POSTPONED_MS)
+    }
+  }
   return {
     get isDone () { return isDone },
     start: () => {
@@ -88,6 +108,7 @@
         isStarted = true
         void run()
       }
-    }
+    },
+    close: () => clearTimeout(postponed)
   }
 }
--- a/test/entry/readiness/warm-up-of-host.test.ts
+++ b/test/entry/readiness/warm-up-of-host.test.ts
@@ -44,8 +44,8 @@
   it('opens links and connections and has proofs soon, while the others serve', async () => {
     const { warmUp, report } = await warmUpRestarted()
     await suite.clock.tickAsync(200)
-    const { links, proofs, connections, skipped } = report.fields
-    expect([warmUp.isDone, skipped, proofs]).toEqual([true, false, '1/1'])
+    const { links, proofs, connections, postponed } = report.fields
+    expect([warmUp.isDone, postponed, proofs]).toEqual([true, false, '1/1'])
     for (const step of [links, connections]) {
       const [ready, wanted] = String(step).split('/')
       expect([ready, Number(wanted) > 0]).toEqual([wanted, true])
@@ -56,14 +56,14 @@
     const { warmUp, report, name } = await warmUpRestarted()
     suite.world.silent.add(HOSTS.find((host) => host !== name)!)
     await suite.clock.tickAsync(1200)
-    expect([warmUp.isDone, report.fields['skipped']]).toEqual([true, false])
+    expect([warmUp.isDone, report.fields['postponed']]).toEqual([true, false])
   })
 
-  it('is skipped while fewer than half of the others are ready', async () => {
+  it('is postponed while fewer than half of the others are ready', async () => {
     HOSTS.forEach((host) =>
       suite.world.hosts.get(host)!.kernel.use('homes').setReadiness(() => false))
     const { warmUp, report } = await warmUpRestarted()
     await suite.clock.tickAsync(100)
-    expect([warmUp.isDone, report.fields['skipped'], report.fields['links']]).toEqual([true, true, undefined])
+    expect([warmUp.isDone, report.fields['postponed'], report.fields['links']]).toEqual([true, true, undefined])
   })
 })
--- a/test/entry/readiness/warm-up.test.ts
+++ b/test/entry/readiness/warm-up.test.ts
@@ -2,7 +2,7 @@
 import fakeTimers, { type Clock } from '@sinonjs/fake-timers'
 import { expect } from 'earl'
 import type { Logger } from '../../../src/core/logger/index.ts'
-import { createWarmUp, WARM_UP_LIMIT_MS } from '../../../src/entry/readiness/warm-up.ts'
+import { createWarmUp, POSTPONED_MS, WARM_UP_LIMIT_MS } from '../../../src/entry/readiness/warm-up.ts'
 
 /** Collects the fields of the event. */
 class Report implements Logger {
@@ -43,11 +43,24 @@
     expect(report.fields).toEqual({
       tookMs: WARM_UP_LIMIT_MS + 1,
       limitPassed: true,
-      skipped: false,
+      postponed: false,
       links: '2/3',
       linksMs: 'unfinished',
       proofs: '1/1',
       proofsMs: 0
     })
   })
+
+  it('does not delay readiness while all hosts return, and is done later', async () => {
+    const report = new Report()
+    const warmUp = createWarmUp({
+      isReturnOfAll: async () => true,
+      steps: { links: async (progress) => { progress.wanted = progress.ready = 3 } }
+    }, report)
+    warmUp.start()
+    await clock.tickAsync(1)
+    expect([warmUp.isDone, report.fields['postponed'], report.fields['links']]).toEqual([true, true, undefined])
+    await clock.tickAsync(POSTPONED_MS)
+    expect([report.fields['postponed'], report.fields['links']]).toEqual([false, '3/3'])
+  })
 })
