--- a/src/entry/limits/common-start.ts
+++ b/src/entry/limits/common-start.ts
@@ -11,7 +11,7 @@
 /** Time after a common start for which it counts, in milliseconds; the usual rules establish an owner earlier. */
 const COUNTS_FOR_MS = 5000
 
-/** Knows whether all hosts have started together. */
+/** Recognises a common start of all hosts. */
 interface CommonStart {
   /**
    * Time at which the last process had ended that ran before the common start, on the monotonic clock; undefined
--- a/src/entry/limits/unused-returns.ts
+++ b/src/entry/limits/unused-returns.ts
@@ -26,7 +26,7 @@
 
 /** Returns unused operations to their owners, in batches. */
 export interface UnusedReturns {
-  /** Sees to it that unused operations are returned once they can no longer be used. */
+  /** Returns the unused operations of a host once it can't use them any more. */
   schedule: (organisation: HeldGrants) => void
   /** Returns an operation that a bucket granted and that must not be used here. */
   giveBack: (organisation: HeldGrants, bucket: GrantingBucket | undefined) => void
