--- a/review/lib/database.mjs
+++ b/review/lib/database.mjs
@@ -250,7 +250,7 @@
       const [thing, data = ''] = splitWords(words[1] ?? '', 2)
       prepared.has(words[0]) ? await serveData(id, prepared.get(words[0]), thing, data) : refuse('NOSTMT')
     } else {
-      await handlers[verb](id, words)
+      await (Object.hasOwn(handlers, verb) ? handlers[verb](id, words) : refuse('MALFORMED'))
     }
   }
   const start = async ([, wanted, , id]) => {
