--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -4,6 +4,7 @@
 import { join } from 'node:path'
 import { startDatabase } from './database.mjs'
 import { PROMOTION_PORT, startEntry, STORE_PORT } from './entry.mjs'
+import { closeAtEnd } from './guard.mjs'
 import { freeNetwork } from './network.mjs'
 import { startPlatform } from './platform.mjs'
 
@@ -92,17 +93,19 @@
     onLog: (line) => /event=(failover|leadership|process|promotion)/.test(line) && record.write(line),
     onEnd
   }))
+  const close = () => {
+    entries.forEach((entry) => entry.stop())
+    database.close()
+    platform.close()
+    rmSync(folder, { recursive: true, force: true })
+  }
+  closeAtEnd(close)
   const ready = await Promise.all(entries.map(async (entry) => await entry.waitUntilReady(READY_TIMEOUT_MS)))
   return {
     platform,
     database,
     entries,
     isReady: ready.every(Boolean),
-    close: () => {
-      entries.forEach((entry) => entry.stop())
-      database.close()
-      platform.close()
-      rmSync(folder, { recursive: true, force: true })
-    }
+    close
   }
 }
