--- a/review/lib/database.mjs
+++ b/review/lib/database.mjs
@@ -162,7 +162,7 @@
   const rowsOf = (thing) => {
     const visible = backend.isPrimary ? backend.log.length : backend.applied
     const entry = backend.log.slice(0, visible).flat().findLast((write) => write.thing === thing)
-    return service.rowsOf(thing) ?? (entry === undefined ? [] : [`ROW ${entry.data}`])
+    return entry === undefined ? [] : [`ROW ${entry.data}`]
   }
   /** Commits writes; resolves to false when this backend does not lead any more. */
   const commit = async (committed) => committed.length === 0 || await service.commit(backend, committed)
@@ -281,10 +281,9 @@
  * @param syncReplicas - replicas that must have received a commit before it is answered: 0 or 1
  * @param onRun - called with each statement of a client that runs
  * @param onPromoted - called when a promotion takes effect, with the backend
- * @param rowsOf - returns the lines of rows of a thing; undefined for what was written last
  */
-export async function startDatabase ({ name, platform, hosts, syncReplicas, onRun, onPromoted, rowsOf }) {
-  const service = { name, platform, onRun, rowsOf, backends: [] }
+export async function startDatabase ({ name, platform, hosts, syncReplicas, onRun, onPromoted }) {
+  const service = { name, platform, onRun, backends: [] }
   service.backends = hosts.map((host, index) =>
     new Backend(service, { ...host, role: index === 0 ? 'primary' : 'replica' }))
   const followers = (primary) => service.backends.filter((other) => other !== primary && !other.isPrimary)
--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -5,6 +5,7 @@
 import { startDatabase } from './database.mjs'
 import { PROMOTION_PORT, startEntry, STORE_PORT } from './entry.mjs'
 import { closeAtEnd } from './guard.mjs'
+import { startNarrowLink } from './narrow-link.mjs'
 import { freeNetwork } from './network.mjs'
 import { startPlatform } from './platform.mjs'
 
@@ -13,23 +14,37 @@
 const READY_TIMEOUT_MS = 20_000
 
 export const DATABASE = 'lepu270'
+const SERVICE = 'huvo11a'
+export const FIRST_VERSION = 7
+
+function routeOf (name, host) {
+  return {
+    name,
+    host,
+    'path-prefix': '/',
+    type: 'primary',
+    'timeout-ms': 800,
+    'target-latency-ms': 150,
+    priority: 1,
+    service: SERVICE,
+    'max-attempts': 2
+  }
+}
 
 /**
  * Starts the deployment and waits until its processes are ready.
  *
  * @param record - record of the case
  * @param syncReplicas - `sync-replicas` of the service
- * @param type - type of the route
- * @param timeoutMs - time limit of the route
  * @param onRun - called with each statement of a client that a backend runs
  * @param onPromoted - called when a promotion takes effect
  * @param onEnd - called when an entry process ends by itself
- * @param rowsOf - returns the lines of rows of a thing; undefined for what was written last
+ * @param linkMegabits - megabits a second from the store to each machine; unlimited by default
  */
 export async function startDeployment (
   {
-    record, syncReplicas = 0, type = 'primary', timeoutMs = 800, onRun = () => {}, onPromoted = () => {},
-    onEnd = () => {}, rowsOf = () => undefined
+    record, syncReplicas = 0, onRun = () => {}, onPromoted = () => {}, onEnd = () => {},
+    linkMegabits
   }
 ) {
   const network = await freeNetwork()
@@ -45,31 +60,23 @@
     }
   })
   const database = await startDatabase({
-    name: 'huvo11a',
+    name: SERVICE,
     platform,
     syncReplicas,
     onRun,
     onPromoted,
-    rowsOf,
     hosts: ZONES.map((zone, index) =>
       ({ id: `i-${'pqr'[index]}000000${index}`, address: `${network}.${100 + index}`, port: BACKEND_PORT, zone }))
   })
-  platform.put('op', 'config', {
-    version: 7,
-    routes: [{
-      name: 'r-n2ctnfz',
-      host: DATABASE,
-      'path-prefix': '/',
-      type,
-      'timeout-ms': timeoutMs,
-      'target-latency-ms': 500,
-      priority: 1,
-      service: 'huvo11a',
-      'max-attempts': 2,
-      ...type === 'primary' ? {} : { 'max-staleness-ms': 1500 }
-    }],
+  /** Writes a desired state with the route of the clients and a number of other routes. */
+  const configure = (version, otherRoutes = 0) => platform.put('op', 'config', {
+    version,
+    routes: [routeOf('r-n2ctnfz', DATABASE), ...Array.from({ length: otherRoutes }, (_, index) => {
+      const number = String(index).padStart(5, '0')
+      return routeOf(`r-x${number}`, `many${number}`)
+    })],
     services: [{
-      name: 'huvo11a',
+      name: SERVICE,
       'health-check': '/health',
       'max-connections': 23,
       protocol: 'h1',
@@ -84,11 +91,19 @@
       'tx-idle-ms': 3000
     }
   })
+  configure(FIRST_VERSION)
+  const links = linkMegabits === undefined
+    ? []
+    : await Promise.all(ZONES.map(async (_zone, index) => await startNarrowLink({
+      address: `${network}.${20 + index}`, port: STORE_PORT, target: `${network}.2`, megabits: linkMegabits
+    })))
   const entries = ZONES.map((zone, index) => startEntry({
     name: `front-${zone}-1`,
     address: `${network}.${10 + index}`,
     zone,
-    platform: `${network}.2`,
+    store: links.length > 0 ? `${network}.${20 + index}` : `${network}.2`,
+    promotion: `${network}.2`,
+    linkMegabits,
     folder,
     onLog: (line) => /event=(failover|leadership|process|promotion)/.test(line) && record.write(line),
     onEnd
@@ -97,12 +112,13 @@
     entries.forEach((entry) => entry.stop())
     database.close()
     platform.close()
+    links.forEach((link) => link.close())
     rmSync(folder, { recursive: true, force: true })
   }
   closeAtEnd(close)
   const ready = await Promise.all(entries.map(async (entry) => await entry.waitUntilReady(READY_TIMEOUT_MS)))
   return {
-    platform,
+    configure,
     database,
     entries,
     isReady: ready.every(Boolean),
--- a/review/lib/entry.mjs
+++ b/review/lib/entry.mjs
@@ -44,12 +44,16 @@
  * @param name - name of the machine
  * @param address - its loopback address
  * @param zone - its zone
- * @param platform - address of the store and of the call to promote
+ * @param store - address of the store
+ * @param promotion - address of the call to promote
+ * @param linkMegabits - megabits a second of its link, for its settings
  * @param folder - folder for the settings file
  * @param onLog - called with each line of its log
  * @param onEnd - called when the process ends by itself
  */
-export function startEntry ({ name, address, zone, platform, folder, onLog = () => {}, onEnd = () => {} }) {
+export function startEntry (
+  { name, address, zone, store, promotion, linkMegabits = 1000, folder, onLog = () => {}, onEnd = () => {} }
+) {
   const settings = join(folder, `${name}.yaml`)
   writeFileSync(settings, fillTemplate({
     'node-name': name,
@@ -57,12 +61,12 @@
     zone,
     'limits.cpu-share': '0.675',
     'limits.cores': '1',
-    'limits.link-mbps': '1000',
+    'limits.link-mbps': String(linkMegabits),
     'listen.front': `${address}:${CLIENT_PORT}`,
     'listen.readiness': `${address}:${READINESS_PORT}`,
     'internal-ports.0': '7440',
-    'platform.address': `${platform}:${STORE_PORT}`,
-    'cloud.address': `${platform}:${PROMOTION_PORT}`,
+    'platform.address': `${store}:${STORE_PORT}`,
+    'cloud.address': `${promotion}:${PROMOTION_PORT}`,
     'bounds.drain-ms': '7000',
     'bounds.grace-s': '6'
   }))
@@ -106,6 +110,8 @@
       }
       return false
     },
+    /** Kills the process, which is started again. */
+    kill: () => child.kill('SIGKILL'),
     stop: () => {
       isStopping = true
       clearTimeout(restart)
