Refuse names that objects inherit, and end only the connection of a bad message

Cause: decodeStatement looked the word up in an object literal, which also has the names of Object.prototype, and called what it found. The error left the handler of the socket's data, and nothing between a socket and the process catches errors.

Evidence: process.crashed of the case has the stack "valueOf (<anonymous>), decodeStatement, decodeRequest". The tests show the same look-up in answers of upstreams, replies of peers, paths of an operator's SET (it changed Object.prototype) and request kinds, and the same way to the process for any error of a caller's request, for a reply of a peer that cannot be encoded and for a MySQL answer that cannot be written.

Why it holds: names from outside are looked up among own keys only; errors of a line or a request are given to the owner of the connection, which ends it (caller.failed). Errors without an owner still end the process.

--- a/src/cli/load/index.ts
+++ b/src/cli/load/index.ts
@@ -1,6 +1,7 @@
 /** `worksward-load`: generates load, injects faults, and checks the recorded histories. */
 import { appendFileSync, writeFileSync } from 'node:fs'
 import { WorkswardError } from '../../core/errors/index.ts'
+import { ownValue } from '../../core/own-value.ts'
 import { parseEndpoint } from '../../core/wire/dialer.ts'
 import { runExperiment } from '../../emulation/load/experiment.ts'
 import { scheduleFaults } from '../../emulation/load/faults.ts'
@@ -64,7 +65,7 @@
 }
 
 async function runLoad (options: RunOptions): Promise<void> {
-  const mix = MIXES[options.mix]
+  const mix = ownValue(MIXES, options.mix)
   if (mix === undefined) {
     throw new WorkswardError('InvalidCommand', { reason: `unknown mix '${options.mix}'; there are: full, grid` })
   }
--- a/src/cli/run-command.ts
+++ b/src/cli/run-command.ts
@@ -1,7 +1,7 @@
 /** Shared by all programs: command line parsing, error reports and exit codes. */
 import { cac, type CAC } from 'cac'
 import { writeSync } from 'node:fs'
-import { WorkswardError, describeThrown } from '../core/errors/index.ts'
+import { WorkswardError, describeStack, describeThrown } from '../core/errors/index.ts'
 import type { Logger } from '../core/logger/index.ts'
 
 /** Exit code for an invalid command line or input file. */
@@ -53,7 +53,7 @@
  * Logs an uncaught error and exits, since the state of the process may be inconsistent.
  */
 export function exitAfterCrash (error: Error, logger: Logger): void {
-  logger.log('error', 'process.crashed', { reason: error.message, stack: error.stack?.split('\n').slice(1, 4).join(' ') })
+  logger.log('error', 'process.crashed', { reason: error.message, stack: describeStack(error) })
   setTimeout(() => process.exit(EXIT_FAILED), LOG_FLUSH_MS)
 }
 
--- a/src/cli/worksward/prompt.ts
+++ b/src/cli/worksward/prompt.ts
@@ -2,6 +2,7 @@
 import { createInterface } from 'node:readline/promises'
 import { WORDS_AFTER } from '../../mysql-proxy/language/parser.ts'
 import { WorkswardError, describeThrown } from '../../core/errors/index.ts'
+import { ownValue } from '../../core/own-value.ts'
 
 const HISTORY_LENGTH = 200
 
@@ -40,7 +41,7 @@
 export function completeCommand (line: string): [string[], string] {
   const words = line.trimStart().split(/\s+/)
   const prefix = words.at(-1) ?? ''
-  const candidates = WORDS_AFTER[words.at(-2)?.toLowerCase() ?? ''] ?? []
+  const candidates = ownValue(WORDS_AFTER, words.at(-2)?.toLowerCase() ?? '') ?? []
   return [candidates.filter((word) => word.startsWith(prefix.toLowerCase())).map((word) => `${word} `), prefix]
 }
 
--- a/src/core/config/reload-settings.ts
+++ b/src/core/config/reload-settings.ts
@@ -34,7 +34,7 @@
   try {
     const next = loadFile(file, entrySettingsSchema)
     const changed = changedPaths(settings, next)
-    const applied = changed.filter((path) => path in RELOADABLE_SETTINGS)
+    const applied = changed.filter((path) => Object.hasOwn(RELOADABLE_SETTINGS, path))
     applied.forEach((path) => RELOADABLE_SETTINGS[path]!(settings, next))
     setLogLevel(settings.log.level)
     logger.log('info', 'process.reload', {
--- a/src/core/errors/worksward-error.ts
+++ b/src/core/errors/worksward-error.ts
@@ -4,6 +4,8 @@
 
 /** MySQL code ER_UNKNOWN_ERROR. */
 const UNKNOWN_ERROR_CODE = 1105
+/** Number of lines of a stack that are logged. */
+const STACK_LINES = 3
 
 /** An error of the catalogue. */
 export class WorkswardError<Name extends ErrorName = ErrorName> extends Error {
@@ -83,6 +85,16 @@
   return thrown instanceof Error ? thrown.message : String(thrown)
 }
 
+/**
+ * Returns the first lines of an error's stack, as one line for the log.
+ *
+ * @param thrown - the caught value
+ * @returns the lines; undefined for a value without a stack
+ */
+export function describeStack (thrown: unknown): string | undefined {
+  return thrown instanceof Error ? thrown.stack?.split('\n').slice(1, 1 + STACK_LINES).join(' ') : undefined
+}
+
 function lookUp<Name extends ErrorName> (name: Name): CatalogueEntry<ErrorDetails<Name>> {
   return catalogue[name] as unknown as CatalogueEntry<ErrorDetails<Name>>
 }
--- a/src/core/logger/events.ts
+++ b/src/core/logger/events.ts
@@ -11,6 +11,7 @@
 
 /** Events by name. */
 export const events = {
+  'caller.failed': { level: 'error', fields: 'reason, stack', when: 'a caller\'s connection was closed because of an unexpected error while one of its requests was handled' },
   'caller.link-error': { level: 'debug', fields: 'reason', when: 'a caller\'s connection broke' },
   'callers.cut': { level: 'error', fields: 'requests, inProgress, unflushed, ids', when: 'this host closed connections with requests that were read but not answered: without an answer, or with one not written whole; `ids` names the first of them' },
   'callers.dropped': { level: 'info', fields: 'id, stage', when: 'a request was read whole, but its connection was lost before its answer was written' },
--- a/src/core/wire/listener.ts
+++ b/src/core/wire/listener.ts
@@ -1,5 +1,5 @@
 /** TCP listener that tracks its open connections. */
-import { createServer, type ServerOpts, type Socket } from 'node:net'
+import { createServer, type Server, type ServerOpts, type Socket } from 'node:net'
 import type { Endpoint } from './dialer.ts'
 
 /**
@@ -24,6 +24,21 @@
   close: (flushMs?: number) => Promise<void>
 }
 
+/**
+ * Binds a server and keeps an error listener: a later error concerns a connection that could not be accepted, for want
+ * of descriptors for example, and must not end the process.
+ *
+ * @param server - the server
+ * @param endpoint - address and port to listen on; port 0 selects a free port
+ * @throws the error of the operating system when the port cannot be bound
+ */
+export async function listenOn (server: Server, { address, port }: Endpoint): Promise<void> {
+  await new Promise<void>((resolve, reject) => {
+    server.on('error', reject)
+    server.listen(port, address, resolve)
+  })
+}
+
 /**
  * Starts listening for TCP connections.
  *
@@ -41,10 +56,7 @@
     socket.once('close', () => sockets.delete(socket))
     serve(socket)
   })
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject)
-    server.listen(port, address, resolve)
-  })
+  await listenOn(server, { address, port })
   const bound = server.address()
   return {
     port: typeof bound === 'object' && bound !== null ? bound.port : port,
--- a/src/emulation/standin/object-store.ts
+++ b/src/emulation/standin/object-store.ts
@@ -1,4 +1,5 @@
 /** An in-memory stand-in for the object store with the S3 operations put, get and list. */
+import { ownValue } from '../../core/own-value.ts'
 
 /** HTTP response of the store. */
 interface ObjectAnswer {
@@ -38,7 +39,7 @@
   }
   return {
     call: (method, url, body) =>
-      methods[method]?.(url, body) ?? { status: 405, body: errorXml('MethodNotAllowed'), contentType: XML }
+      ownValue(methods, method)?.(url, body) ?? { status: 405, body: errorXml('MethodNotAllowed'), contentType: XML }
   }
 }
 
--- a/src/emulation/standin/table-service.ts
+++ b/src/emulation/standin/table-service.ts
@@ -1,5 +1,6 @@
 /** An in-memory stand-in for the table service with the DynamoDB operations that worksward uses. */
 import * as z from 'zod'
+import { ownValue } from '../../core/own-value.ts'
 
 const textSchema = z.object({ S: z.string() })
 const numberSchema = z.object({ N: z.string() })
@@ -85,7 +86,7 @@
   return {
     writes: (operation) => operation === 'TransactWriteItems',
     call: (operation, body) => {
-      const run = operations[operation]
+      const run = ownValue(operations, operation)
       if (run === undefined) {
         return failure('UnknownOperationException', `no operation ${operation}`)
       }
--- a/src/emulation/standin/upstream-session.ts
+++ b/src/emulation/standin/upstream-session.ts
@@ -1,6 +1,7 @@
 /** Handles one client connection to a stand-in upstream: statements, transactions and procedures. */
 import { setTimeout as sleep } from 'node:timers/promises'
 import type PQueue from 'p-queue'
+import { ownValue } from '../../core/own-value.ts'
 import { tokenizeStatement } from '../../mysql/statement-lexer.ts'
 import { EMPTY_ANSWER, type Answer, type Statement } from '../../mysql/types.ts'
 import type { ClientHandler } from '../../mysql/client-handler.ts'
@@ -100,7 +101,7 @@
 
 async function dispatch (state: SessionState, statement: Statement): Promise<Answer> {
   const word = firstWord(statement.sql)
-  const control = CONTROL_HANDLERS[word]
+  const control = ownValue(CONTROL_HANDLERS, word)
   if (control !== undefined) {
     return await control(state, statement)
   }
--- a/src/entry/readiness/index.ts
+++ b/src/entry/readiness/index.ts
@@ -2,10 +2,11 @@
  * Plug-in `readiness`: serves the health check of load balancers, and on a separate port the metrics and the state
  * dump. The process is ready once it has a desired state, knows an upstream and is warm, until it begins to stop.
  */
-import { createServer, type Server } from 'node:http'
+import { createServer } from 'node:http'
 import type { EntrySettings } from '../../core/config/entry-settings.ts'
 import { registerPlugin } from '../../core/kernel/index.ts'
-import { parseEndpoint, type Endpoint } from '../../core/wire/dialer.ts'
+import { parseEndpoint } from '../../core/wire/dialer.ts'
+import { listenOn } from '../../core/wire/listener.ts'
 import { createWarmUp } from './warm-up.ts'
 import { createWarmUpPlan } from './warm-up-steps.ts'
 
@@ -51,14 +52,14 @@
       response.writeHead(isReady() ? OK : UNAVAILABLE).end()
     })
     const inspectionServer = createServer((request, response) => {
-      if (request.url === '/dump') {
-        response.writeHead(OK, { 'Content-Type': 'application/json' }).end(JSON.stringify(context.dump(), null, 2))
-        return
+      const inspect = async (): Promise<void> => {
+        const [type, text] = request.url === '/dump'
+          ? ['application/json', JSON.stringify(context.dump(), null, 2)]
+          : [registry.contentType, await registry.metrics()]
+        response.writeHead(OK, { 'Content-Type': type }).end(text)
       }
-      registry.metrics().then(
-        (text) => response.writeHead(OK, { 'Content-Type': registry.contentType }).end(text),
-        // One gauge that throws fails the whole response; a temporary failure is gone at the next scrape.
-        () => response.writeHead(UNAVAILABLE).end())
+      // One gauge or part that throws fails the whole response; a temporary failure is gone at the next request.
+      inspect().catch(() => response.writeHead(UNAVAILABLE).end())
     })
     await Promise.all([
       listenOn(readinessServer, parseEndpoint(listen.readiness)),
@@ -76,10 +77,3 @@
     }
   }
 })
-
-async function listenOn (server: Server, { address, port }: Endpoint): Promise<void> {
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject)
-    server.listen(port, address, resolve)
-  })
-}
--- a/src/entry/requests/caller-requests.ts
+++ b/src/entry/requests/caller-requests.ts
@@ -11,6 +11,8 @@
 interface UnservedRequest {
   request: CallerRequest
   answer: (answer: CallerAnswer) => void
+  /** Fails the request because of an unexpected error. */
+  fail: (thrown: unknown) => void
 }
 
 /** Options of {@link createCallerRequests}. */
@@ -69,20 +71,23 @@
       await new Promise<void>((resolve) => answer({ ...given, onWritten: resolve }))
     }
   }
+  const serveNext = async (next: UnservedRequest): Promise<void> => {
+    const answer = await serve(next.request)
+    const isLast = endsAfterAnswer && !session.inTransaction
+    if (isLast && !isEnded) {
+      isEnded = true
+      // The end follows the answer at once, so no request can be sent in between.
+      await readArrivedInput()
+    }
+    await giveAnswer(next, answer)
+    if (isLast) {
+      link.end()
+    }
+  }
   const serveWaiting = async (): Promise<void> => {
     isServing = true
     for (let next = waiting.shift(); next !== undefined; next = waiting.shift()) {
-      const answer = await serve(next.request)
-      const isLast = endsAfterAnswer && !session.inTransaction
-      if (isLast && !isEnded) {
-        isEnded = true
-        // The end follows the answer at once, so no request can be sent in between.
-        await readArrivedInput()
-      }
-      await giveAnswer(next, answer)
-      if (isLast) {
-        link.end()
-      }
+      await serveNext(next).catch(next.fail)
     }
     isServing = false
   }
@@ -90,8 +95,8 @@
     get unanswered () { return waiting.length + (isServing ? 1 : 0) },
     get idleMs () { return isServing ? 0 : session.idleMs },
     get inTransaction () { return session.inTransaction },
-    serve: async (request) => await new Promise((resolve) => {
-      waiting.push({ request, answer: resolve })
+    serve: async (request) => await new Promise((resolve, reject) => {
+      waiting.push({ request, answer: resolve, fail: reject })
       if (!isServing) {
         void serveWaiting()
       }
--- a/src/explain/request-trace.ts
+++ b/src/explain/request-trace.ts
@@ -1,4 +1,5 @@
 /** Collects a request's log lines, with the events of its host and its database group around the same time. */
+import { ownValue } from '../core/own-value.ts'
 import { estimateOffsets } from './clock-offsets.ts'
 import type { LogEntry } from './parse-log.ts'
 
@@ -96,7 +97,7 @@
 }
 
 function findCauses (lines: TraceLine[], last: LogEntry): string[] {
-  const causes = lines.flatMap((line) => CAUSE_DESCRIPTIONS[line.entry.event]?.(line, last) ?? [])
+  const causes = lines.flatMap((line) => ownValue(CAUSE_DESCRIPTIONS, line.entry.event)?.(line, last) ?? [])
   const staleInputs = lines.filter(({ entry }) => Number(entry.fields['confirmedAgeMs']) > STALE_INPUT_MS && entry.host === last.host)
     .filter(({ atMs, entry }) => atMs > -STALE_INPUT_MS && Number.isFinite(Number(entry.fields['confirmedAgeMs'])))
     .map(({ atMs, entry }) => `${atMs} ms: stale input: last confirmed ${entry.fields['confirmedAgeMs']} ms earlier`)
--- a/src/mysql-proxy/callers/caller.ts
+++ b/src/mysql-proxy/callers/caller.ts
@@ -1,6 +1,7 @@
 /** State of one caller's connection, and the common fields of its requests to homes. */
 import type { Group, Kind } from '../../core/config/index.ts'
 import { RequestError } from '../../core/errors/index.ts'
+import { ownValue } from '../../core/own-value.ts'
 import type { HomeRequests } from '../routing/home-requests.ts'
 import type { CallerTransactions, RequestBase } from './caller-transaction.ts'
 import type { Hint } from './hint.ts'
@@ -51,8 +52,8 @@
     return undefined
   }
   const { service } = caller
-  const kinds = findCallerGroup(caller).services[service]?.kinds ?? {}
-  const kind = kinds[hint.kind]
+  const kinds = ownValue(findCallerGroup(caller).services, service)?.kinds ?? {}
+  const kind = ownValue(kinds, hint.kind)
   if (kind === undefined) {
     throw new RequestError('not-run', 'UnknownKind', { kind: hint.kind, service, known: Object.keys(kinds) })
   }
@@ -85,7 +86,7 @@
     throw new RequestError('not-run', 'UnsupportedStatement', { reason: 'a transaction is open' })
   }
   const group = caller.findGroup(database)
-  if (group?.services[caller.service] === undefined) {
+  if (group === undefined || ownValue(group.services, caller.service) === undefined) {
     throw new RequestError('not-run', 'UnknownGroup', { group: database })
   }
   caller.groupName = database
--- a/src/mysql-proxy/callers/hint.ts
+++ b/src/mysql-proxy/callers/hint.ts
@@ -82,7 +82,7 @@
   if (result.success) {
     return result.data
   }
-  const unknown = Object.keys(values).filter((name) => !(name in hintSchema.shape))
+  const unknown = Object.keys(values).filter((name) => !Object.hasOwn(hintSchema.shape, name))
   throw createMalformedHintError(`unknown name ${unknown.map((name) => PREFIX + name).join(', ')}`)
 }
 
--- a/src/mysql-proxy/callers/index.ts
+++ b/src/mysql-proxy/callers/index.ts
@@ -5,6 +5,7 @@
 import type { ProxySettings } from '../../core/config/index.ts'
 import { describeThrown, RequestError, WorkswardError, type Verdict } from '../../core/errors/index.ts'
 import { registerPlugin } from '../../core/kernel/index.ts'
+import { ownValue } from '../../core/own-value.ts'
 import { pause } from '../../core/time/deadline.ts'
 import { MYSQL_ERROR } from '../../mysql/consts.ts'
 import type { AuthenticatedClient, Refusal } from '../../mysql/client-handler.ts'
@@ -62,7 +63,7 @@
       port: settings.listen.callers,
       statementBytes: MAXIMUM_COMMAND_BYTES,
       findPasswordHash: (user, database) => {
-        const hash = configuration.group(database)?.services[user]?.passwordHash
+        const hash = ownValue(configuration.group(database)?.services ?? {}, user)?.passwordHash
         return hash === undefined ? undefined : Buffer.from(hash, 'hex')
       },
       admit: async () => stopping || !configuration.ready
--- a/src/mysql-proxy/callers/statement-class.ts
+++ b/src/mysql-proxy/callers/statement-class.ts
@@ -1,4 +1,5 @@
 /** Classifies statements by their first keyword, to find those that the proxy handles itself. */
+import { ownValue } from '../../core/own-value.ts'
 
 /** Class of a statement; `plain` statements are sent to a home. */
 export type StatementClass =
@@ -44,7 +45,7 @@
   if (keyword === 'ROLLBACK' && ROLLBACK_TO.test(sql)) {
     return 'plain'
   }
-  return CLASS_BY_KEYWORD[keyword] ?? 'plain'
+  return ownValue(CLASS_BY_KEYWORD, keyword) ?? 'plain'
 }
 
 /** A parsed `SET` statement. */
--- a/src/mysql-proxy/language/parser.ts
+++ b/src/mysql-proxy/language/parser.ts
@@ -1,5 +1,6 @@
 /** Grammar and parser of the operators' command language, and the words suggested by errors and completion. */
 import { EmbeddedActionsParser, type IToken } from 'chevrotain'
+import { ownValue } from '../../core/own-value.ts'
 import { Comparison, Dot, Equals, Keyword, Name, NumberLiteral, StringLiteral, TOKENS, commandLexer } from './lexer.ts'
 import { createCommandError } from './command-error.ts'
 import { TABLE_NAMES, type Command, type Condition, type ShowCommand, type TableName } from './types.ts'
@@ -152,7 +153,7 @@
   const offset = atEnd ? text.length : token.startOffset
   const reason = atEnd ? 'the command ends too early' : `'${token.image}' cannot stand here`
   const index = tokens.indexOf(token)
-  const expected = index <= 0 && !atEnd ? COMMAND_WORDS : WORDS_AFTER[tokens.at(atEnd ? -1 : index - 1)?.image ?? ''] ?? []
+  const expected = index <= 0 && !atEnd ? COMMAND_WORDS : ownValue(WORDS_AFTER, tokens.at(atEnd ? -1 : index - 1)?.image ?? '') ?? []
   return createCommandError(text, offset, reason, atEnd ? '' : token.image, expected)
 }
 
--- a/src/mysql-proxy/operators/change.ts
+++ b/src/mysql-proxy/operators/change.ts
@@ -1,6 +1,7 @@
 /** Pure functions that diffValues declarations and change single values by path. */
 import { groupSchema, type Declarations, type Group } from '../../core/config/index.ts'
 import { WorkswardError } from '../../core/errors/index.ts'
+import { ownValue } from '../../core/own-value.ts'
 import type { GroupChange } from '../configuration/configuration-store.ts'
 import type { VersionedGroup } from '../configuration/types.ts'
 import { findNearest } from '../language/command-error.ts'
@@ -39,7 +40,7 @@
   const names = new Set([...appliedByName.keys(), ...Object.keys(desired.groups)])
   return [...names].flatMap((name): GroupChange[] => {
     const before = appliedByName.get(name)
-    const group = desired.groups[name] ?? null
+    const group = ownValue(desired.groups, name) ?? null
     const same = JSON.stringify(sortKeys(before?.group ?? null)) === JSON.stringify(sortKeys(group))
     return same ? [] : [{ name, group, baseVersion: before?.version ?? 0 }]
   })
@@ -63,7 +64,7 @@
     parent = getChild(parent, key)
   }
   const container = parent as JsonObject
-  if (Array.isArray(parent) || container === null || typeof container !== 'object' || !(lastKey in container)) {
+  if (Array.isArray(parent) || container === null || typeof container !== 'object' || !Object.hasOwn(container, lastKey)) {
     throw createUnknownValueError(lastKey, parent)
   }
   if (value === undefined) {
@@ -83,7 +84,7 @@
 function getChild (parent: unknown, key: string): unknown {
   const child = Array.isArray(parent)
     ? parent.find((item: { name?: string }) => item.name === key)
-    : (parent as JsonObject | null)?.[key]
+    : isJsonObject(parent) ? ownValue(parent, key) : undefined
   if (child === undefined) {
     throw createUnknownValueError(key, parent)
   }
--- a/src/mysql-proxy/operators/index.ts
+++ b/src/mysql-proxy/operators/index.ts
@@ -7,6 +7,7 @@
 import type { MemberSettings } from '../../core/config/index.ts'
 import { describeThrown, WorkswardError } from '../../core/errors/index.ts'
 import { registerPlugin } from '../../core/kernel/index.ts'
+import { listenOn } from '../../core/wire/listener.ts'
 import { authenticateOperator, type Operator } from './authentication.ts'
 
 /** An authenticated request. */
@@ -77,10 +78,7 @@
         response.writeHead(status, { 'content-type': contentType }).end(body)
       }, () => request.socket.destroy())
     })
-    await new Promise<void>((resolve, reject) => {
-      server.once('error', reject)
-      server.listen(settings.listen.http, settings.host.address, resolve)
-    })
+    await listenOn(server, { address: settings.host.address, port: settings.listen.http })
     return {
       service: {
         port: (server.address() as AddressInfo).port,
--- a/src/mysql-proxy/routing/request-checks.ts
+++ b/src/mysql-proxy/routing/request-checks.ts
@@ -1,6 +1,7 @@
 /** Checks requests against the declaration of their group: request kinds and request keys. */
 import { kindSchema, type Group, type Kind } from '../../core/config/index.ts'
 import { RequestError } from '../../core/errors/index.ts'
+import { ownValue } from '../../core/own-value.ts'
 import { keyCreatedAt, MAXIMUM_KEY_LENGTH } from '../ledger/request-key.ts'
 
 /** Kind of a statement that names none: a write that isn't repeatable. */
@@ -18,8 +19,8 @@
   if (kind === undefined) {
     return DEFAULT_KIND
   }
-  const kinds = group.services[service]?.kinds ?? {}
-  const found = kinds[kind]
+  const kinds = ownValue(group.services, service)?.kinds ?? {}
+  const found = ownValue(kinds, kind)
   if (found === undefined) {
     throw new RequestError('not-run', 'UnknownKind', { kind, service, known: Object.keys(kinds) })
   }
--- a/src/mysql/authentication.ts
+++ b/src/mysql/authentication.ts
@@ -45,7 +45,7 @@
           done(null, refusal)
           connection.sequenceId = 0
         }
-      })
+      }).catch(() => connection.stream.destroy())
     }
   })
 }
--- a/src/mysql/serve-client.ts
+++ b/src/mysql/serve-client.ts
@@ -65,7 +65,7 @@
     await answer(connection, options, command.code, async () => await new Promise((resolve, reject) => {
       interruption.interrupt = reject
       run(command).then(resolve, reject)
-    }))
+    })).catch(() => connection.stream.destroy())
     unanswered--
   }, () => connection.stream.end())
 
@@ -97,7 +97,7 @@
   connection.on('quit', () => connection.stream.end())
 }
 
-/** Runs a command and writes its answer. */
+/** Runs a command and writes its answer; rejects if the answer cannot be written. */
 async function answer (
   connection: ServerConnection,
   options: ServeOptions,
--- a/src/peers/peer-client.ts
+++ b/src/peers/peer-client.ts
@@ -123,7 +123,17 @@
     pending.resolve(body)
     return true
   }
-  const { verdict, entry, details } = failure
-  pending.reject(new RequestError(verdict, entry as ErrorName, details as ErrorDetails<ErrorName>))
+  pending.reject(replyError(link, failure))
   return true
 }
+
+/** Builds the error of a reply. One that only processes of another version know keeps its verdict. */
+function replyError (
+  { socket }: OpenLink, { verdict, entry, details }: NonNullable<ReplyFrame['failure']>
+): RequestError {
+  try {
+    return new RequestError(verdict, entry as ErrorName, details as ErrorDetails<ErrorName>)
+  } catch {
+    return peerUnavailableError(`${socket.remoteAddress}:${socket.remotePort}`, `unknown error '${entry}'`, verdict)
+  }
+}
--- a/src/peers/peer-server.ts
+++ b/src/peers/peer-server.ts
@@ -28,6 +28,9 @@
   close: SocketListener['close']
 }
 
+/** The outcome of a request, without its id. */
+type Reply = Omit<ReplyFrame, 'id'>
+
 /** Timeout of the handshake, in milliseconds. */
 const HANDSHAKE_TIMEOUT_MS = 2000
 
@@ -75,6 +78,14 @@
     frames.send({ type: 'welcome', host, proof: proveKey(key, 'server', hello.nonce, host) })
   }
 
+  const sendReply = (id: number, reply: Reply): void => {
+    try {
+      frames.send({ ...reply, id })
+    } catch (thrown) {
+      frames.send({ ...failureReply(thrown), id })
+    }
+  }
+
   const frames: FrameStream = attachFrames(socket, (value) => {
     if (!socket.writable) {
       return
@@ -86,7 +97,7 @@
     const { id, type, body } = requestFrame.read(value)
     progress.count++
     void handleRequest(options, type, body, link)
-      .then((reply) => frames.send({ ...reply, id }))
+      .then((reply) => sendReply(id, reply))
       .finally(() => { progress.count-- })
   })
   frames.send({ type: 'challenge', nonce })
@@ -94,7 +105,7 @@
 
 async function handleRequest (
   { handlers }: PeerServerOptions, type: string, body: unknown, link: Parameters<PeerHandler>[1]
-): Promise<Omit<ReplyFrame, 'id'>> {
+): Promise<Reply> {
   try {
     const handle = handlers.get(type)
     if (handle === undefined) {
@@ -102,7 +113,11 @@
     }
     return { body: await handle(body, link) }
   } catch (thrown) {
-    const { verdict, entry, details } = toRequestError(thrown, 'may-have-run')
-    return { failure: { verdict, entry, details } }
+    return failureReply(thrown)
   }
 }
+
+function failureReply (thrown: unknown): Reply {
+  const { verdict, entry, details } = toRequestError(thrown, 'may-have-run')
+  return { failure: { verdict, entry, details } }
+}
--- a/test/platform/caller-port.test.ts
+++ b/test/platform/caller-port.test.ts
@@ -93,6 +93,40 @@
 })
 
 describe('caller port', () => {
+  // Guards against an unexpected error while a request is handled, which ended the process with all its connections.
+  it('ends only the connection of a request whose handling fails unexpectedly', async () => {
+    const { port } = await listen(async ({ id }) => {
+      if (id === 'bad') {
+        throw new TypeError('unexpected')
+      }
+      return done
+    })
+    const [failing, other] = [await call(port), await call(port)]
+    failing.socket.write('START lepu270 k\r\nQUERY bad READ 1a4\r\n')
+    other.socket.write('START lepu270 k\r\n')
+    await failing.until('DONE')
+    other.socket.write('QUERY good READ 1a4\r\n')
+    await other.until('DONE')
+    expect(other.text()).toInclude('DONE s.1')
+    expect(failing.text()).not.toInclude('DONE')
+  })
+
+  // Guards against an unexpected error while a line is read, which ended the process with all its connections.
+  it('ends only the connection whose first line cannot be handled', async () => {
+    const { port } = await listen(async () => done, ({ database }) => {
+      if (database === 'bad') {
+        throw new TypeError('unexpected')
+      }
+    })
+    const [failing, other] = [await call(port), await call(port)]
+    failing.socket.write('START bad k\r\n')
+    await failing.until('READY')
+    other.socket.write('START lepu270 k\r\nQUERY good READ 1a4\r\n')
+    await other.until('DONE')
+    expect(other.text()).toInclude('DONE s.1')
+    expect(failing.text()).toEqual('')
+  })
+
   it('passes on only the digest of a caller\'s key', async () => {
     const { port, links, served } = await listen(async () => done)
     const caller = await call(port)
