Limit the time without progress of a read, and transfer a large row once

Cause: the time limit of a call to the store covered the transfer of its answer, so reads whose answer was arriving were given up and begun anew. Up to four reads of the same row shared the link of a host. Hosts that do not follow the tables got the row from other hosts, over the link of one host for several of them, within 0.4 s. A host that missed the change ended the long poll that was receiving it, its own and that of others. Links between hosts counted as silent until a whole frame had arrived.

Why it holds: a call is limited until its answer begins and between the parts of the answer; while an answer is arriving nothing else asks for its rows or ends it; large changes are read from the store by each host itself, as soon as a host that follows the tables sees one arriving.

--- a/src/core/time/overlapping.ts
+++ b/src/core/time/overlapping.ts
@@ -2,40 +2,51 @@
 
 /** Options of {@link firstOfOverlapping}. */
 interface OverlappingOptions {
-  /** Time after which a further attempt begins while none has ended, in milliseconds. */
+  /** Time after which a further attempt begins while none has ended or is being answered, in milliseconds. */
   intervalMs: number
   /** Maximum number of attempts. */
   maximum: number
 }
 
 /**
- * Starts an attempt, and another one after each interval without a result. The first success counts. A failure of the
- * first attempt ends the wait as well, since the service has answered it, or it has reached its own time limit.
+ * Starts an attempt, and another one after each interval without an answer. The first success counts. A failure of the
+ * first attempt ends the wait as well, since the service has answered it, or it has reached its own time limit; but not
+ * while another attempt is being answered, which may take long on a narrow link.
  *
- * @param attempt - the attempt
+ * @param attempt - the attempt; calls its argument when its answer begins to arrive
  * @param options - interval and number of attempts
  * @returns the first result
  * @throws the error of the first attempt
  */
 export async function firstOfOverlapping<Result> (
-  attempt: () => Promise<Result>, { intervalMs, maximum }: OverlappingOptions
+  attempt: (onAnswering: () => void) => Promise<Result>, { intervalMs, maximum }: OverlappingOptions
 ): Promise<Result> {
   return await new Promise((resolve, reject) => {
-    let started = 1
-    const timer = setInterval(() => {
-      started++
+    const answering = new Set<number>()
+    let started = 0
+    let firstFailure: { thrown: unknown } | undefined
+
+    const start = (): void => {
+      const number = started++
       if (started >= maximum) {
         clearInterval(timer)
       }
-      attempt().then(finish, () => {})
-    }, intervalMs)
-    const finish = (result: Result): void => {
-      clearInterval(timer)
-      resolve(result)
+      attempt(() => {
+        answering.add(number)
+        clearInterval(timer)
+      }).then((result) => {
+        clearInterval(timer)
+        resolve(result)
+      }, (thrown: unknown) => {
+        answering.delete(number)
+        firstFailure = number === 0 ? { thrown } : firstFailure
+        if (firstFailure !== undefined && answering.size === 0) {
+          clearInterval(timer)
+          reject(firstFailure.thrown)
+        }
+      })
     }
-    attempt().then(finish, (thrown: unknown) => {
-      clearInterval(timer)
-      reject(thrown)
-    })
+    const timer = setInterval(start, intervalMs)
+    start()
   })
 }
--- a/src/entry/ports/types.ts
+++ b/src/entry/ports/types.ts
@@ -141,8 +141,14 @@
 
 /** The durable store. Its calls throw `PlatformUnavailable` on failure. */
 export interface StorePort {
-  /** Reads all rows of a table; linearizable. */
-  list: (table: string) => Promise<StoreSnapshot>
+  /**
+   * Reads all rows of a table; linearizable.
+   *
+   * @param table - the table
+   * @param onAnswering - called when the answer begins to arrive; a large one may take long after that
+   * @returns the rows
+   */
+  list: (table: string, onAnswering?: () => void) => Promise<StoreSnapshot>
   /**
    * Waits for changes of a table.
    *
@@ -150,9 +156,12 @@
    * @param after - version to continue from
    * @param waitMs - time after which an empty answer is returned, in milliseconds
    * @param signal - aborts the request
+   * @param onAnswering - called when the answer begins to arrive; a large one may take long after that
    * @returns the changes; undefined if the store no longer has the history since `after`
    */
-  follow: (table: string, after: number, waitMs: number, signal: AbortSignal) => Promise<StoreChanges | undefined>
+  follow: (
+    table: string, after: number, waitMs: number, signal: AbortSignal, onAnswering?: () => void
+  ) => Promise<StoreChanges | undefined>
   /**
    * Writes rows.
    *
--- a/src/entry/registry/catch-up.ts
+++ b/src/entry/registry/catch-up.ts
@@ -10,6 +10,8 @@
   table: string
   logger: Logger
   followed: Pick<FollowedTable, 'copy'>
+  /** Whether an answer of the store is arriving, which may contain the change. */
+  isReceiving: () => boolean
   /** Reads the changes that a host has. */
   readFromHost: (host: string) => Promise<void>
   /** Called when this host still lacks the change after that. */
@@ -31,7 +33,9 @@
  * @param options - the table, and the ways to read it
  * @returns the state
  */
-export function createCatchUp ({ table, logger, followed, readFromHost, onStillBehind }: CatchUpOptions): CatchUp {
+export function createCatchUp (
+  { table, logger, followed, isReceiving, readFromHost, onStillBehind }: CatchUpOptions
+): CatchUp {
   let newest = -1
 
   const isBehind = (): boolean => {
@@ -40,7 +44,9 @@
     return version !== undefined && version < newest
   }
   const catchUp = async (host: string): Promise<void> => {
-    await pause(CHANGE_GRACE_MS)
+    do {
+      await pause(CHANGE_GRACE_MS)
+    } while (isBehind() && isReceiving())
     if (!isBehind()) {
       return
     }
--- a/src/entry/registry/follow-table.ts
+++ b/src/entry/registry/follow-table.ts
@@ -16,6 +16,7 @@
 import {
   createFollowedTable, type FollowedTable, type FollowedTableOptions, type TableConfirmation
 } from './followed-table.ts'
+import { createReceivedAnswers } from './received-answers.ts'
 import type { Registry } from './service.ts'
 import type { TableExchange } from './table-exchange.ts'
 import { createTableReads } from './table-reads.ts'
@@ -71,16 +72,19 @@
 export function followTable (options: FollowOptions): TableFollower {
   const { store, table, logger, notifications, exchange, batchMs = 0 } = options
   const followed = createFollowedTable({ ...options, onTableChanged: options.registry.onTableChanged })
-  const reads = createTableReads({ store, table, logger, followed, notifications, exchange, batchMs })
+  // Hosts that wait for a change here read it from the store if it takes long to arrive.
+  const answers = createReceivedAnswers(followed.copy.recheck)
+  const reads = createTableReads({ store, table, logger, followed, answers, notifications, exchange, batchMs })
   const { interrupt, requestFullRead } = reads
   const sideReads = createSideReads({
-    store, table, logger, followed, notifications, exchange, interrupt, requestFullRead
+    store, table, logger, followed, answers, notifications, exchange, interrupt, requestFullRead
   })
   const laterReads = createLaterReads({ reads, exchange, followed, newest: () => catchUp.newest })
   const catchUp = createCatchUp({
     table,
     logger,
     followed,
+    isReceiving: () => answers.isReceiving,
     readFromHost: sideReads.readFromHost,
     onStillBehind: () => {
       laterReads.preferPeers()
@@ -92,7 +96,8 @@
     copy: followed.copy,
     confirmation: () => followed.confirmation,
     requestFreshRead: reads.requestFreshRead,
-    isFollowing: () => reads.isFollowing
+    isFollowing: () => reads.isFollowing,
+    isReceivingLarge: () => answers.isReceivingLarge
   })
   exchange.onFollowerRoleEnd(reads.interrupt)
   options.registry.onStoreUnavailable(() => {
--- /dev/null
+++ b/src/entry/registry/received-answers.ts
@@ -0,0 +1,56 @@
+/**
+ * Tells whether an answer of the store to reads of a table is arriving. A large one may take seconds on a narrow link,
+ * and every other copy of the same rows on that link delays it.
+ */
+
+/** Time after which an answer that is still arriving counts as large, in milliseconds. */
+const LARGE_AFTER_MS = 100
+
+/** The answers of the store to the reads of one table. */
+export interface ReceivedAnswers {
+  /** Whether an answer is arriving. */
+  readonly isReceiving: boolean
+  /** Whether an answer has been arriving for {@link LARGE_AFTER_MS}. */
+  readonly isReceivingLarge: boolean
+  /**
+   * Runs a read.
+   *
+   * @param read - the read; calls its argument when its answer begins to arrive
+   * @returns the result of the read
+   */
+  track: <Result>(read: (onAnswering: () => void) => Promise<Result>) => Promise<Result>
+}
+
+/**
+ * Creates the record of a table without reads.
+ *
+ * @param onLarge - called when an answer begins to count as large
+ * @returns the record
+ */
+export function createReceivedAnswers (onLarge: () => void): ReceivedAnswers {
+  /** Time at which each answer that is arriving began, on the monotonic clock, in milliseconds. */
+  const startedAt = new Map<symbol, number>()
+  return {
+    get isReceiving () { return startedAt.size > 0 },
+    get isReceivingLarge () {
+      const now = performance.now()
+      return [...startedAt.values()].some((at) => now - at >= LARGE_AFTER_MS)
+    },
+    track: async (read) => {
+      const answer = Symbol('answer')
+      let timer: NodeJS.Timeout | undefined
+      const recordAnswer = (): void => {
+        if (!startedAt.has(answer)) {
+          startedAt.set(answer, performance.now())
+          timer = setTimeout(onLarge, LARGE_AFTER_MS)
+        }
+      }
+      try {
+        return await read(recordAnswer)
+      } finally {
+        clearTimeout(timer)
+        startedAt.delete(answer)
+      }
+    }
+  }
+}
--- a/src/entry/registry/registry-store.ts
+++ b/src/entry/registry/registry-store.ts
@@ -89,9 +89,9 @@
       reason, confirmedAgeMs: Math.round(state.confirmedAgeMs()), version: state.current.version
     })
   }
-  const listOnce = async (): Promise<StoreSnapshot & { askedAt: number }> => {
+  const listOnce = async (onAnswering?: () => void): Promise<StoreSnapshot & { askedAt: number }> => {
     const askedAt = performance.now()
-    return { ...await store.list(REGISTRY_TABLE), askedAt }
+    return { ...await store.list(REGISTRY_TABLE, onAnswering), askedAt }
   }
   const isRegistered = (): boolean => state.confirmedAgeMs() < EXTENDED_LEASE_MS
   const read = async (): Promise<boolean> => {
--- a/src/entry/registry/table-answers.ts
+++ b/src/entry/registry/table-answers.ts
@@ -1,7 +1,8 @@
 /**
  * Serves this host's copies of store tables to other hosts. Changes are always returned. An empty response, or a whole
  * copy, is sent only while the copy is confirmed; otherwise the request is refused, since two hosts that the store
- * rejects would confirm outdated copies to each other.
+ * rejects would confirm outdated copies to each other. Large changes are not sent: several hosts would share the link
+ * of this one, while the store serves all of them at once.
  */
 import { STALE_AFTER_MS } from '../ports/change-bound.ts'
 import type { TableResponse, TableRequest } from './table-messages.ts'
@@ -14,6 +15,8 @@
 export const RESPONSE_TIMEOUT_MS = 400
 /** Maximum age of a full read that serves a request for a fresh one, in milliseconds; lets requests share a read. */
 const MAXIMUM_FRESH_AGE_MS = 300
+/** Size of the rows up to which they are sent, in bytes; takes a quarter of a second on a link of 2 Mbit/s. */
+const MAXIMUM_CHANGES_BYTES = 65_536
 /** Maximum age of this host's registry snapshot, in milliseconds; with an older one the host may be cut off. */
 const MAXIMUM_REGISTRY_AGE_MS = 2500
 
@@ -25,6 +28,8 @@
   requestFreshRead: () => void
   /** Whether the store answers this host. */
   isFollowing: () => boolean
+  /** Whether a large answer of the store is arriving. */
+  isReceivingLarge: () => boolean
 }
 
 /** Whether the copy is confirmed, so that a response without changes, and all rows of the copy, are reliable. */
@@ -55,6 +60,9 @@
         return { changes: undefined }
       }
       const changes = anew ? await waitForFreshRead(served) : await waitForChanges(served, after)
+      if (changes === 'large') {
+        return { changes: undefined, isLarge: true }
+      }
       const ageMs = performance.now() - served.confirmation().confirmedAt
       return { changes, ageMs: Number.isFinite(ageMs) ? ageMs : undefined }
     }
@@ -62,8 +70,11 @@
 }
 
 async function waitForFreshRead (
-  { copy, requestFreshRead, isFollowing }: ServedTable
-): Promise<TableChanges | undefined> {
+  { copy, requestFreshRead, isFollowing, isReceivingLarge }: ServedTable
+): Promise<TableChanges | 'large' | undefined> {
+  if (isReceivingLarge()) {
+    return 'large'
+  }
   const since = performance.now() - MAXIMUM_FRESH_AGE_MS
   if (copy.fullReadAt < since) {
     if (!isFollowing()) {
@@ -71,15 +82,27 @@
     }
     requestFreshRead()
   }
-  return await copy.waitForRead(since, RESPONSE_TIMEOUT_MS) ? await copy.changesSince(undefined, 0) : undefined
+  return await copy.waitForRead(since, RESPONSE_TIMEOUT_MS)
+    ? unlessLarge(await copy.changesSince(undefined, 0))
+    : undefined
 }
 
 async function waitForChanges (
   served: ServedTable, after: number | undefined
-): Promise<TableChanges | undefined> {
-  const { copy } = served
+): Promise<TableChanges | 'large' | undefined> {
+  const { copy, isReceivingLarge } = served
   const isFirst = after === undefined
-  const changes = await copy.changesSince(after, isFirst || isConfirmed(served) ? TABLE_LONG_POLL_MS : 0)
+  const holdMs = isFirst || isConfirmed(served) ? TABLE_LONG_POLL_MS : 0
+  const changes = await copy.changesSince(after, holdMs, isReceivingLarge)
   const isNew = changes !== undefined && !isFirst && changes.version > after
-  return isNew || isConfirmed(served) ? changes : undefined
+  if (!isNew && isReceivingLarge()) {
+    return 'large'
+  }
+  return isNew || isConfirmed(served) ? unlessLarge(changes) : undefined
+}
+
+/** Returns changes that are small enough to be sent. */
+function unlessLarge (changes: TableChanges | undefined): TableChanges | 'large' | undefined {
+  const bytes = changes?.rows.reduce((sum, { key, value }) => sum + key.length + value.length, 0) ?? 0
+  return bytes > MAXIMUM_CHANGES_BYTES ? 'large' : changes
 }
--- a/src/entry/registry/table-copy.ts
+++ b/src/entry/registry/table-copy.ts
@@ -29,9 +29,14 @@
    *
    * @param after - version that the requester has; undefined to request all rows
    * @param holdMs - maximum wait, in milliseconds
+   * @param isInterrupted - whether to wait no longer; asked again after each change and each `recheck`
    * @returns the changes, which may be empty; undefined if the copy is unread or older than `after`
    */
-  changesSince: (after: number | undefined, holdMs: number) => Promise<TableChanges | undefined>
+  changesSince: (
+    after: number | undefined, holdMs: number, isInterrupted?: () => boolean
+  ) => Promise<TableChanges | undefined>
+  /** Makes all waits check whether they are interrupted. */
+  recheck: () => void
   /** Store version of the copy; undefined before the first read. */
   readonly version: number | undefined
   /** Store version of the newest change to the rows, or a later one; undefined before the first read. */
@@ -114,12 +119,13 @@
       version = newVersion
       waiters.notify()
     },
-    changesSince: async (after, holdMs) => {
-      const found = await waiters.until(() => {
+    changesSince: async (after, holdMs, isInterrupted = () => false) => {
+      await waiters.until(() => {
         const changes = findChanges(after)
-        return changes !== undefined && hasChanges(changes) ? changes : undefined
+        return (changes !== undefined && hasChanges(changes)) || isInterrupted() || undefined
       }, holdMs)
-      return found ?? findChanges(after)
-    }
+      return findChanges(after)
+    },
+    recheck: waiters.notify
   }
 }
--- a/src/entry/registry/table-messages.ts
+++ b/src/entry/registry/table-messages.ts
@@ -21,6 +21,8 @@
 export const tableResponseSchema = z.object({
   changes: changesSchema.optional(),
   /** Age of the responder's confirmation of its copy, in milliseconds; absent if there is none. */
-  ageMs: z.number().optional()
+  ageMs: z.number().optional(),
+  /** Whether there is a change that the requester should read from the store, since it is large; absent if not. */
+  isLarge: z.boolean().optional()
 })
 export type TableResponse = z.infer<typeof tableResponseSchema>
--- a/src/entry/registry/table-questions.ts
+++ b/src/entry/registry/table-questions.ts
@@ -1,6 +1,7 @@
 /**
  * Requests a table of the store from the hosts that follow it. Hosts that failed recently are tried last. The first
- * response of a sufficient version is accepted, and the search ends after {@link MAXIMUM_TIMEOUTS} timeouts.
+ * response of a sufficient version is accepted, and the search ends after {@link MAXIMUM_TIMEOUTS} timeouts, or when a
+ * host tells that the changes are too large for the links between hosts.
  */
 import { describeThrown } from '../../core/errors/index.ts'
 import type { Logger } from '../../core/logger/index.ts'
@@ -43,7 +44,7 @@
    * @param table - the table
    * @param after - version that this host has; undefined to request all rows
    * @param atLeast - minimum version of the response
-   * @returns the changes; undefined if no host could answer
+   * @returns the changes; undefined if no host could answer, or if they are large
    */
   requestChanges: (table: string, after: number | undefined, atLeast: number) => Promise<ConfirmedChanges | undefined>
   /**
@@ -51,7 +52,7 @@
    *
    * @param table - the table
    * @param atLeast - minimum version of the response
-   * @returns all rows; undefined if no host could answer
+   * @returns all rows; undefined if no host could answer, or if they are large
    */
   requestFreshRows: (table: string, atLeast: number) => Promise<ConfirmedChanges | undefined>
   /**
@@ -60,9 +61,11 @@
    * @param name - name of the host
    * @param table - the table
    * @param after - version that this host has; undefined to request all rows
-   * @returns the changes; undefined if the host did not answer in time
+   * @returns the changes; `large` if they should be read from the store; undefined if the host did not answer in time
    */
-  requestFromHost: (name: string, table: string, after: number | undefined) => Promise<ConfirmedChanges | undefined>
+  requestFromHost: (
+    name: string, table: string, after: number | undefined
+  ) => Promise<ConfirmedChanges | 'large' | undefined>
 }
 
 /**
@@ -81,13 +84,13 @@
       : await peers.requestOrDisconnect(host, 'table-changes', tableRequest, timeoutMs)
   const ask = async (
     host: KnownHost, tableRequest: TableRequest, timeoutMs: number
-  ): Promise<ConfirmedChanges | 'no-changes' | undefined> => {
+  ): Promise<ConfirmedChanges | 'no-changes' | 'large' | undefined> => {
     const askedAt = performance.now()
     try {
-      const { changes, ageMs = Infinity }: TableResponse =
+      const { changes, ageMs = Infinity, isLarge = false }: TableResponse =
         tableResponseSchema.parse(await send(host, tableRequest, timeoutMs))
       return changes === undefined
-        ? 'no-changes'
+        ? isLarge ? 'large' : 'no-changes'
         : { changes, confirmation: { confirmedAt: askedAt - ageMs, source: host.name } }
     } catch (thrown) {
       logger.log('debug', 'registry.peer-silent', { peer: host.name, reason: describeThrown(thrown) })
@@ -111,6 +114,9 @@
       if (typeof response === 'object' && isRecentEnough(host.name, tableRequest.table, response.changes, atLeast)) {
         return response
       }
+      if (response === 'large') {
+        return undefined
+      }
       recentFailures.record(host)
       timeoutsLeft -= response === undefined ? 1 : 0
       if (timeoutsLeft === 0) {
@@ -129,7 +135,7 @@
     requestFromHost: async (name, table, after) => {
       const host = hostOf(name)
       const response = host === undefined ? undefined : await ask(host, { table, after }, RESPONSE_TIMEOUT_MS)
-      return typeof response === 'object' ? response : undefined
+      return response === 'no-changes' ? undefined : response
     }
   }
 }
--- a/src/entry/registry/table-reads.ts
+++ b/src/entry/registry/table-reads.ts
@@ -4,6 +4,7 @@
 import type { StorePort } from '../ports/index.ts'
 import type { ChangeNotifications } from './change-notifications.ts'
 import { STORE_SOURCE, type FollowedTable } from './followed-table.ts'
+import type { ReceivedAnswers } from './received-answers.ts'
 import type { TableExchange } from './table-exchange.ts'
 
 interface TableReadsOptions {
@@ -11,6 +12,7 @@
   table: string
   logger: Logger
   followed: FollowedTable
+  answers: ReceivedAnswers
   notifications: Pick<ChangeNotifications, 'notify'>
   exchange: Pick<TableExchange, 'requestChanges' | 'requestFreshRows'>
   /** Pause after changes before the next request, in milliseconds. */
@@ -36,7 +38,10 @@
   readFromPeer: (atLeast: number) => Promise<boolean>
   /** Aborts a pending request for changes. */
   interrupt: () => void
-  /** Makes the next read a full read, and aborts a pending request for changes. */
+  /**
+   * Makes the next read a full read, and aborts a pending request for changes. Does nothing while an answer of the
+   * store is arriving: giving it up would lose what has arrived.
+   */
   requestFullRead: () => void
   /** Like `requestFullRead`; a follower must also read the store again before it responds. */
   requestFreshRead: () => void
@@ -49,15 +54,17 @@
  * @returns the reads
  */
 export function createTableReads (options: TableReadsOptions): TableReads {
-  const { store, table, logger, followed, notifications, exchange, batchMs } = options
+  const { store, table, logger, followed, answers, notifications, exchange, batchMs } = options
   let mustReadFresh = false
   let longPoll = new AbortController()
   let isLongPolling = false
   let lastAnswerAt = -Infinity
 
   const requestFullRead = (): void => {
-    followed.invalidate()
-    longPoll.abort()
+    if (!answers.isReceiving) {
+      followed.invalidate()
+      longPoll.abort()
+    }
   }
   return {
     get isFollowing () { return isLongPolling || performance.now() - lastAnswerAt < FOLLOWING_GRACE_MS },
@@ -70,7 +77,7 @@
     readFull: async () => {
       mustReadFresh = false
       const askedAt = performance.now()
-      const snapshot = await store.list(table)
+      const snapshot = await answers.track(async (onAnswering) => await store.list(table, onAnswering))
       lastAnswerAt = performance.now()
       followed.replace(snapshot.rows, snapshot.version, askedAt)
       followed.confirm({ confirmedAt: askedAt, source: STORE_SOURCE })
@@ -80,7 +87,9 @@
       const { signal } = longPoll
       isLongPolling = true
       const askedAt = performance.now()
-      const changes = await store.follow(table, after, waitMs, signal).catch((thrown: unknown) => {
+      const changes = await answers.track(async (onAnswering) =>
+        await store.follow(table, after, waitMs, signal, onAnswering)
+      ).catch((thrown: unknown) => {
         if (!signal.aborted) {
           throw thrown
         }
--- a/src/entry/store/index.ts
+++ b/src/entry/store/index.ts
@@ -25,9 +25,9 @@
     }
     return {
       service: {
-        list: async (table) => await measure('list', async () => await store.list(table)),
-        follow: async (table, after, waitMs, signal) =>
-          await measure('follow', async () => await store.follow(table, after, waitMs, signal)),
+        list: async (table, onAnswering) => await measure('list', async () => await store.list(table, onAnswering)),
+        follow: async (table, after, waitMs, signal, onAnswering) =>
+          await measure('follow', async () => await store.follow(table, after, waitMs, signal, onAnswering)),
         write: async (transaction) => await measure('write', async () => await store.write(transaction))
       }
     }
--- a/src/peers/open-link.ts
+++ b/src/peers/open-link.ts
@@ -34,7 +34,7 @@
   socket: Socket
   frames: FrameStream
   pending: Map<number, PendingRequest>
-  /** Time of the last frame from the peer, on the monotonic clock, in milliseconds. */
+  /** Time of the last bytes from the peer, on the monotonic clock, in milliseconds. */
   lastReceivedAt: number
 }
 
@@ -86,10 +86,9 @@
       },
       open: (value) => onReply(link, replyFrame.read(value))
     }
-    const frames = attachFrames(socket, (value) => {
-      link.lastReceivedAt = performance.now()
-      frameHandlers[stage](value)
-    })
+    const frames = attachFrames(socket, (value) => frameHandlers[stage](value))
+    // Counts parts of frames as well: a link that carries a large frame is not silent.
+    socket.on('data', () => { link.lastReceivedAt = performance.now() })
     const link: OpenLink = { socket, frames, pending, lastReceivedAt: performance.now() }
   })
 }
--- a/test/core/overlapping.test.ts
+++ b/test/core/overlapping.test.ts
@@ -5,12 +5,11 @@
 
 describe('overlapping attempts', () => {
   let clock: Clock
-  beforeEach(() => { clock = fakeTimers.install() })
-  afterEach(async () => {
-    // Runs what the test runner has queued on the paused clock; it would lose the results otherwise.
-    await clock.tickAsync(10)
-    clock.uninstall()
+  // The test runner keeps the other functions of the clock; it would lose results otherwise.
+  beforeEach(() => {
+    clock = fakeTimers.install({ toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'performance'] })
   })
+  afterEach(() => clock.uninstall())
 
   it('return the answer of a later attempt while the first one is lost', async () => {
     let attempts = 0
@@ -24,6 +23,23 @@
     expect(attempts).toEqual(3)
   })
 
+  // Guards against attempts that share a narrow link with an answer that is arriving.
+  it('are not followed by others once one of them is being answered, and wait for its answer', async () => {
+    let attempts = 0
+    const answer = firstOfOverlapping(async (onAnswering) => {
+      attempts++
+      if (attempts === 1) {
+        await new Promise((resolve) => setTimeout(resolve, 1500))
+        throw new Error('lost')
+      }
+      onAnswering()
+      await new Promise((resolve) => setTimeout(resolve, 3000))
+      return 'answer'
+    }, { intervalMs: 100, maximum: 15 })
+    await clock.tickAsync(5000)
+    expect([await answer, attempts]).toEqual(['answer', 2])
+  })
+
   it('fail with the first one, and are limited in number', async () => {
     let attempts = 0
     const answer = firstOfOverlapping(async () => {
--- a/test/peers/silent-links.test.ts
+++ b/test/peers/silent-links.test.ts
@@ -9,6 +9,8 @@
 import { startSilencingRelay, type SilencingRelay } from '../fixtures/silencing-relay.ts'
 
 const KEY = 'a-key-for-all-the-tests'
+/** Size of a frame that takes longer than the timeout on a slow link, in bytes. */
+const LARGE_BYTES = 300_000
 /** Timeout of a request on a silent link, in milliseconds. */
 const TIMEOUT_MS = 300
 /** Timeout of a request that is answered, in milliseconds. */
@@ -71,6 +73,16 @@
     expect(await pending).toEqual(2)
   })
 
+  // Guards against counting whole frames only: a link was replaced while it carried a large frame.
+  it('are not confused with a link that carries a large frame', async () => {
+    const pending = client.request(near.endpoint, 'slow', 2, AMPLE_MS)
+    near.slowDown()
+    const large = client.request(near.endpoint, 'echo', 'x'.repeat(LARGE_BYTES), AMPLE_MS)
+    await expect(requestOrDisconnect(client, near.endpoint, 'echo', 1, TIMEOUT_MS)).toBeRejected()
+    answerSlowRequests()
+    expect([await pending, String(await large).length, near.connections]).toEqual([2, LARGE_BYTES, 1])
+  })
+
   it('are not confused with a slow peer, whose pending requests are answered', async () => {
     const pending = client.request(near.endpoint, 'slow', 2, AMPLE_MS)
     await expect(client.request(near.endpoint, 'slow', 3, TIMEOUT_MS)).toBeRejected()
