Promote only who has every acknowledged commit of a synchronous group

Cause: no part of a failover knew of sync-replicas. It ranks draining upstreams last whatever their logs have, goes on with the replicas that answer one probe of 0.3 s, and probes them while hosts still work at the primary.

Why it holds: the upstreams of such a group are asked after all hosts have stopped. An acknowledged commit is on at least one of any set of replicas from which fewer are missing than must have received it, so the furthest of these logs has all of them; if more are missing, only the old primary's is known to. Who has less is not promoted, and while that is not known nobody is. A planned change of such a group waits for an upstream that stays and receives the log, else a draining one would be promoted again and again.

Ruled out: to replace a draining primary in any case 2 s before its time is over; in the case it was then promoted twice.

--- a/src/entry/leadership/act-on-need.ts
+++ b/src/entry/leadership/act-on-need.ts
@@ -1,10 +1,13 @@
 /** Handles the need of a group: confirms it, then records the first primary or runs a failover. */
+import type { EntrySettings } from '../../core/config/entry-settings.ts'
 import type { PluginContext } from '../../core/kernel/index.ts'
 import { pause } from '../../core/time/deadline.ts'
 import type { GroupRow } from '../registry/index.ts'
 import { runFailover } from './failover.ts'
 import { recordFirstPrimary } from './first-primary.ts'
+import { createFormerUpstreams } from './former-upstreams.ts'
 import type { ObservedNeed } from './group-watch.ts'
+import { isPlannedChangeDue } from './planned-change.ts'
 import { PROBE_TIMEOUT_MS } from './probe-times.ts'
 import { createPromotionLease } from './promotion-lease.ts'
 import { createReachabilityCheck } from './reach-questions.ts'
@@ -15,6 +18,9 @@
  */
 const FAILED_FAILOVER_PAUSE_MS = 2500
 
+/** Pause after no upstream could succeed a draining primary, in milliseconds. */
+const NO_SUCCESSOR_PAUSE_MS = 500
+
 /**
  * Creates the handler of needs, and answers the requests of peers that belong to it.
  *
@@ -33,17 +39,31 @@
   const pools = context.use('pools')
   const peers = context.use('peers')
   const freshness = context.use('freshness')
+  const desiredState = context.use('desiredState')
+  const former = createFormerUpstreams(directory)
+  const settings = context.settings as EntrySettings
   const count = context.use('metrics').registerCounter('worksward_successions', 'Successions run here, by reason and outcome')
   const promotionLease = createPromotionLease({ registry, peers, logger, isClosed })
   const reachability = createReachabilityCheck({
     registry, directory, pools, homes: context.use('homes'), peers, logger
   })
 
-  /** Confirms a need that rests on indirect evidence by asking other hosts or the upstream itself. */
+  const synchronousReplicasOf = (group: string): number =>
+    desiredState.current?.synchronousReplicas?.get(group) ?? 0
+  /** Confirms a need that rests on indirect evidence by asking other hosts or the upstreams, and a planned change. */
   const isConfirmed = async (group: string, { need }: ObservedNeed, { primary }: GroupRow): Promise<boolean> => {
     if (need === 'unreachable') {
       return await reachability.isLost(group, primary)
     }
+    if (need === 'draining') {
+      const synchronousReplicas = synchronousReplicasOf(group)
+      const { drainMs } = settings
+      const isDue = await isPlannedChangeDue({ group, primary, synchronousReplicas, drainMs, directory, pools })
+      if (!isDue) {
+        await pause(NO_SUCCESSOR_PAUSE_MS)
+      }
+      return isDue
+    }
     if (need !== 'deposed') {
       return true
     }
@@ -73,6 +93,8 @@
       directory,
       pools,
       peers,
+      synchronousReplicas: synchronousReplicasOf(group),
+      former,
       promotion,
       logger
     })
--- a/src/entry/leadership/choose-successor.ts
+++ b/src/entry/leadership/choose-successor.ts
@@ -2,7 +2,8 @@
  * Chooses the upstream of a group to promote. Upstreams that stay rank before the old primary, and the old primary
  * before draining ones; ties go to the furthest log position, then to an upstream whose order to promote may still take
  * effect, then to the first name. An upstream that has not reached the closed term is excluded for
- * {@link OUTDATED_WAIT_MS}, because promoting it would lose the writes of that term.
+ * {@link OUTDATED_WAIT_MS}, because promoting it would lose the writes of that term. In a group with synchronous
+ * replicas, one that may lack an acknowledged commit is excluded for good (`acknowledged-logs.ts`).
  */
 import { comparePositions } from '../../positions/position.ts'
 import type { KnownUpstream } from '../directory/index.ts'
@@ -28,6 +29,8 @@
   closedMs: number
   /** Upstreams with an order to promote that may still take effect. */
   ordered?: ReadonlySet<string>
+  /** Whether an upstream that reports this may lead, because its log has what must not be lost; any may by default. */
+  mayLead?: (report: UpstreamReport) => boolean
 }
 
 /**
@@ -38,10 +41,11 @@
  * @returns the eligible candidates in the order in which to try them
  */
 export function chooseSuccessors (
-  candidates: Candidate[], { oldPrimary, term, closedMs, ordered = new Set() }: ClosedPrimary
+  candidates: Candidate[], { oldPrimary, term, closedMs, ordered = new Set(), mayLead = () => true }: ClosedPrimary
 ): Candidate[] {
   const includeOutdated = closedMs >= OUTDATED_WAIT_MS
-  return rank(candidates.filter(({ report }) => includeOutdated || report.term >= term), oldPrimary, ordered)
+  const eligible = candidates.filter(({ report }) => (includeOutdated || report.term >= term) && mayLead(report))
+  return rank(eligible, oldPrimary, ordered)
 }
 
 function rank (candidates: Candidate[], oldPrimary: string, ordered: ReadonlySet<string>): Candidate[] {
--- a/src/entry/leadership/failover.ts
+++ b/src/entry/leadership/failover.ts
@@ -11,12 +11,15 @@
 import type { UpstreamReport } from '../ports/index.ts'
 import type { GroupRow } from '../registry/index.ts'
 import { comparePositions, formatPosition, type LogPosition } from '../../positions/position.ts'
+import { awaitLogs, type Successors } from './await-logs.ts'
 import { awaitHostsStopped } from './close-epoch.ts'
 import type { Candidate } from './choose-successor.ts'
 import { finishFailover } from './finish-failover.ts'
+import type { FormerUpstreams } from './former-upstreams.ts'
 import { openEpoch, writeRow } from './group-row.ts'
 import type { PromoteOptions } from './order-promotion.ts'
 import { pendingOrders } from './pending-orders.ts'
+import { probeGroup } from './probe-group.ts'
 import { PROBE_TIMEOUT_MS, SUCCESSOR_POLL_INTERVAL_MS } from './probe-times.ts'
 import { promoteSuccessor } from './promote.ts'
 import type { FailoverReason } from './types.ts'
@@ -36,6 +39,10 @@
   /** Stops the work of this host at the primary of an epoch. */
   closeLocally: (epoch: number) => Promise<void>
   peers: Peers
+  /** Replicas that must have received a commit before it is acknowledged; 0 if it may be in the primary's log only. */
+  synchronousReplicas: number
+  /** Upstreams that have left recently. */
+  former: FormerUpstreams
 }
 
 /**
@@ -64,29 +71,33 @@
   // A failed renewal is logged by the lease; the next renewal or the order detects that the lease is lost.
   const stopRenewing = repeat(LEASE_RENEWAL_INTERVAL_MS, async () => { await options.promotionLease.acquire() })
   try {
-    const reports = await awaitOldPrimaryUnused(options, before.row, closedAt)
+    const successors = await awaitOldPrimaryUnused(options, before.row, closedAt)
     const closed = { ...before.row, succession: failoverId }
-    const successor = await promoteSuccessor(options, reports, closed, closedAt)
+    const successor = await promoteSuccessor(options, successors, closed, closedAt)
     return successor === undefined ? undefined : await openEpoch(options, successor, failoverId)
   } finally {
     stopRenewing()
   }
 }
 
-/** Waits until no host uses the old primary, which is demoted if it can be reached, and returns the other reports. */
+/** Waits until no host uses the old primary, which is demoted if it can be reached, and returns who may lead next. */
 async function awaitOldPrimaryUnused (
   options: FailoverOptions, { epoch, primary }: GroupRow, closedAt: number
-): Promise<Candidate[]> {
+): Promise<Successors> {
+  const isSynchronous = options.synchronousReplicas > 0
   const closed = Promise.all([options.closeLocally(epoch), awaitHostsStopped({ ...options, epoch, closedAt })])
   // Once no host uses an unreachable primary, its demotion is not waited for: the probe would only time out.
   const isUnreachable = options.reason === 'unreachable'
   const demotion = demoteOldPrimary(options, options.directory.get(primary))
   const [demoted, reports] = await Promise.all([
     isUnreachable ? Promise.race([demotion, closed.then(() => undefined)]) : demotion,
-    probeAll(options, isUnreachable ? primary : undefined),
+    isSynchronous ? [] : probeGroup(options, isUnreachable ? primary : undefined),
     closed
   ])
-  return demoted === undefined ? reports : await awaitCatchUp(options, demoted.received, primary)
+  if (isSynchronous) {
+    return await awaitLogs({ ...options, oldPrimary: primary, demoted, catchUpMs: CATCH_UP_TIMEOUT_MS })
+  }
+  return { candidates: demoted === undefined ? reports : await awaitCatchUp(options, demoted.received, primary) }
 }
 
 /**
@@ -128,23 +139,13 @@
   return report
 }
 
-/** Probes the upstreams of the group and returns those that answered. */
-async function probeAll ({ group, directory, pools }: FailoverOptions, except?: string): Promise<Candidate[]> {
-  const probed = directory.ofGroup(group).filter(({ upstream }) => upstream !== except)
-  const reports = await Promise.all(probed.map(async (upstream) => {
-    const report = await pools.probe(upstream, PROBE_TIMEOUT_MS)
-    return report === undefined ? [] : [{ upstream, report }]
-  }))
-  return reports.flat()
-}
-
 /** Waits for a replica to receive the whole log of the demoted primary, up to {@link CATCH_UP_TIMEOUT_MS}. */
 async function awaitCatchUp (
   options: FailoverOptions, target: LogPosition, oldPrimary: string
 ): Promise<Candidate[]> {
   const until = performance.now() + CATCH_UP_TIMEOUT_MS
   for (;;) {
-    const reports = await probeAll(options)
+    const reports = await probeGroup(options)
     const ready = reports.some(({ upstream, report }) =>
       upstream.upstream !== oldPrimary && !upstream.draining && comparePositions(report.received, target) >= 0)
     if (ready || performance.now() >= until) {
--- a/src/entry/ports/types.ts
+++ b/src/entry/ports/types.ts
@@ -240,6 +240,8 @@
   keys: Map<string, string>
   /** Maximum number of connections to each upstream of a group, from all hosts together. */
   connectionCaps: Map<string, number>
+  /** Replicas that must have received a commit before it is acknowledged, by group; none for groups that are absent. */
+  synchronousReplicas?: Map<string, number>
   /** Maximum idle time of a transaction, in milliseconds. */
   transactionIdleMs: number
 }
--- a/test/entry/leadership/choose-successor.test.ts
+++ b/test/entry/leadership/choose-successor.test.ts
@@ -30,6 +30,15 @@
     expect(rankedNames(candidates)).toEqual(['a', 'old', 'd'])
   })
 
+  // Guards against ranking by state before log in a group whose acknowledged commits may be in one log only.
+  it('excludes those that may not lead, whatever their rank', () => {
+    const candidates = [candidate('d', { position: 30, draining: true }), candidate('a')]
+    const chosen = chooseSuccessors(candidates, {
+      oldPrimary: 'old', term: 2, closedMs: 0, mayLead: ({ received }) => received.position >= 30
+    })
+    expect(chosen.map(({ upstream }) => upstream.upstream)).toEqual(['d'])
+  })
+
   it('prefers an upstream with a pending order among equal log positions only', () => {
     const rank = (candidates: Candidate[]): string[] =>
       chooseSuccessors(candidates, { oldPrimary: 'old', term: 2, closedMs: 0, ordered: new Set(['b']) })
--- a/test/platform/store-client.test.ts
+++ b/test/platform/store-client.test.ts
@@ -177,6 +177,9 @@
       needsKey: false
     })
     expect(connectionCaps.get('g')).toEqual(23)
+    const services = [...state.services, { name: 's', 'max-connections': 23, 'sync-replicas': 1 }]
+    const { synchronousReplicas } = desiredState.decode(JSON.stringify({ ...state, services }))
+    expect([...synchronousReplicas ?? []]).toEqual([['s', 1]])
     expect(() => desiredState.decode(JSON.stringify({ ...state, limits: {} }))).toThrow()
   })
 })
