Refuse a large answer when the heap is nearly full

Cause: the reader of answers keeps all rows until the last line, and nothing limits them but the heap, whose limit ends the process.

Two of the three new tests of upstream-port call for what was missing; the third one, a large answer while there is room, holds before as well. Both were not run on the code before, where the port takes no such condition.

--- a/test/platform/upstream-port.test.ts
+++ b/test/platform/upstream-port.test.ts
@@ -10,10 +10,14 @@
 /** Timeout for opening a connection, in milliseconds. */
 const OPEN_MS = 400
 const LINE_END = '\r\n'
+/** Rows of a large answer, and the size of each, in bytes. */
+const LARGE_ROWS = 1000
+const ROW_BYTES = 16_000
 
 describe('upstream port', () => {
   let server: Server
   let port: UpstreamPort
+  let hasRoom: boolean
   let received: string[]
   /** Returns the upstream's answer to a line, or undefined to send none. */
   let answer: (line: string, socket: Socket) => string[] | undefined
@@ -36,7 +40,8 @@
       })
     }).listen(0, '127.0.0.1')
     await once(server, 'listening')
-    port = createUpstreamPort((endpoint) => connect({ host: endpoint.address, port: endpoint.port }))
+    hasRoom = true
+    port = createUpstreamPort((endpoint) => connect({ host: endpoint.address, port: endpoint.port }), () => hasRoom)
   })
   const connections: UpstreamConnection[] = []
   afterEach(async () => {
@@ -86,6 +91,33 @@
     ])
   })
 
+  // Guards against answers whose rows end the process by the limit of its heap, and the next one by the caller's retry.
+  it('ends a read whose answer cannot be held, without a retry elsewhere, and closes its connection', async () => {
+    hasRoom = false
+    const connection = await open()
+    answer = (line) => line.startsWith('START')
+      ? ['READY I -']
+      : [...Array.from({ length: LARGE_ROWS }, () => `ROW ${'x'.repeat(ROW_BYTES)}`), 'DONE 7.1', 'READY I 3.1']
+    const { rows, failure, state } = await connection.run({ type: 'data', requestId: 'r', text: 'READ large' })
+    expect([rows.length, failure?.kind, state, connection.closed]).toEqual([0, 'too-large', 'idle', true])
+  })
+
+  it('ends a transaction with its connection if an answer in it cannot be held', async () => {
+    hasRoom = false
+    const connection = await open()
+    answer = () => ['DONE -', 'READY T 3.1']
+    await connection.run({ type: 'begin', readOnly: true })
+    answer = () => [...Array.from({ length: LARGE_ROWS }, () => `ROW ${'x'.repeat(ROW_BYTES)}`), 'DONE 7.1', 'READY T 3.1']
+    const error = await errorOf(connection.run({ type: 'data', requestId: 'r', text: 'READ large' }))
+    expect([error.verdict, error.entry, connection.closed]).toEqual(['may-have-run', 'ConnectionLost', true])
+  })
+
+  it('passes on a large answer while there is room', async () => {
+    const connection = await open()
+    answer = () => [...Array.from({ length: LARGE_ROWS }, () => `ROW ${'x'.repeat(ROW_BYTES)}`), 'DONE 7.1', 'READY I 3.1']
+    expect((await connection.run({ type: 'data', requestId: 'r', text: 'READ large' })).rows.length).toEqual(LARGE_ROWS)
+  })
+
   const REFUSALS = [['READONLY', 'read-only'], ['LAGGING', 'lagging'], ['NOSTMT', 'unknown-statement'], ['WHAT', 'failed']]
   for (const [code, kind] of REFUSALS) {
     it(`decodes the refusal ${code}`, async () => {
