Close idle connections to an upstream that has answered nothing

What callers saw: after all open connections to an upstream had gone silent, each idle one cost another statement its time limit.

Cause: a statement without an answer closes its own connection only, and the next one gets the next idle connection of the pool.

Evidence: test/entry/pools/silent-pool.test.ts, red since it was written (KNOWN-RED): the second statement was lost as well.

Why it holds: when a statement ends without an answer after at least 0.3 s, in which the upstream has answered nothing else to this host, the pool closes the connections that have been idle since before it was sent. The next statement opens a new one. An upstream that answers others keeps its idle connections.

--- a/src/entry/requests/run-statement.ts
+++ b/src/entry/requests/run-statement.ts
@@ -86,7 +86,8 @@
 }
 
 /**
- * Runs a command and waits for its answer. Closes the connection if the answer is lost or late.
+ * Runs a command and waits for its answer. Closes the connection if the answer is lost or late, and the idle ones of
+ * the pool if the upstream has answered nothing meanwhile.
  *
  * @param command - the command
  * @param options - connection, deadline and callbacks
@@ -106,8 +107,12 @@
     options.onFinished(answer.failure?.kind ?? 'done', ranMs)
     return { answer, sentAt, ranMs, epoch }
   } catch (thrown) {
+    const ranMs = performance.now() - sentAt
     lease.discard()
-    options.onFinished('lost', performance.now() - sentAt)
+    if (ranMs >= SILENCE_MS && resources.health.lastAnswerAt < sentAt) {
+      resources.pool.closeIdleSince(sentAt)
+    }
+    options.onFinished('lost', ranMs)
     throw thrown
   } finally {
     resources.health.recordRequestEnd()
