Send large changes to hosts that the store rejects

Further, an answer counts as large from a timer alone; compared with the clock, a timer that fires a moment early would have told nobody.

No field is added to the usual requests (test/frozen/ is unchanged).

--- a/src/entry/leadership/acknowledged-logs.ts
+++ b/src/entry/leadership/acknowledged-logs.ts
@@ -12,8 +12,8 @@
   candidates: Candidate[]
   /** Replicas that did not answer, but may have received commits. */
   silent: string[]
-  /** End of the old primary's log, if it has stepped down with the log that it had before. */
-  demotedAt?: LogPosition
+  /** End of the old primary's log, if it has answered with the log that it had before. */
+  oldPrimaryEnd?: LogPosition
 }
 
 /** The group whose successor is sought. */
@@ -32,10 +32,10 @@
  * @returns the position; undefined if it is not known, because too many replicas are silent
  */
 export function findAcknowledgedEnd (
-  { candidates, silent, demotedAt }: KnownLogs, { oldPrimary, synchronousReplicas }: SynchronousGroup
+  { candidates, silent, oldPrimaryEnd }: KnownLogs, { oldPrimary, synchronousReplicas }: SynchronousGroup
 ): LogPosition | undefined {
   if (silent.length >= synchronousReplicas) {
-    return demotedAt
+    return oldPrimaryEnd
   }
   return candidates
     .filter(({ upstream }) => upstream.upstream !== oldPrimary)
--- a/src/entry/leadership/await-logs.ts
+++ b/src/entry/leadership/await-logs.ts
@@ -51,13 +51,13 @@
   const { group, reason, oldPrimary, synchronousReplicas, demoted, catchUpMs, logger } = options
   const startedAt = performance.now()
   // Probes of an unreachable primary would only time out; they are needed if replicas are silent.
-  let left = reason === 'unreachable' ? oldPrimary : undefined
+  let except = reason === 'unreachable' ? oldPrimary : undefined
   for (;;) {
-    const candidates = await probeGroup(options, left)
-    left = undefined
+    const candidates = await probeGroup(options, except)
+    except = undefined
     const silent = silentReplicas(options, candidates)
-    const demotedAt = endOfOldPrimary(options, candidates)
-    const end = findAcknowledgedEnd({ candidates, silent, demotedAt }, { oldPrimary, synchronousReplicas })
+    const oldPrimaryEnd = endOfOldPrimary(options, candidates)
+    const end = findAcknowledgedEnd({ candidates, silent, oldPrimaryEnd }, { oldPrimary, synchronousReplicas })
     const waitedMs = performance.now() - startedAt
     const isCatchingUp = demoted !== undefined && waitedMs < catchUpMs &&
       !hasSuccessorWithLog(demoted, candidates.filter(({ upstream }) => upstream.upstream !== oldPrimary))
--- a/src/entry/registry/received-answers.ts
+++ b/src/entry/registry/received-answers.ts
@@ -28,28 +28,30 @@
  * @returns the record
  */
 export function createReceivedAnswers (onLarge: () => void): ReceivedAnswers {
-  /** Time at which each answer that is arriving began, on the monotonic clock, in milliseconds. */
-  const startedAt = new Map<symbol, number>()
+  const arriving = new Set<symbol>()
+  const large = new Set<symbol>()
   return {
-    get isReceiving () { return startedAt.size > 0 },
-    get isReceivingLarge () {
-      const now = performance.now()
-      return [...startedAt.values()].some((at) => now - at >= LARGE_AFTER_MS)
-    },
+    get isReceiving () { return arriving.size > 0 },
+    get isReceivingLarge () { return large.size > 0 },
     track: async (read) => {
       const answer = Symbol('answer')
       let timer: NodeJS.Timeout | undefined
+      const recordLarge = (): void => {
+        large.add(answer)
+        onLarge()
+      }
       const recordAnswer = (): void => {
-        if (!startedAt.has(answer)) {
-          startedAt.set(answer, performance.now())
-          timer = setTimeout(onLarge, LARGE_AFTER_MS)
+        if (!arriving.has(answer)) {
+          arriving.add(answer)
+          timer = setTimeout(recordLarge, LARGE_AFTER_MS)
         }
       }
       try {
         return await read(recordAnswer)
       } finally {
         clearTimeout(timer)
-        startedAt.delete(answer)
+        arriving.delete(answer)
+        large.delete(answer)
       }
     }
   }
--- a/src/entry/registry/table-answers.ts
+++ b/src/entry/registry/table-answers.ts
@@ -1,8 +1,8 @@
 /**
  * Serves this host's copies of store tables to other hosts. Changes are always returned. An empty response, or a whole
  * copy, is sent only while the copy is confirmed; otherwise the request is refused, since two hosts that the store
- * rejects would confirm outdated copies to each other. Large changes are not sent: several hosts would share the link
- * of this one, while the store serves all of them at once.
+ * rejects would confirm outdated copies to each other. Large changes are sent only to hosts that the store rejects:
+ * several hosts would share the link of this one, while the store serves all of them at once.
  */
 import { STALE_AFTER_MS } from '../ports/change-bound.ts'
 import type { TableResponse, TableRequest } from './table-messages.ts'
@@ -15,7 +15,7 @@
 export const RESPONSE_TIMEOUT_MS = 400
 /** Maximum age of a full read that serves a request for a fresh one, in milliseconds; lets requests share a read. */
 const MAXIMUM_FRESH_AGE_MS = 300
-/** Size of the rows up to which they are sent, in bytes; takes a quarter of a second on a link of 2 Mbit/s. */
+/** Size of the rows from which changes are large, in bytes; takes a quarter of a second on a link of 2 Mbit/s. */
 const MAXIMUM_CHANGES_BYTES = 65_536
 /** Maximum age of this host's registry snapshot, in milliseconds; with an older one the host may be cut off. */
 const MAXIMUM_REGISTRY_AGE_MS = 2500
@@ -54,13 +54,15 @@
   const tables = new Map<string, ServedTable>()
   return {
     serve: (table, served) => { tables.set(table, served) },
-    respond: async ({ table, after, anew = false }) => {
+    respond: async ({ table, after, anew = false, acceptsLarge = false }) => {
       const served = tables.get(table)
       if (served === undefined || registryAgeMs() >= MAXIMUM_REGISTRY_AGE_MS) {
         return { changes: undefined }
       }
-      const changes = anew ? await waitForFreshRead(served) : await waitForChanges(served, after)
-      if (changes === 'large') {
+      const { isReceivingLarge } = served
+      const mayWait = (): boolean => acceptsLarge || !isReceivingLarge()
+      const changes = anew ? await waitForFreshRead(served, mayWait) : await waitForChanges(served, after, mayWait)
+      if (changes === undefined ? !mayWait() : !acceptsLarge && isLarge(changes)) {
         return { changes: undefined, isLarge: true }
       }
       const ageMs = performance.now() - served.confirmation().confirmedAt
@@ -70,39 +72,29 @@
 }
 
 async function waitForFreshRead (
-  { copy, requestFreshRead, isFollowing, isReceivingLarge }: ServedTable
-): Promise<TableChanges | 'large' | undefined> {
-  if (isReceivingLarge()) {
-    return 'large'
-  }
+  { copy, requestFreshRead, isFollowing }: ServedTable, mayWait: () => boolean
+): Promise<TableChanges | undefined> {
   const since = performance.now() - MAXIMUM_FRESH_AGE_MS
   if (copy.fullReadAt < since) {
-    if (!isFollowing()) {
+    if (!isFollowing() || !mayWait()) {
       return undefined
     }
     requestFreshRead()
   }
-  return await copy.waitForRead(since, RESPONSE_TIMEOUT_MS)
-    ? unlessLarge(await copy.changesSince(undefined, 0))
-    : undefined
+  return await copy.waitForRead(since, RESPONSE_TIMEOUT_MS) ? await copy.changesSince(undefined, 0) : undefined
 }
 
 async function waitForChanges (
-  served: ServedTable, after: number | undefined
-): Promise<TableChanges | 'large' | undefined> {
-  const { copy, isReceivingLarge } = served
+  served: ServedTable, after: number | undefined, mayWait: () => boolean
+): Promise<TableChanges | undefined> {
+  const { copy } = served
   const isFirst = after === undefined
   const holdMs = isFirst || isConfirmed(served) ? TABLE_LONG_POLL_MS : 0
-  const changes = await copy.changesSince(after, holdMs, isReceivingLarge)
+  const changes = await copy.changesSince(after, holdMs, () => !mayWait())
   const isNew = changes !== undefined && !isFirst && changes.version > after
-  if (!isNew && isReceivingLarge()) {
-    return 'large'
-  }
-  return isNew || isConfirmed(served) ? unlessLarge(changes) : undefined
+  return isNew || (isConfirmed(served) && mayWait()) ? changes : undefined
 }
 
-/** Returns changes that are small enough to be sent. */
-function unlessLarge (changes: TableChanges | undefined): TableChanges | 'large' | undefined {
-  const bytes = changes?.rows.reduce((sum, { key, value }) => sum + key.length + value.length, 0) ?? 0
-  return bytes > MAXIMUM_CHANGES_BYTES ? 'large' : changes
+function isLarge ({ rows }: TableChanges): boolean {
+  return rows.reduce((bytes, { key, value }) => bytes + key.length + value.length, 0) > MAXIMUM_CHANGES_BYTES
 }
--- a/src/entry/registry/table-messages.ts
+++ b/src/entry/registry/table-messages.ts
@@ -6,7 +6,9 @@
   /** Version that the requester has; absent to request all rows. */
   after: z.number().optional(),
   /** Whether the responder must read the table from the store first. */
-  anew: z.boolean().optional()
+  anew: z.boolean().optional(),
+  /** Whether to send large changes as well, since the store does not answer the requester. */
+  acceptsLarge: z.boolean().optional()
 })
 export type TableRequest = z.infer<typeof tableRequestSchema>
 
--- a/src/entry/registry/table-questions.ts
+++ b/src/entry/registry/table-questions.ts
@@ -44,17 +44,23 @@
    * @param table - the table
    * @param after - version that this host has; undefined to request all rows
    * @param atLeast - minimum version of the response
-   * @returns the changes; undefined if no host could answer, or if they are large
+   * @param acceptsLarge - whether to request large changes as well
+   * @returns the changes; `large` if they should be read from the store; undefined if no host could answer
    */
-  requestChanges: (table: string, after: number | undefined, atLeast: number) => Promise<ConfirmedChanges | undefined>
+  requestChanges: (
+    table: string, after: number | undefined, atLeast: number, acceptsLarge: boolean
+  ) => Promise<ConfirmedChanges | 'large' | undefined>
   /**
    * Requests all rows of a table, read from the store on behalf of this request.
    *
    * @param table - the table
    * @param atLeast - minimum version of the response
-   * @returns all rows; undefined if no host could answer, or if they are large
+   * @param acceptsLarge - whether to request a large table as well
+   * @returns all rows; `large` if they should be read from the store; undefined if no host could answer
    */
-  requestFreshRows: (table: string, atLeast: number) => Promise<ConfirmedChanges | undefined>
+  requestFreshRows: (
+    table: string, atLeast: number, acceptsLarge: boolean
+  ) => Promise<ConfirmedChanges | 'large' | undefined>
   /**
    * Requests the changes that a host is known to have.
    *
@@ -106,7 +112,7 @@
   }
   const requestInTurn = async (
     tableRequest: TableRequest, timeoutMs: number, atLeast: number
-  ): Promise<ConfirmedChanges | undefined> => {
+  ): Promise<ConfirmedChanges | 'large' | undefined> => {
     const isFirst = tableRequest.after === undefined && tableRequest.anew !== true
     let timeoutsLeft = isFirst ? 1 : MAXIMUM_TIMEOUTS
     for (const host of recentFailures.sortFailedLast(followers())) {
@@ -115,7 +121,7 @@
         return response
       }
       if (response === 'large') {
-        return undefined
+        return response
       }
       recentFailures.record(host)
       timeoutsLeft -= response === undefined ? 1 : 0
@@ -126,12 +132,14 @@
     return undefined
   }
   return {
-    requestChanges: async (table, after, atLeast) =>
-      await requestInTurn(
-        { table, after }, after === undefined ? FIRST_RESPONSE_MS : TABLE_LONG_POLL_MS + RESPONSE_TIMEOUT_MS, atLeast
-      ),
-    requestFreshRows: async (table, atLeast) =>
-      await requestInTurn({ table, anew: true }, RESPONSE_TIMEOUT_MS, atLeast),
+    requestChanges: async (table, after, atLeast, acceptsLarge) => {
+      const timeoutMs = after === undefined && !acceptsLarge
+        ? FIRST_RESPONSE_MS
+        : TABLE_LONG_POLL_MS + RESPONSE_TIMEOUT_MS
+      return await requestInTurn({ table, after, ...acceptsLarge && { acceptsLarge } }, timeoutMs, atLeast)
+    },
+    requestFreshRows: async (table, atLeast, acceptsLarge) =>
+      await requestInTurn({ table, anew: true, ...acceptsLarge && { acceptsLarge } }, RESPONSE_TIMEOUT_MS, atLeast),
     requestFromHost: async (name, table, after) => {
       const host = hostOf(name)
       const response = host === undefined ? undefined : await ask(host, { table, after }, RESPONSE_TIMEOUT_MS)
--- a/src/entry/registry/table-reads.ts
+++ b/src/entry/registry/table-reads.ts
@@ -4,6 +4,7 @@
 import type { StorePort } from '../ports/index.ts'
 import type { ChangeNotifications } from './change-notifications.ts'
 import { STORE_SOURCE, type FollowedTable } from './followed-table.ts'
+import { createLargeChanges } from './large-changes.ts'
 import type { ReceivedAnswers } from './received-answers.ts'
 import type { TableExchange } from './table-exchange.ts'
 
@@ -56,6 +57,7 @@
 export function createTableReads (options: TableReadsOptions): TableReads {
   const { store, table, logger, followed, answers, notifications, exchange, batchMs } = options
   let mustReadFresh = false
+  const large = createLargeChanges(answers)
   let longPoll = new AbortController()
   let isLongPolling = false
   let lastAnswerAt = -Infinity
@@ -77,7 +79,7 @@
     readFull: async () => {
       mustReadFresh = false
       const askedAt = performance.now()
-      const snapshot = await answers.track(async (onAnswering) => await store.list(table, onAnswering))
+      const snapshot = await large.readStore(async (onAnswering) => await store.list(table, onAnswering))
       lastAnswerAt = performance.now()
       followed.replace(snapshot.rows, snapshot.version, askedAt)
       followed.confirm({ confirmedAt: askedAt, source: STORE_SOURCE })
@@ -87,8 +89,8 @@
       const { signal } = longPoll
       isLongPolling = true
       const askedAt = performance.now()
-      const changes = await answers.track(async (onAnswering) =>
-        await store.follow(table, after, waitMs, signal, onAnswering)
+      const changes = await large.readStore(
+        async (onAnswering) => await store.follow(table, after, waitMs, signal, onAnswering), () => signal.aborted
       ).catch((thrown: unknown) => {
         if (!signal.aborted) {
           throw thrown
@@ -115,16 +117,18 @@
       const isFresh = mustReadFresh
       mustReadFresh = false
       const response = isFresh
-        ? await exchange.requestFreshRows(table, atLeast)
-        : await exchange.requestChanges(table, followed.copy.version, atLeast)
+        ? await exchange.requestFreshRows(table, atLeast, large.areAccepted)
+        : await exchange.requestChanges(table, followed.copy.version, atLeast, large.areAccepted)
+      if (response === 'large') {
+        large.recordReferral()
+        return false
+      }
       // A version that changed during the request makes the response outdated.
       if (response === undefined || followed.version !== versionBefore) {
         return response !== undefined
       }
-      const { changes, confirmation } = response
-      changes.isWhole
-        ? followed.replace(changes.rows, changes.version)
-        : followed.update(changes.rows, changes.removed, changes.version)
+      const { changes: { isWhole, rows, removed, version }, confirmation } = response
+      isWhole ? followed.replace(rows, version) : followed.update(rows, removed, version)
       followed.confirm(confirmation)
       return true
     }
--- a/test/entry/leadership/acknowledged-logs.test.ts
+++ b/test/entry/leadership/acknowledged-logs.test.ts
@@ -45,7 +45,7 @@
   })
 
   it('is that of the old primary if it has answered and replicas are silent', () => {
-    expect(endOf({ candidates: [candidate('a', 10)], silent: ['b'], demotedAt: { term: 2, position: 12 } })).toEqual(12)
+    expect(endOf({ candidates: [candidate('a', 10)], silent: ['b'], oldPrimaryEnd: { term: 2, position: 12 } })).toEqual(12)
   })
 
   it('excludes shorter logs, logs of an earlier term, and all of them while it is not known', () => {
--- a/test/entry/registry/narrow-links.test.ts
+++ b/test/entry/registry/narrow-links.test.ts
@@ -38,6 +38,16 @@
     expect(outdated()).toEqual([])
   })
 
+  // Guards against hosts that can get a large change neither from the store nor from others.
+  it('is in force on hosts that the store rejects, on wide links', async () => {
+    await suite.clock.tickAsync(20_000)
+    NAMES.filter((_, index) => index % 3 === 0).forEach((name) => suite.world.store.cutOff.add(name))
+    await suite.clock.tickAsync(2000)
+    suite.world.configure(MANY_ROUTES)
+    await suite.clock.tickAsync(2 * CHANGE_IN_FORCE_MS)
+    expect(outdated()).toEqual([])
+  })
+
   it('is in force again after all hosts have restarted', async () => {
     suite.world.store.links.bytesPerMs = BYTES_PER_MS
     suite.world.configure(MANY_ROUTES)
