Look up orders and stops by own names only

Found by reading once more what the fault of inherited names reaches: the row of a group has its orders to promote by the name of the upstream, and that of a host its stops by the name of the group, and both names come from rows of the platform. For a name such as constructor the latest effect of an order was no number, and a published stop was not seen.

--- a/src/entry/leadership/close-epoch.ts
+++ b/src/entry/leadership/close-epoch.ts
@@ -7,6 +7,7 @@
 import { describeThrown } from '../../core/errors/index.ts'
 import type { Logger } from '../../core/logger/index.ts'
 import { pause } from '../../core/time/deadline.ts'
+import { ownValue } from '../../core/own-value.ts'
 import type { Peers } from '../../peers/index.ts'
 import type { KnownHost, Registry } from '../registry/index.ts'
 import { HOST_REQUEST_TIMEOUT_MS } from './probe-times.ts'
@@ -62,7 +63,7 @@
     if (latest === undefined) {
       return 'unregistered'
     }
-    if ((latest.stopped?.[group] ?? 0) >= epoch) {
+    if ((ownValue(latest.stopped ?? {}, group) ?? 0) >= epoch) {
       return 'published'
     }
     if (registry.haveLeasesExpired(latest)) {
--- a/src/entry/leadership/pending-orders.ts
+++ b/src/entry/leadership/pending-orders.ts
@@ -2,6 +2,7 @@
  * Orders to promote that may still take effect, according to the group's row and to what this failover knows of its own
  * orders. An epoch must not be open while such an order may make another upstream the primary.
  */
+import { ownValue } from '../../core/own-value.ts'
 import type { GroupRow, Registry } from '../registry/index.ts'
 
 /**
@@ -51,7 +52,7 @@
 export function createPendingOrders ({ group, registry }: PendingOrdersOptions): PendingOrders {
   const settled = new Map<string, number>()
   const untilMs = (upstream: string): number =>
-    settled.get(upstream) ?? registry.current.group(group).row?.orders?.[upstream] ?? -Infinity
+    settled.get(upstream) ?? ownValue(registry.current.group(group).row?.orders ?? {}, upstream) ?? -Infinity
   const ordered = (): string[] => Object.keys(registry.current.group(group).row?.orders ?? {})
     .filter((upstream) => untilMs(upstream) > -Infinity)
   const remaining = (): GroupRow['orders'] =>
--- a/src/entry/leadership/promotion-lease.ts
+++ b/src/entry/leadership/promotion-lease.ts
@@ -7,6 +7,7 @@
  */
 import { describeThrown } from '../../core/errors/index.ts'
 import type { Logger } from '../../core/logger/index.ts'
+import { ownValue } from '../../core/own-value.ts'
 import type { Peers } from '../../peers/index.ts'
 import { isConnectionRefused } from '../../peers/refusal.ts'
 import { registryKeys, type GroupRow, type PromotionLeaseRow, type Registry } from '../registry/index.ts'
@@ -167,7 +168,7 @@
   if (row?.succession !== failoverId) {
     return undefined
   }
-  const untilMs = Math.max(row.orders?.[upstream] ?? -Infinity, leaseExpiresMs + ORDER_EFFECT_MS)
+  const untilMs = Math.max(ownValue(row.orders ?? {}, upstream) ?? -Infinity, leaseExpiresMs + ORDER_EFFECT_MS)
   const value = JSON.stringify({ ...row, orders: { ...row.orders, [upstream]: untilMs } } satisfies GroupRow)
   return { key: registryKeys.group(group), version, untilMs, value }
 }
@@ -219,7 +220,7 @@
     return true
   }
   const { row } = current.group(order.group)
-  return row?.succession === order.failoverId && row.orders?.[order.upstream] === record?.untilMs
+  return row?.succession === order.failoverId && ownValue(row.orders ?? {}, order.upstream) === record?.untilMs
 }
 
 /** Returns the row of the lease with this host as its holder. */
