--- a/src/entry/pools/idle-connections.ts
+++ b/src/entry/pools/idle-connections.ts
@@ -41,13 +41,6 @@
    * @param onClosed - called for each closed connection
    */
   closeSurplus: (inUse: Iterable<PooledConnection>, hasSurplus: () => boolean, onClosed: () => void) => void
-  /**
-   * Closes the connections that have been idle since before a time.
-   *
-   * @param time - time on the monotonic clock, in milliseconds
-   * @param onClosed - called for each closed connection
-   */
-  closeIdleSince: (time: number, onClosed: () => void) => void
   closeAll: () => void
 }
 
@@ -86,12 +79,6 @@
         onClosed()
       }
     },
-    closeIdleSince: (time, onClosed) => {
-      while (idle.length > 0 && idle[0]!.idleSince < time) {
-        idle.shift()!.connection.close()
-        onClosed()
-      }
-    },
     closeAll: () => idle.splice(0).forEach(({ connection }) => connection.close())
   }
 }
--- a/src/entry/pools/upstream-pool.ts
+++ b/src/entry/pools/upstream-pool.ts
@@ -60,13 +60,6 @@
    * @returns whether a connection is open afterwards
    */
   openAhead: (organisation: string) => Promise<boolean>
-  /**
-   * Closes the connections that have been idle since before a time, after which the upstream has answered nothing:
-   * connections often go silent together, and each would cost another statement.
-   *
-   * @param time - time on the monotonic clock, in milliseconds
-   */
-  closeIdleSince: (time: number) => void
   /** Rejects new and waiting requests; leased connections are closed when they are returned. */
   close: () => void
 }
@@ -162,10 +155,6 @@
     return this.openCount > 0
   }
 
-  closeIdleSince (time: number): void {
-    this.idle.closeIdleSince(time, () => this.options.events.onClosed('failed'))
-  }
-
   close (): void {
     this.closed = true
     this.stopTrimming()
--- a/src/entry/requests/run-statement.ts
+++ b/src/entry/requests/run-statement.ts
@@ -86,8 +86,7 @@
 }
 
 /**
- * Runs a command and waits for its answer. Closes the connection if the answer is lost or late, and the idle ones of
- * the pool if the upstream has answered nothing meanwhile.
+ * Runs a command and waits for its answer. Closes the connection if the answer is lost or late.
  *
  * @param command - the command
  * @param options - connection, deadline and callbacks
@@ -107,12 +106,8 @@
     options.onFinished(answer.failure?.kind ?? 'done', ranMs)
     return { answer, sentAt, ranMs, epoch }
   } catch (thrown) {
-    const ranMs = performance.now() - sentAt
     lease.discard()
-    if (ranMs >= SILENCE_MS && resources.health.lastAnswerAt < sentAt) {
-      resources.pool.closeIdleSince(sentAt)
-    }
-    options.onFinished('lost', ranMs)
+    options.onFinished('lost', performance.now() - sentAt)
     throw thrown
   } finally {
     resources.health.recordRequestEnd()
