Drop the requests behind one that failed unexpectedly

What callers could see: after an unexpected error of a request, those behind it on the same connection were still served until its socket had closed, so a pipelined write could run as a statement of its own although the BEGIN before it had failed.

Cause: the loop that serves a connection's requests gave the error on and went on with the next one; the port closes the socket, but the close is known to the owner of the requests only later.

Evidence and test: caller-requests.test.ts, which failed before.

Why it holds: the owner marks the connection as ended and drops what waits before it gives the error on.

--- a/src/entry/requests/caller-requests.ts
+++ b/src/entry/requests/caller-requests.ts
@@ -84,10 +84,16 @@
       link.end()
     }
   }
+  /** Fails a request, and drops those behind it: what they build on may be missing. The port closes the connection. */
+  const failAt = ({ fail }: UnservedRequest, thrown: unknown): void => {
+    isEnded = true
+    waiting.length = 0
+    fail(thrown)
+  }
   const serveWaiting = async (): Promise<void> => {
     isServing = true
     for (let next = waiting.shift(); next !== undefined; next = waiting.shift()) {
-      await serveNext(next).catch(next.fail)
+      await serveNext(next).catch((thrown: unknown) => failAt(next, thrown))
     }
     isServing = false
   }
--- a/test/entry/requests/caller-requests.test.ts
+++ b/test/entry/requests/caller-requests.test.ts
@@ -54,6 +54,19 @@
 }
 
 describe('requests of a connection', () => {
+  // Guards against a request that runs although the one before, such as its BEGIN, has failed unexpectedly.
+  it('are not served after one that failed unexpectedly', async () => {
+    const { requests, session, served, send, settle } = setUp()
+    session.serve = async ({ id }) => {
+      served.push(id)
+      throw new TypeError('unexpected')
+    }
+    const failed = requests.serve({ id: 'a', statement: BEGIN }).catch((thrown: Error) => thrown.message)
+    send('b')
+    await settle()
+    expect([await failed, served, requests.unanswered]).toEqual(['unexpected', ['a'], 0])
+  })
+
   it('are served one at a time, and answered in their order', async () => {
     const { requests, served, answered, finish, send, settle } = setUp()
     send('a')
