Judge the log of a reborn primary by its start time, not by the reason

What callers could see, with synchronous replicas: a primary starts again without its log while a replica is silent. The first host waits; the next one resumes the failover, takes the empty log for one that has every commit, and promotes a replica that lacks acknowledged commits.

Cause: only the reason of a failover told that the log is gone, and a failover that is resumed has the reason unfinished.

Evidence and test: the new case of synchronous-replicas.test.ts, in which g-c was promoted before; now nobody is until g-b answers.

Why it holds: the start time of the upstream is compared with the one in the group's row, which stays while the failover is under way.

--- a/src/entry/leadership/await-logs.ts
+++ b/src/entry/leadership/await-logs.ts
@@ -5,11 +5,13 @@
 import type { Logger } from '../../core/logger/index.ts'
 import { pause } from '../../core/time/deadline.ts'
 import { formatPosition, type LogPosition } from '../../positions/position.ts'
-import type { KnownUpstream } from '../directory/index.ts'
+import type { Directory, KnownUpstream } from '../directory/index.ts'
 import type { UpstreamReport } from '../ports/index.ts'
+import type { GroupRow } from '../registry/index.ts'
 import { findAcknowledgedEnd, hasLogUpTo, hasSuccessorWithLog } from './acknowledged-logs.ts'
 import type { Candidate } from './choose-successor.ts'
 import { isSameEndpoint, type FormerUpstreams } from './former-upstreams.ts'
+import { isReborn } from './group-need.ts'
 import { probeGroup, type ProbeOptions } from './probe-group.ts'
 import { SUCCESSOR_POLL_INTERVAL_MS } from './probe-times.ts'
 import type { FailoverReason } from './types.ts'
@@ -22,8 +24,10 @@
 
 /** Options of {@link awaitLogs}. */
 interface LogsOptions extends ProbeOptions {
+  directory: Pick<Directory, 'get' | 'ofGroup'>
   reason: FailoverReason
-  oldPrimary: string
+  /** Row of the group, whose primary is the old one. */
+  row: GroupRow
   /** Replicas that must have received a commit before it is acknowledged; at least 1. */
   synchronousReplicas: number
   former: FormerUpstreams
@@ -48,7 +52,7 @@
  * @returns the upstreams that answered, and which of them may lead; none if too many are silent
  */
 export async function awaitLogs (options: LogsOptions): Promise<Successors> {
-  const { group, reason, oldPrimary, synchronousReplicas, demoted, catchUpMs, logger } = options
+  const { group, reason, row: { primary: oldPrimary }, synchronousReplicas, demoted, catchUpMs, logger } = options
   const startedAt = performance.now()
   // Probes of an unreachable primary would only time out; they are needed if replicas are silent.
   let except = reason === 'unreachable' ? oldPrimary : undefined
@@ -77,11 +81,11 @@
 
 /** Returns the replicas that did not answer and may have commits, and those that have left recently. */
 function silentReplicas (
-  { group, directory, former, oldPrimary }: LogsOptions, answered: Candidate[]
+  { group, directory, former, row }: LogsOptions, answered: Candidate[]
 ): string[] {
   const isReplaced = (replica: KnownUpstream): boolean =>
     answered.some(({ upstream }) => isSameEndpoint(upstream, replica) && upstream.upstream !== replica.upstream)
-  const names = new Set([oldPrimary, ...answered.map(({ upstream }) => upstream.upstream)])
+  const names = new Set([row.primary, ...answered.map(({ upstream }) => upstream.upstream)])
   return [...directory.ofGroup(group), ...former.ofGroup(group)]
     .filter((replica) => !names.has(replica.upstream) && !isReplaced(replica))
     .map(({ upstream }) => upstream)
@@ -89,8 +93,10 @@
 
 /** Returns the end of the old primary's log, which has every commit, unless it has started again without its log. */
 function endOfOldPrimary (
-  { reason, oldPrimary, demoted }: LogsOptions, candidates: Candidate[]
+  { directory, row, demoted }: LogsOptions, candidates: Candidate[]
 ): LogPosition | undefined {
-  const report = candidates.find(({ upstream }) => upstream.upstream === oldPrimary)?.report ?? demoted
-  return reason === 'reborn' ? undefined : report?.received
+  const known = directory.get(row.primary)
+  const report = candidates.find(({ upstream }) => upstream.upstream === row.primary)?.report ?? demoted
+  // The reason of the failover does not tell: another host may have begun it.
+  return known !== undefined && isReborn(known, row) ? undefined : report?.received
 }
--- a/src/entry/leadership/failover.ts
+++ b/src/entry/leadership/failover.ts
@@ -82,8 +82,9 @@
 
 /** Waits until no host uses the old primary, which is demoted if it can be reached, and returns who may lead next. */
 async function awaitOldPrimaryUnused (
-  options: FailoverOptions, { epoch, primary }: GroupRow, closedAt: number
+  options: FailoverOptions, row: GroupRow, closedAt: number
 ): Promise<Successors> {
+  const { epoch, primary } = row
   const isSynchronous = options.synchronousReplicas > 0
   const closed = Promise.all([options.closeLocally(epoch), awaitHostsStopped({ ...options, epoch, closedAt })])
   // Once no host uses an unreachable primary, its demotion is not waited for: the probe would only time out.
@@ -95,7 +96,7 @@
     closed
   ])
   if (isSynchronous) {
-    return await awaitLogs({ ...options, oldPrimary: primary, demoted, catchUpMs: CATCH_UP_TIMEOUT_MS })
+    return await awaitLogs({ ...options, row, demoted, catchUpMs: CATCH_UP_TIMEOUT_MS })
   }
   return { candidates: demoted === undefined ? reports : await awaitCatchUp(options, demoted.received, primary) }
 }
--- a/src/entry/leadership/former-upstreams.ts
+++ b/src/entry/leadership/former-upstreams.ts
@@ -5,7 +5,7 @@
 import { formatEndpoint } from '../../core/wire/dialer.ts'
 import type { Directory, KnownUpstream } from '../directory/index.ts'
 
-/** Time for which an upstream is remembered, in milliseconds; a crashed one takes up to 7 s to restart. */
+/** Time for which an upstream is remembered, in milliseconds; longer than a crashed one takes to restart. */
 const REMEMBERED_MS = 10_000
 
 /** Upstreams that have left. */
--- a/src/entry/leadership/group-need.ts
+++ b/src/entry/leadership/group-need.ts
@@ -4,9 +4,9 @@
  * Usually only the first host acts, without coordination, and the next one takes over if the first fails.
  */
 import { createHash } from 'node:crypto'
-import type { Directory } from '../directory/index.ts'
+import type { Directory, KnownUpstream } from '../directory/index.ts'
 import type { Pools } from '../pools/index.ts'
-import type { Registry } from '../registry/index.ts'
+import type { GroupRow, Registry } from '../registry/index.ts'
 import type { FailoverReason } from './types.ts'
 
 /** Delay for each host that comes before this one, in milliseconds. */
@@ -47,7 +47,7 @@
     // A process that has just started may not know the primary, whose row can be missing after an outage of the store.
     return directory.isGone(row.primary) ? 'gone' : undefined
   }
-  if (primary.bornAt !== undefined && primary.bornAt > (row.primaryBornAt ?? Infinity)) {
+  if (isReborn(primary, row)) {
     return 'reborn'
   }
   if (primary.draining) {
@@ -61,6 +61,17 @@
   return unreachable ? 'unreachable' : undefined
 }
 
+/**
+ * Whether a primary has started again since it became one, without the log that it had.
+ *
+ * @param primary - the upstream as the directory knows it
+ * @param row - the group's row
+ * @returns whether it has
+ */
+export function isReborn ({ bornAt }: Pick<KnownUpstream, 'bornAt'>, { primaryBornAt }: GroupRow): boolean {
+  return bornAt !== undefined && bornAt > (primaryBornAt ?? Infinity)
+}
+
 /** Minimum time for which a need must persist before any host acts, in milliseconds. */
 const MINIMUM_PERSISTENCE_MS: Partial<Record<GroupNeed, number>> = {
   // The row of a new primary is updated after its promotion, possibly with a delay.
--- a/test/entry/process/synchronous-replicas.test.ts
+++ b/test/entry/process/synchronous-replicas.test.ts
@@ -178,6 +178,24 @@
     expect(lost()).toEqual([])
   })
 
+  // Guards against taking the log of a primary that has started again empty for one that has every commit.
+  it('waits for a silent replica after the primary has started again empty, also when another host resumes', async () => {
+    await start()
+    upstream('g-c').deaf = true
+    await suite.clock.tickAsync(DISRUPTED_MS)
+    // What the empty primary accepts until the hosts know of its restart is another matter.
+    await finish()
+    HOSTS.forEach((host) => upstream('g-b').cutOff.add(host))
+    suite.world.upstreams.restartEmpty(upstream('g-a'), 'primary')
+    suite.world.announce(upstream('g-a'))
+    await suite.clock.tickAsync(4 * REPEATED_MS)
+    expect(promoted()).toEqual([])
+    upstream('g-b').cutOff.clear()
+    await suite.clock.tickAsync(2 * REPEATED_MS)
+    expect(promoted()).toEqual(['g-b'])
+    expect(lost()).toEqual([])
+  })
+
   it('goes on without a silent replica if none is synchronous', async () => {
     await start(0)
     HOSTS.forEach((host) => upstream('g-b').cutOff.add(host))
