--- a/src/core/heap-room.ts
+++ b/src/core/heap-room.ts
@@ -5,7 +5,7 @@
 const MAXIMUM_USED_PART = 0.8
 
 /**
- * Whether there is room for more large data. What is no longer referenced counts until it has been collected.
+ * Whether there is room for more large data. Garbage counts as used until it has been collected.
  *
  * @returns whether there is
  */
--- a/src/entry/registry/table-answers.ts
+++ b/src/entry/registry/table-answers.ts
@@ -15,7 +15,7 @@
 export const RESPONSE_TIMEOUT_MS = 400
 /** Maximum age of a full read that serves a request for a fresh one, in milliseconds; lets requests share a read. */
 const MAXIMUM_FRESH_AGE_MS = 300
-/** Size of the rows from which changes are large, in bytes; takes a quarter of a second on a link of 2 Mbit/s. */
+/** Size of the rows from which changes are large, in bytes. */
 const MAXIMUM_CHANGES_BYTES = 65_536
 /** Maximum age of this host's registry snapshot, in milliseconds; with an older one the host may be cut off. */
 const MAXIMUM_REGISTRY_AGE_MS = 2500
--- a/src/entry/registry/table-copy.ts
+++ b/src/entry/registry/table-copy.ts
@@ -29,7 +29,7 @@
    *
    * @param after - version that the requester has; undefined to request all rows
    * @param holdMs - maximum wait, in milliseconds
-   * @param isInterrupted - whether to wait no longer; asked again after each change and each `recheck`
+   * @param isInterrupted - whether to end the wait; checked on each change and each `recheck`
    * @returns the changes, which may be empty; undefined if the copy is unread or older than `after`
    */
   changesSince: (
--- a/src/mysql-proxy/operators/change.ts
+++ b/src/mysql-proxy/operators/change.ts
@@ -63,14 +63,13 @@
   for (const key of parentPath) {
     parent = getChild(parent, key)
   }
-  const container = parent as JsonObject
-  if (Array.isArray(parent) || container === null || typeof container !== 'object' || !Object.hasOwn(container, lastKey)) {
+  if (!isJsonObject(parent) || !Object.hasOwn(parent, lastKey)) {
     throw createUnknownValueError(lastKey, parent)
   }
   if (value === undefined) {
-    delete container[lastKey]
+    delete parent[lastKey]
   } else {
-    container[lastKey] = value
+    parent[lastKey] = value
   }
   const result = groupSchema.safeParse(changed)
   if (!result.success) {
