--- a/review/lib-2/backends.mjs
+++ b/review/lib-2/backends.mjs
@@ -10,7 +10,7 @@
  * Starts the backends of a service. None of them fails here, so no promote is needed.
  *
  * @param options.backends `[{ id, address, port }]`, the primary first
- * @param options.onRun called with `{ backend, id, text }` when a backend runs a statement with an id of a client
+ * @param options.onRun called with `{ backend, id, text, values }` when a backend runs a statement with an id of a client
  * @param options.rowsOf returns the rows of a read of a thing, or their encoded lines in a buffer
  */
 export async function startService ({
@@ -27,6 +27,7 @@
     let transaction = 'I'
     let writes = []
     const prepared = new Map()
+    const values = new Map()
     const send = (lines) => socket.write(lines.map((line) => `${line}\r\n`).join(''), 'latin1')
     const held = () => isPrimary ? log.length : log.filter(({ at }) => at <= performance.now() - lagMs).length
     const answer = (lines) => send([...lines, `READY ${transaction} ${TERM}.${held()}`])
@@ -45,7 +46,7 @@
         answer([`ERR READONLY ${backend.id}`])
         return
       }
-      onRun({ backend: backend.id, id, text })
+      onRun({ backend: backend.id, id, text, values: Object.fromEntries(values) })
       await useSlot(workMs)
       if (isWrite) {
         transaction === 'T' ? writes.push(id) : commit([id])
@@ -77,7 +78,7 @@
         writes = []
         answer([refused ? `ERR READONLY ${backend.id}` : 'DONE -'])
       } else if (verb === 'COMMIT') {
-        onRun({ backend: backend.id, id, text })
+        onRun({ backend: backend.id, id, text, values: Object.fromEntries(values) })
         await useSlot(workMs)
         commit(writes)
         transaction = 'I'
@@ -89,7 +90,11 @@
         const role = isPrimary ? 'primary' : 'replica'
         answer([`ROW ${role} ${TERM} ${TERM}.${held()} ${isPrimary ? 0 : lagMs} ${state.running} ${sockets.size}`, 'DONE -'])
       } else {
-        verb === 'RESET' && prepared.clear()
+        verb === 'SET' && values.set(first, rest)
+        if (verb === 'RESET') {
+          prepared.clear()
+          values.clear()
+        }
         verb === 'DEALLOC' && prepared.delete(first)
         answer(['DONE -'])
       }
--- a/review/lib-2/entry.mjs
+++ b/review/lib-2/entry.mjs
@@ -57,19 +57,20 @@
  *
  * @param options.onEnd called with `{ host, code, signal, lifeMs, lastLines }` when a process ends
  */
-export function startHost ({ name, address, zone, store, onEnd = () => {}, restarts = true }) {
+export function startHost ({ name, address, zone, store, graceSeconds = 6, onEnd = () => {}, restarts = true }) {
   const folder = mkdtempSync(join(tmpdir(), 'worksward-review-'))
   const file = join(folder, 'settings.yaml')
-  writeFileSync(file, [
+  const writeSettings = (grace) => writeFileSync(file, [
     'host:', `  name: ${name}`, `  address: ${address}`, `  failureDomain: ${zone}`,
     '  capacity:', '    coreShare: 0.675', '    cores: 1', '    linkMbps: 1000',
     'listen:', `  callers: ${address}:${CALLERS}`, `  readiness: ${address}:${READINESS}`,
     `  peers: ${PEERS}`, `  metrics: ${METRICS}`,
     `store: ${store}:${STORE}`, `promotion: ${store}:${STORE + 100}`,
     'peers:', '  key: worksward-peers-of-one-deployment',
-    'drainMs: 7000', 'graceSeconds: 6',
+    'drainMs: 7000', `graceSeconds: ${grace}`,
     'limits:', '  windowSeconds: 5', '  tolerance:', '    part: 0', '    operations: 0', ''
   ].join('\n'))
+  writeSettings(graceSeconds)
   const [command, ...parameters] = commandOfDeployFile()
   let child
   let isStopped = false
@@ -104,6 +105,8 @@
     zone,
     get pid () { return child.pid },
     get ends () { return endedCount },
+    /** Fills the settings file anew, as the platform does whenever the settings change. */
+    writeSettings,
     kill: (signal) => child.kill(signal),
     isReady: async () => await isReady(address),
     stop: () => {
