--- a/review/8/play.mjs
+++ b/review/8/play.mjs
@@ -1,15 +1,24 @@
-// A client that changes a session value inside its transaction, after the last statement before the commit.
+// Sessions that prepare statements and execute each of them once, at a small deployment.
 import { writeFileSync } from 'node:fs'
 import { openSession } from '../lib-2/client.mjs'
 import { startService } from '../lib-2/backends.mjs'
 import { awaitReady, BACKEND, CALLERS, freeNetwork, startHost, STORE } from '../lib-2/entry.mjs'
 import { startPlatform } from '../lib-2/platform.mjs'
 
-const TRANSACTIONS = 10
+const HOSTS = 3
+const SESSIONS_PER_HOST = 22
+const SERVICES = 3
+/** Statements that a session prepares, and their length in bytes. */
+const STATEMENTS = 200
+const STATEMENT_BYTES = 20_000
+/** Ends of its own on one machine that count as a fault, and the number of machines. */
+const FAULT = { ends: 3, machines: 2 }
+const LIMIT_MS = 100_000
 const hasTrouble = process.env.TROUBLE !== '0'
+
+const pause = async (ms) => await new Promise((resolve) => setTimeout(resolve, ms))
 const startedAt = performance.now()
 const lines = []
-const stop = []
 const record = (text) => lines.push(`${((performance.now() - startedAt) / 1000).toFixed(3)} ${text}`)
 const finish = (code, verdict) => {
   record(verdict)
@@ -18,73 +27,110 @@
   stop.forEach((close) => close())
   process.exit(code)
 }
+const stop = []
 
 const network = await freeNetwork()
 const store = `${network}.2`
 const platform = await startPlatform({ address: store, storePort: STORE, promotionPort: STORE + 100, promote: () => 200 })
 stop.push(platform.close)
+const groups = Array.from({ length: SERVICES }, (_, index) => `service-${index + 1}`)
 platform.put('op', 'config', {
   version: 1,
-  routes: [{ name: 'r', host: 'money', type: 'primary', 'timeout-ms': 800, 'target-latency-ms': 150, priority: 1, service: 'g' }],
-  services: [{ name: 'g', 'max-connections': 23 }],
+  routes: groups.map((service) => ({
+    name: `route-${service}`,
+    host: `grid-${service}`,
+    type: 'bounded_staleness',
+    'max-staleness-ms': 1500,
+    'timeout-ms': 2000,
+    'target-latency-ms': 500,
+    priority: 2,
+    service
+  })),
+  services: groups.map((name) => ({ name, 'max-connections': 23 })),
   limits: { 'tx-idle-ms': 3000 }
 })
 const zones = ['a', 'b', 'c']
-const backends = zones.map((zone, place) => ({ id: `i-${zone}`, address: `${network}.${100 + place}`, port: BACKEND, zone }))
-/** Values acknowledged to the client, and the statements that ran with others. */
-const acknowledged = {}
-const wrong = []
-const { close } = await startService({
-  service: 'g',
-  backends,
-  onRun: ({ backend, id, text, values }) => {
-    const [found, expected] = [JSON.stringify(values), JSON.stringify(acknowledged)]
-    record(`${id} runs at ${backend}: ${text}, values ${found}, acknowledged ${expected}`)
-    found === expected || wrong.push(`${text} of ${id} ran with ${found} in place of ${expected}`)
+for (const [index, service] of groups.entries()) {
+  const backends = zones.map((zone, place) => ({
+    id: `i-${index + 1}${zone}`, address: `${network}.${100 + index * 10 + place}`, port: BACKEND, zone
+  }))
+  const { close } = await startService({
+    service,
+    backends,
+    onRun: ({ backend, id }) => { lines.length < 20_000 && record(`${id} runs at ${backend}`) },
+    workMs: 10,
+    maxConnections: 23
+  })
+  stop.push(close)
+  let sequence = 0
+  const tell = () => backends.forEach(({ id, address, port, zone }, place) => platform.put('servers', id, {
+    service,
+    address: `${address}:${port}`,
+    zone,
+    version: 'v1',
+    slots: 3,
+    state: 'ready',
+    'cold-remaining-ms': 0,
+    sequence: sequence++,
+    'db-role': place === 0 ? 'primary' : 'replica'
+  }))
+  tell()
+  setInterval(tell, 1200)
+}
+const hosts = Array.from({ length: HOSTS }, (_, index) => startHost({
+  name: `front-${index + 1}`,
+  address: `${network}.${10 + index}`,
+  zone: zones[index],
+  store,
+  onEnd: ({ host, code, signal, lifeMs, lastLines }) => {
+    record(`process of ${host} ended by itself: code ${code}, signal ${signal}, after ${lifeMs} ms`)
+    lastLines.filter((line) => line.includes('FATAL')).forEach((line) => record(`  ${line}`))
   }
-})
-stop.push(close)
-backends.forEach(({ id, address, port, zone }, place) => platform.put('servers', id, {
-  service: 'g',
-  address: `${address}:${port}`,
-  zone,
-  version: 'v1',
-  slots: 3,
-  state: 'ready',
-  'cold-remaining-ms': 0,
-  sequence: 1,
-  'db-role': place === 0 ? 'primary' : 'replica'
 }))
-const host = startHost({ name: 'front-1', address: `${network}.10`, zone: 'a', store })
-stop.push(host.stop)
-if (!await awaitReady([host])) {
-  finish(2, 'the host did not become ready')
-}
-const session = await openSession({ host: host.address, port: CALLERS, database: 'money' })
-if (session === undefined) {
-  finish(2, 'the session did not start')
+stop.push(...hosts.map(({ stop: end }) => end))
+if (!await awaitReady(hosts)) {
+  finish(2, 'the hosts did not become ready')
 }
+record(`${HOSTS} hosts are ready, ${SESSIONS_PER_HOST} sessions at each`)
+record(`a session prepares ${STATEMENTS} statements of ${hasTrouble ? STATEMENT_BYTES : 20} bytes`)
+
+const state = { isOver: false }
 let nextId = 1
-const query = async (text) => {
-  const id = `id${nextId++}`
-  const { result, state, signature = '' } = await session.query(id, text)
-  record(`${id} ${text}: ${result} ${signature} ${state}`)
-  return result === 'DONE'
-}
-const set = async (value) => {
-  if (await query(`SET stage ${value}`)) {
-    acknowledged.stage = value
+const outcomes = new Map()
+const count = (outcome) => outcomes.set(outcome, (outcomes.get(outcome) ?? 0) + 1)
+/** Returns the text of an application's statement; all sessions of an application have the same ones. */
+const shapeOf = (number) => `q${number} `.padEnd(hasTrouble ? STATEMENT_BYTES : 20, 'z')
+/** A client that prepares its statements and executes each once, then waits; it opens a new session after its end. */
+const workOn = async (address, index) => {
+  while (!state.isOver) {
+    const session = await openSession({ host: address, port: CALLERS, database: `grid-${groups[index % SERVICES]}` })
+    const query = async (text) => {
+      const id = `${(nextId++).toString(16).padStart(8, '0')}`
+      const { result } = await session.query(id, text)
+      count(result)
+      lines.length < 20_000 && record(`${id} at ${address}: ${text.slice(0, 16)} ${result}`)
+    }
+    for (let number = 1; session?.isOpen === true && !state.isOver && number <= STATEMENTS; number++) {
+      await query(`PREPARE s${number} READ ${shapeOf(number)}`)
+      await query(`EXEC s${number} x1`)
+    }
+    while (session?.isOpen === true && !state.isOver) {
+      await query('EXEC s1 x1')
+      await pause(500)
+    }
+    await pause(300)
   }
 }
-for (let number = 1; number <= TRANSACTIONS; number++) {
-  await query('BEGIN')
-  await set(`write-${number}`)
-  hasTrouble || await set(`commit-${number}`)
-  await query(`WRITE t${number} x`)
-  hasTrouble && await set(`commit-${number}`)
-  await query('COMMIT')
+hosts.forEach(({ address }) => Array.from({ length: SESSIONS_PER_HOST }, (_, index) => workOn(address, index)))
+const faulty = () => hosts.filter(({ ends }) => ends >= FAULT.ends).length
+const until = performance.now() + (hasTrouble ? LIMIT_MS - 15_000 : 30_000)
+while (performance.now() < until && faulty() < FAULT.machines) {
+  await pause(200)
 }
-wrong.forEach(record)
-wrong.length > 0
-  ? finish(1, `PINNED: ${wrong.length} statements ran where the session values are not those acknowledged to their client`)
-  : finish(0, 'held')
+state.isOver = true
+record(`answers: ${[...outcomes].map(([outcome, number]) => `${outcome} ${number}`).join(', ')}`)
+record(`ends of their own: ${hosts.map(({ name, ends }) => `${name} ${ends}`).join(', ')}`)
+const total = hosts.reduce((sum, { ends }) => sum + ends, 0)
+faulty() >= FAULT.machines
+  ? finish(1, `FAULT: on ${faulty()} of ${HOSTS} machines, processes ended by themselves ${FAULT.ends} times (${total} ends in all)`)
+  : finish(0, `held: ${total} ends of their own`)
--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0: the value is set before the write.
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0: the same with short statements.
 cd "$(dirname "$0")" || exit 2
 node play.mjs
 code=$?
