--- a/review/lib-2/entry.mjs
+++ b/review/lib-2/entry.mjs
@@ -15,6 +15,17 @@
 const RESTART_MS = 500
 const ROOT = new URL('../../', import.meta.url).pathname
 
+/** Ends of hosts that this script has started, however it ends itself. */
+const stops = new Set()
+process.on('exit', () => stops.forEach((stop) => stop()))
+process.on('SIGTERM', () => process.exit(2))
+process.on('SIGINT', () => process.exit(2))
+// Exit code 1 says that a rule was broken, so an error of the script must not end with it.
+process.on('uncaughtException', (error) => {
+  process.stderr.write(`${error.stack}\n`)
+  process.exit(2)
+})
+
 const pause = async (ms) => await new Promise((resolve) => setTimeout(resolve, ms))
 
 async function isFree (host) {
@@ -98,6 +109,13 @@
       restarts && setTimeout(() => isStopped || start(), RESTART_MS)
     })
   }
+  const stop = () => {
+    isStopped = true
+    stops.delete(stop)
+    child.kill('SIGKILL')
+    rmSync(folder, { recursive: true, force: true })
+  }
+  stops.add(stop)
   start()
   return {
     name,
@@ -109,11 +127,7 @@
     writeSettings,
     kill: (signal) => child.kill(signal),
     isReady: async () => await isReady(address),
-    stop: () => {
-      isStopped = true
-      child.kill('SIGKILL')
-      rmSync(folder, { recursive: true, force: true })
-    }
+    stop
   }
 }
 
