Count the bytes of requests, and refuse those that do not fit

Callers saw all sessions of a host end when others sent it much at once: 150 requests of 1 MB, 30,000 pipelined ones of 10 KB, 200 MB of requests without their end, or 300 sessions with keys of 1 MB.

Cause: what was read of a request, and all requests of a piece of input, were kept without a count of their bytes; reading stopped only before the next piece. The database of a session was a part of its first line and kept it.

--- a/src/core/memory/memory-budget.ts
+++ b/src/core/memory/memory-budget.ts
@@ -6,12 +6,12 @@
 import { getHeapStatistics } from 'node:v8'
 
 /** What memory is held for. */
-export type MemoryUse = 'names'
+export type MemoryUse = 'names' | 'requests'
 
 /** Part of the heap's limit that all uses together may take; the rest is for everything else, and for garbage. */
 const TOTAL_PART = 0.6
 /** Part of the heap's limit that each use may take. */
-const MAXIMUM_PARTS: Record<MemoryUse, number> = { names: 0.25 }
+const MAXIMUM_PARTS: Record<MemoryUse, number> = { names: 0.25, requests: 0.3 }
 
 /** All uses. */
 export const MEMORY_USES = Object.keys(MAXIMUM_PARTS) as MemoryUse[]
--- a/src/entry/ports/statements.ts
+++ b/src/entry/ports/statements.ts
@@ -22,6 +22,8 @@
   | { type: 'execute', name: string, parameters: string }
   | { type: 'deallocate', name: string }
   | { type: 'malformed', reason: string }
+  /** A statement whose text was dropped, because there was no room for it. */
+  | { type: 'dropped', bytes: number }
 
 /** State of a session: outside a transaction, inside one, or inside one that can only be rolled back. */
 export type TransactionState = 'idle' | 'open' | 'failed'
@@ -32,7 +34,7 @@
   | 'failed' | 'timeout' | 'in-doubt'
   | 'unknown-database' | 'unknown-key' | 'unknown-statement' | 'too-large' | 'malformed'
 
-interface StatementFailure {
+export interface StatementFailure {
   kind: FailureKind
   message: string
 }
--- a/src/entry/requests/answers.ts
+++ b/src/entry/requests/answers.ts
@@ -23,9 +23,7 @@
 const NOT_RUN_KINDS: Partial<Record<ErrorName, FailureKind>> = {
   UnknownGroup: 'unknown-database',
   UnknownKey: 'unknown-key',
-  TransactionLost: 'aborted',
-  NoMemory: 'too-large',
-  TooManyNames: 'too-large'
+  TransactionLost: 'aborted'
 }
 
 /**
--- a/src/entry/requests/session.ts
+++ b/src/entry/requests/session.ts
@@ -1,5 +1,6 @@
 /** A caller's session: serves its requests in sequence and dispatches them by the type of the statement. */
-import { RequestError } from '../../core/errors/index.ts'
+import { describeThrown, RequestError } from '../../core/errors/index.ts'
+import { noMemory } from '../../core/memory/no-memory.ts'
 import type {
   CallerAnswer, CallerHandler, CallerLink, CallerRequest, CallerStatement, DesiredState, StatementAnswer
 } from '../ports/index.ts'
@@ -68,8 +69,12 @@
     if (refusal !== undefined) {
       return refusal
     }
-    add()
-    return doneAnswer(transaction.state)
+    try {
+      add()
+      return doneAnswer(transaction.state)
+    } catch (thrown) {
+      return failureAnswer('too-large', describeThrown(thrown), transaction.state)
+    }
   }
   return {
     begin: async ({ readOnly }) => await transaction.begin(readOnly),
@@ -85,6 +90,13 @@
       names.deallocate(name)
       return doneAnswer(transaction.state)
     },
+    dropped: ({ bytes }) => {
+      const refusal = transaction.refuseIfFailed()
+      if (refusal !== undefined) {
+        return refusal
+      }
+      throw noMemory(session.context.memory.budget, 'requests', 'the request', bytes)
+    },
     malformed: ({ reason }) => failureAnswer('malformed', reason, transaction.state)
   }
 }
