Count the bytes of answers while they arrive and wait for their callers

Cause: only an answer of more than 8 MB was checked, each for itself; answers that wait for a slow caller were not counted.

Now an answer counts in the memory budget from 16 KB on while it arrives, and while it waits for its caller, up to 40 % of the heap's limit; all uses together take half. What does not fit ends with its size and the bound: TOOBIG while it arrives, else the verdict that a stop would give. A request that has its answer refers to nothing any more, and the writer takes its rows over.

The tests of the check from 8 MB on use a small heap in place of a switch, and check the message and that the memory is returned. Answers between 42 MB and 64 MB, some of which were passed on, are refused as deployed.

--- a/src/core/memory/input-memory.ts
+++ b/src/core/memory/input-memory.ts
@@ -1,5 +1,6 @@
 /** The memory of the requests of one connection: the one that is being read, and those that have no answer yet. */
-import type { MemoryBudget, MemoryHold } from './memory-budget.ts'
+import { createAllowance } from './allowance.ts'
+import type { MemoryBudget } from './memory-budget.ts'
 
 /** Size of the requests of a connection up to which nothing is reserved, in bytes; usual requests are smaller. */
 const FREE_BYTES = 4096
@@ -39,24 +40,14 @@
  * @returns the memory
  */
 export function createInputMemory (budget: Pick<MemoryBudget, 'open'>): InputMemory {
-  let hold: MemoryHold | undefined
+  const { resize, close } = createAllowance(budget, 'requests', FREE_BYTES)
   let unanswered = 0
   let incomplete = 0
 
-  /** Reserves what is above the free part, or returns what is not needed any more. */
-  const reserve = (bytes: number): boolean => {
-    const missing = Math.max(0, bytes - FREE_BYTES) - (hold?.bytes ?? 0)
-    if (missing <= 0) {
-      missing < 0 && hold!.give(-missing)
-      return true
-    }
-    hold ??= budget.open('requests')
-    return hold.take(missing)
-  }
   const setIncomplete = (bytes: number): boolean => {
-    const fits = reserve(unanswered + bytes)
+    const fits = resize(unanswered + bytes)
     incomplete = fits ? bytes : 0
-    fits || reserve(unanswered)
+    fits || resize(unanswered)
     return fits
   }
   return {
@@ -64,15 +55,15 @@
     setIncomplete,
     add: (bytes) => {
       incomplete = 0
-      const fits = reserve(unanswered + bytes + REQUEST_BYTES)
+      const fits = resize(unanswered + bytes + REQUEST_BYTES)
       unanswered += fits ? bytes + REQUEST_BYTES : REQUEST_BYTES
-      fits || reserve(unanswered)
+      fits || resize(unanswered)
       return fits
     },
     remove: (bytes) => {
       unanswered -= bytes + REQUEST_BYTES
-      reserve(unanswered + incomplete)
+      resize(unanswered + incomplete)
     },
-    close: () => hold?.close()
+    close
   }
 }
--- a/src/core/memory/memory-budget.ts
+++ b/src/core/memory/memory-budget.ts
@@ -6,12 +6,12 @@
 import { getHeapStatistics } from 'node:v8'
 
 /** What memory is held for. */
-export type MemoryUse = 'names' | 'requests'
+export type MemoryUse = 'names' | 'requests' | 'answers'
 
 /** Part of the heap's limit that all uses together may take; the rest is for everything else, and for garbage. */
-const TOTAL_PART = 0.6
+const TOTAL_PART = 0.5
 /** Part of the heap's limit that each use may take. */
-const MAXIMUM_PARTS: Record<MemoryUse, number> = { names: 0.25, requests: 0.3 }
+const MAXIMUM_PARTS: Record<MemoryUse, number> = { names: 0.25, requests: 0.25, answers: 0.4 }
 
 /** All uses. */
 export const MEMORY_USES = Object.keys(MAXIMUM_PARTS) as MemoryUse[]
--- a/src/entry/ports/statements.ts
+++ b/src/entry/ports/statements.ts
@@ -52,10 +52,10 @@
 /** An answer to a caller, whose rows are written as fast as the caller reads. */
 export interface CallerAnswer extends StatementAnswer {
   /**
-   * Returns the answer that takes its place when its rows can't all be written before this host closes. Called at most
-   * once, before `onWritten`.
+   * Returns the answer that takes its place when its rows can't all be written, by default because this host closes
+   * before. Called at most once, before `onWritten`.
    */
-  withoutRows?: () => StatementAnswer
+  withoutRows?: (reason?: string) => StatementAnswer
   /** Called when it has been written whole, or what takes its place. */
   onWritten?: () => void
 }
--- a/src/entry/requests/caller-requests.ts
+++ b/src/entry/requests/caller-requests.ts
@@ -41,6 +41,8 @@
   endNow: () => void
 }
 
+function ignoreOutcome (_outcome: unknown): void {}
+
 /**
  * Creates the owner of a connection's requests.
  *
@@ -64,7 +66,11 @@
   const serve = async (request: CallerRequest): Promise<CallerAnswer> =>
     mayServe(request) ? await session.serve(request) : session.refuse(request)
   /** Gives an answer, and waits until it is written if the transaction may still have to be aborted in its place. */
-  const giveAnswer = async ({ answer }: UnservedRequest, given: CallerAnswer): Promise<void> => {
+  const giveAnswer = async (unserved: UnservedRequest, given: CallerAnswer): Promise<void> => {
+    const { answer } = unserved
+    // A suspended function keeps what it has used, so the request must not lead to its rows while the next one runs.
+    unserved.answer = ignoreOutcome
+    unserved.fail = ignoreOutcome
     if (given.state === 'idle') {
       answer(given)
     } else {
--- a/src/entry/requests/stopped-answers.ts
+++ b/src/entry/requests/stopped-answers.ts
@@ -48,16 +48,16 @@
   onEndedEarly: (outcome: FailureKind) => void
 ): CallerAnswer {
   const { failure, state, position } = answer
-  const endTransaction = (): StatementAnswer => {
+  const endTransaction = (reason: string): StatementAnswer => {
     transaction.failureReported()
-    return answerAborted(transaction, UNREAD_REASON)
+    return answerAborted(transaction, reason)
   }
-  const endStatement = (): StatementAnswer => {
+  const endStatement = (reason: string): StatementAnswer => {
     const kind = scope?.hasLastingEffect === true ? 'in-doubt' : 'aborted'
-    return { rows: [], failure: failure ?? { kind, message: UNREAD_REASON }, state, position }
+    return { rows: [], failure: failure ?? { kind, message: reason }, state, position }
   }
-  const withoutRows = (): StatementAnswer => {
-    const ended = state === 'open' && failure === undefined ? endTransaction() : endStatement()
+  const withoutRows = (reason = UNREAD_REASON): StatementAnswer => {
+    const ended = state === 'open' && failure === undefined ? endTransaction(reason) : endStatement(reason)
     onEndedEarly(ended.failure!.kind)
     return ended
   }
--- a/src/memory/index.ts
+++ b/src/memory/index.ts
@@ -1,6 +1,7 @@
 /** Plug-in `memory`: the memory that this process holds for callers, upstreams and peers, and its limits. */
 import { registerPlugin } from '../core/kernel/index.ts'
-import { createMemoryBudget, MEMORY_USES, type MemoryBudget } from '../core/memory/memory-budget.ts'
+import { MEMORY_USES, type MemoryBudget } from '../core/memory/memory-budget.ts'
+import { processBudget as budget } from '../core/memory/process-budget.ts'
 import { createSharedTexts, type SharedTexts } from '../core/memory/shared-texts.ts'
 import '../metrics/index.ts'
 
@@ -19,7 +20,6 @@
   name: 'memory',
   dependencies: ['metrics'],
   start: ({ use }) => {
-    const budget = createMemoryBudget()
     const texts = createSharedTexts(budget)
     const metrics = use('metrics')
     const byUse = (read: (use: typeof MEMORY_USES[number]) => number): Record<string, number> =>
--- a/test/frozen/process.test.ts
+++ b/test/frozen/process.test.ts
@@ -77,10 +77,12 @@
       '# TYPE worksward_memory_held_bytes gauge',
       'worksward_memory_held_bytes{label="names"}',
       'worksward_memory_held_bytes{label="requests"}',
+      'worksward_memory_held_bytes{label="answers"}',
       '# HELP worksward_memory_maximum_bytes Memory that may be held for others, by use',
       '# TYPE worksward_memory_maximum_bytes gauge',
       'worksward_memory_maximum_bytes{label="names"}',
-      'worksward_memory_maximum_bytes{label="requests"}'
+      'worksward_memory_maximum_bytes{label="requests"}',
+      'worksward_memory_maximum_bytes{label="answers"}'
     ])
     const [ofCapacity, others] = [true, false].map((isWanted) => lines.filter((line) =>
       !ofMemory.includes(line) && /\bworksward_capacity\b/.test(line) === isWanted))
--- a/test/platform/unknown-words.test.ts
+++ b/test/platform/unknown-words.test.ts
@@ -4,6 +4,7 @@
 import { expect } from 'earl'
 import { createAnswerReader } from '../../platform/answer-reader.ts'
 import { createUpstreamPort } from '../../platform/upstream-port.ts'
+import { createMemoryBudget } from '../../src/core/memory/memory-budget.ts'
 import { decodeState, decodeStatement } from '../../platform/words.ts'
 import type { UpstreamConnection } from '../../src/entry/ports/index.ts'
 
@@ -44,8 +45,8 @@
     })
 
     it(`is unreadable as a line or a state of an upstream's answer: ${name}`, () => {
-      expect(createAnswerReader().readLine(`${name} 1`).type).toEqual('unreadable')
-      expect(createAnswerReader().readLine(`READY ${name} -`).type).toEqual('unreadable')
+      expect(createAnswerReader(createMemoryBudget()).readLine(`${name} 1`).type).toEqual('unreadable')
+      expect(createAnswerReader(createMemoryBudget()).readLine(`READY ${name} -`).type).toEqual('unreadable')
       expect(decodeState(name)).toEqual(undefined)
     })
   }
--- a/test/platform/upstream-port.test.ts
+++ b/test/platform/upstream-port.test.ts
@@ -4,6 +4,7 @@
 import { expect } from 'earl'
 import { MAXIMUM_MESSAGE_BYTES } from '../../platform/line-reader.ts'
 import { createUpstreamPort } from '../../platform/upstream-port.ts'
+import { createMemoryBudget, type MemoryBudget } from '../../src/core/memory/memory-budget.ts'
 import { RequestError } from '../../src/core/errors/index.ts'
 import type { UpstreamConnection, UpstreamPort } from '../../src/entry/ports/index.ts'
 
@@ -13,14 +14,21 @@
 /** Rows of a large answer, and the size of each, in bytes. */
 const LARGE_ROWS = 1000
 const ROW_BYTES = 16_000
+/** Limits of heaps that can hold a large answer and that cannot, in bytes. */
+const AMPLE_BYTES = 100_000_000
+const SCARCE_BYTES = 16_000_000
 
 describe('upstream port', () => {
   let server: Server
   let port: UpstreamPort
-  let hasRoom: boolean
+  let budget: MemoryBudget
   let received: string[]
   /** Returns the upstream's answer to a line, or undefined to send none. */
   let answer: (line: string, socket: Socket) => string[] | undefined
+  const limitHeap = (heapBytes: number): void => {
+    budget = createMemoryBudget(heapBytes)
+    port = createUpstreamPort((endpoint) => connect({ host: endpoint.address, port: endpoint.port }), budget)
+  }
   beforeEach(async () => {
     received = []
     answer = (line) => line.startsWith('START') ? ['READY I 3.1207'] : ['DONE -', 'READY I 3.1207']
@@ -40,8 +48,7 @@
       })
     }).listen(0, '127.0.0.1')
     await once(server, 'listening')
-    hasRoom = true
-    port = createUpstreamPort((endpoint) => connect({ host: endpoint.address, port: endpoint.port }), () => hasRoom)
+    limitHeap(AMPLE_BYTES)
   })
   const connections: UpstreamConnection[] = []
   afterEach(async () => {
@@ -93,17 +100,19 @@
 
   // Guards against answers whose rows end the process by the limit of its heap, and the next one by the caller's retry.
   it('ends a read whose answer cannot be held, without a retry elsewhere, and closes its connection', async () => {
-    hasRoom = false
+    limitHeap(SCARCE_BYTES)
     const connection = await open()
     answer = (line) => line.startsWith('START')
       ? ['READY I -']
       : [...Array.from({ length: LARGE_ROWS }, () => `ROW ${'x'.repeat(ROW_BYTES)}`), 'DONE 7.1', 'READY I 3.1']
     const { rows, failure, state } = await connection.run({ type: 'data', requestId: 'r', text: 'READ large' })
     expect([rows.length, failure?.kind, state, connection.closed]).toEqual([0, 'too-large', 'idle', true])
+    expect(/^the answer takes \d+ bytes, .* of \d+ bytes$/.test(failure!.message)).toEqual(true)
+    expect(budget.heldBytes('answers')).toEqual(0)
   })
 
   it('ends a transaction with its connection if an answer in it cannot be held', async () => {
-    hasRoom = false
+    limitHeap(SCARCE_BYTES)
     const connection = await open()
     answer = () => ['DONE -', 'READY T 3.1']
     await connection.run({ type: 'begin', readOnly: true })
@@ -116,6 +125,18 @@
     const connection = await open()
     answer = () => [...Array.from({ length: LARGE_ROWS }, () => `ROW ${'x'.repeat(ROW_BYTES)}`), 'DONE 7.1', 'READY I 3.1']
     expect((await connection.run({ type: 'data', requestId: 'r', text: 'READ large' })).rows.length).toEqual(LARGE_ROWS)
+    expect(budget.heldBytes('answers')).toEqual(0)
+  })
+
+  it('counts an answer while it is read, until its connection is closed', async () => {
+    const connection = await open()
+    answer = () => Array.from({ length: LARGE_ROWS }, () => `ROW ${'x'.repeat(ROW_BYTES)}`)
+    const lost = errorOf(connection.run({ type: 'data', requestId: 'r', text: 'READ large' }))
+    while (budget.heldBytes('answers') < LARGE_ROWS * ROW_BYTES / 2) {
+      await new Promise((resolve) => { setTimeout(resolve, 1) })
+    }
+    connection.close()
+    expect([(await lost).entry, budget.heldBytes('answers')]).toEqual(['ConnectionLost', 0])
   })
 
   const REFUSALS = [['READONLY', 'read-only'], ['LAGGING', 'lagging'], ['NOSTMT', 'unknown-statement'], ['WHAT', 'failed']]
