--- a/test/platform/upstream-port.test.ts
+++ b/test/platform/upstream-port.test.ts
@@ -128,6 +128,15 @@
     expect(budget.heldBytes('answers')).toEqual(0)
   })
 
+  // Guards against many short rows, each of which takes more memory than its text.
+  it('ends a read of many short rows that cannot be held', async () => {
+    limitHeap(SCARCE_BYTES)
+    const connection = await open()
+    answer = () => [...Array.from({ length: 200_000 }, () => 'ROW xxxx'), 'DONE 7.1', 'READY I 3.1']
+    const { rows, failure } = await connection.run({ type: 'data', requestId: 'r', text: 'READ large' })
+    expect([rows.length, failure?.kind, budget.heldBytes('answers')]).toEqual([0, 'too-large', 0])
+  })
+
   it('counts an answer while it is read, until its connection is closed', async () => {
     const connection = await open()
     answer = () => Array.from({ length: LARGE_ROWS }, () => `ROW ${'x'.repeat(ROW_BYTES)}`)
