Set the session values that a commit needs before it

Callers saw nothing, but an upstream ran a commit with session values from before: a write, SET, which is acknowledged, COMMIT.

Cause: values are set at an upstream before a statement that needs them, and a commit was sent without that step, at the caller's host and at a home.

Now a commit sets what its connection lacks first. If that fails, the connection is closed, which rolls the transaction back, and the caller is told that nothing is kept.

Two tests of test/entry/requests/sent-under-lease.test.ts fail on the code before.

--- a/src/entry/requests/leased-commands.ts
+++ b/src/entry/requests/leased-commands.ts
@@ -5,7 +5,7 @@
 import type { ConnectionLease, UpstreamResources } from '../pools/index.ts'
 import type { LogPosition } from '../../positions/position.ts'
 import type { PrimaryRights } from './primary-rights.ts'
-import { runCommand, runStatement, type RunOptions, type TimedAnswer } from './run-statement.ts'
+import { runCommand, runCommit, runStatement, type RunOptions, type TimedAnswer } from './run-statement.ts'
 import type { TransactionStep } from './statement-executor.ts'
 import type { ExecutableStatement, EntryContext, RequestScope } from './types.ts'
 
@@ -153,7 +153,7 @@
     step: async (scope, step) => {
       const options = optionsOf(scope, false, onlyReads, transactionBroken)
       if (step.type === 'commit') {
-        return await run(async () => await runCommand(step, options), wrote)
+        return await run(async () => await runCommit(step, scope.values, options), wrote)
       }
       // A write in a transaction has no lasting effect before the commit.
       wrote ||= step.statement.access === 'write'
--- a/src/entry/requests/run-statement.ts
+++ b/src/entry/requests/run-statement.ts
@@ -116,6 +116,42 @@
   }
 }
 
+/**
+ * Sets the session values on a connection, then makes further preparations.
+ *
+ * @throws RequestError with verdict `not-run`; the lease has been discarded
+ */
+async function prepareConnection<Result> (
+  { lease, deadline }: RunOptions, values: SessionValues, prepare: () => Promise<Result>
+): Promise<Result> {
+  try {
+    if (values.size > 0 || lease.values.size > 0) {
+      await deadline.race(applySessionValues(lease, values), 'not-run', 'setting session values')
+    }
+    return await prepare()
+  } catch (thrown) {
+    lease.discard()
+    throw toRequestError(thrown, 'not-run', true)
+  }
+}
+
+/**
+ * Sets the session values that have changed since the last statement of a transaction, and commits it.
+ *
+ * @param commit - the commit
+ * @param values - the session's values
+ * @param options - connection, deadline and callbacks
+ * @returns the answer
+ * @throws RequestError with verdict `not-run` if the commit was not sent; the lease has been discarded unless `admit`
+ * has thrown
+ */
+export async function runCommit (
+  commit: Extract<UpstreamCommand, { type: 'commit' }>, values: SessionValues, options: RunOptions
+): Promise<TimedAnswer> {
+  await prepareConnection(options, values, async () => {})
+  return await runCommand(commit, options)
+}
+
 /**
  * Sets the session values on a connection, prepares the statement if necessary, and runs it.
  *
@@ -132,18 +168,9 @@
   options: RunOptions
 ): Promise<TimedAnswer> {
   const { lease, deadline } = options
-  let name = ''
-  try {
-    if (values.size > 0 || lease.values.size > 0) {
-      await deadline.race(applySessionValues(lease, values), 'not-run', 'setting session values')
-    }
-    if (statement.type === 'execute') {
-      name = await deadline.race(ensurePrepared(lease, statement.prepared), 'not-run', 'preparing the statement')
-    }
-  } catch (thrown) {
-    lease.discard()
-    throw toRequestError(thrown, 'not-run', true)
-  }
+  const name = await prepareConnection(options, values, async () => statement.type === 'execute'
+    ? await deadline.race(ensurePrepared(lease, statement.prepared), 'not-run', 'preparing the statement')
+    : '')
   const result = await runCommand(commandOf(statement, name, after), options)
   if (result.answer.failure?.kind === 'unknown-statement') {
     lease.prepared.clear()
--- a/test/entry/requests/sent-under-lease.test.ts
+++ b/test/entry/requests/sent-under-lease.test.ts
@@ -84,6 +84,27 @@
     deepEqual(sent.map(({ type }) => type), ['begin', 'data', 'set'])
   })
 
+  // Guards against a commit that runs with the session values from before its transaction's last change of them.
+  it('commits with the session values that were set after the last statement', async () => {
+    const { executor, answer, sent } = await openTransaction(false)
+    const committing = executor.step(createScope(VALUES), { type: 'commit', requestId: 'r', text: 'COMMIT' })
+    await pass()
+    answer(done('open'))
+    await pass()
+    answer(done())
+    equal((await committing).answer.failure, undefined)
+    deepEqual(sent.map(({ type }) => type), ['begin', 'data', 'set', 'commit'])
+  })
+
+  it('is not committed if a session value could not be set before', async () => {
+    const { executor, answer, sent } = await openTransaction(false)
+    const committing = executor.step(createScope(VALUES), { type: 'commit', requestId: 'r', text: 'COMMIT' })
+    await pass()
+    answer({ rows: [], failure: { kind: 'failed', message: '' }, state: 'failed' })
+    await rejects(committing, { verdict: 'not-run' })
+    deepEqual(sent.map(({ type }) => type), ['begin', 'data', 'set'])
+  })
+
   it('does not begin a transaction or ask for the end of the log after the lease has ended', async () => {
     for (const run of ['begin', 'queryLogEnd'] as const) {
       const { executor, sent } = createExecutorAtPrimary()
