Share the entries of prepared statements between sessions

Callers of an application with many sessions a host would be refused statements that all of them prepare: a name took 384 bytes of the budget beside its shared text, so 333 sessions with 200 names filled it.

Cause: each session kept an object for each name, which refers to the shared text.

Evidence: 349 bytes of heap for a name whose text is shared, measured with 100 sessions of 256 names.

Now all sessions refer to one object for a text and access, so a name takes an entry of a map: 54 bytes of heap, 72 and the length of its fingerprint in the budget. Session values count 160 bytes, measured 130.

The count is 1.00 to 1.68 times the heap.

--- a/src/entry/requests/forwarded-scope.ts
+++ b/src/entry/requests/forwarded-scope.ts
@@ -7,7 +7,7 @@
 import type { HomeStatement, HomeStep } from '../homes/index.ts'
 import { decodeValues } from './forwarded-steps.ts'
 import { RETRY_PAUSE_MS } from './retry-rules.ts'
-import { NAME_BYTES } from './session-names.ts'
+import { VALUE_BYTES } from './session-names.ts'
 import type { EntryContext, RequestScope } from './types.ts'
 import { acceptsNewWork } from './wait-rules.ts'
 
@@ -55,7 +55,7 @@
  */
 export function keepValues (budget: MemoryBudget, scope: Pick<RequestScope, 'values' | 'valuesHold'>): void {
   let bytes = 0
-  scope.values.forEach(({ name, text }) => { bytes += NAME_BYTES + name.length + text.length })
+  scope.values.forEach(({ name, text }) => { bytes += VALUE_BYTES + name.length + text.length })
   const hold = scope.valuesHold ?? budget.open('names')
   hold.give(hold.bytes)
   if (!hold.take(bytes)) {
--- a/src/entry/requests/session-names.ts
+++ b/src/entry/requests/session-names.ts
@@ -6,13 +6,15 @@
 import type { SharedText } from '../../core/memory/shared-texts.ts'
 import type { Memory } from '../../memory/index.ts'
 import type { SessionValue, SessionValues } from '../pools/index.ts'
-import type { CallerStatement, PreparedShape } from '../ports/index.ts'
+import type { Access, CallerStatement, PreparedShape } from '../ports/index.ts'
 import type { ExecutableStatement, PreparedStatement } from './types.ts'
 
 /** Maximum number of session values, and of prepared statements, per session. */
 const MAXIMUM_NAMES = 256
-/** Memory that a name takes beside its texts, in bytes: the name's fingerprint, objects, and entries of maps. */
-export const NAME_BYTES = 384
+/** Memory that a session value takes beside its texts, in bytes: its name's fingerprint, an object, a map's entry. */
+export const VALUE_BYTES = 160
+/** Memory that the name of a prepared statement takes beside its fingerprint, in bytes: an entry of a map. */
+const STATEMENT_BYTES = 72
 /** Maximum length of a name in an error, in characters. */
 const MAXIMUM_SHOWN_LENGTH = 64
 
@@ -39,15 +41,29 @@
   close: () => void
 }
 
-/** A name's text, and the memory that the name takes beside it, in bytes. */
+/** A name, whose text all sessions share. */
 interface KeptName {
   shared: SharedText
-  bytes: number
 }
 
 type KeptValue = KeptName & SessionValue
 type KeptStatement = KeptName & PreparedStatement
 
+/** Statements that are prepared, by text and access: sessions that prepare the same ones keep only their names. */
+const statements = new WeakMap<SharedText, Partial<Record<Access, KeptStatement>>>()
+
+function statementOf (shared: SharedText, access: Access): KeptStatement {
+  const { text: shape, fingerprint } = shared
+  const ofText = statements.get(shared)
+  const known = ofText?.[access]
+  if (known !== undefined) {
+    return known
+  }
+  const statement: KeptStatement = { shared, access, shape, fingerprint }
+  statements.set(shared, { ...ofText, [access]: statement })
+  return statement
+}
+
 /**
  * Shortens a name for messages.
  *
@@ -72,7 +88,7 @@
   /** Keeps the text of a name in place of the present one; `bytes` are those of a new name beside its text. */
   const keepName = (
     names: Map<string, KeptName>, key: string, text: string, bytes: number, what: string
-  ): KeptName => {
+  ): SharedText => {
     const present = names.get(key)
     if (present === undefined && names.size >= MAXIMUM_NAMES) {
       throw new RequestError('not-run', 'TooManyNames', { what, maximum: MAXIMUM_NAMES })
@@ -83,24 +99,20 @@
       hasRoom && present === undefined && hold.give(bytes)
       throw noMemory(budget, 'names', what, text.length + bytes)
     }
-    return { shared, bytes: present?.bytes ?? bytes }
-  }
-  const drop = ({ shared, bytes }: KeptName): void => {
-    texts.release(shared)
-    hold.give(bytes)
+    return shared
   }
   const setValue = (name: string, value: string): void => {
     const key = fingerprintOf(name)
     const present = values.get(key)
-    const kept = keepName(values, key, value, NAME_BYTES + name.length, `the value of '${shownName(name)}'`)
-    const { text, fingerprint } = kept.shared
-    const entry = { ...kept, name: present?.name ?? detachText(name), text, fingerprint }
+    const shared = keepName(values, key, value, VALUE_BYTES + name.length, `the value of '${shownName(name)}'`)
+    const { text, fingerprint } = shared
+    const entry = { shared, name: present?.name ?? detachText(name), text, fingerprint }
     values = new Map(values).set(present === undefined ? detachText(key) : key, entry)
   }
   const prepare = (name: string, { access, shape }: PreparedShape): void => {
     const key = fingerprintOf(name)
-    const kept = keepName(prepared, key, shape, NAME_BYTES, `the statement '${shownName(name)}'`)
-    prepared.set(detachText(key), { ...kept, access, shape: kept.shared.text, fingerprint: kept.shared.fingerprint })
+    const shared = keepName(prepared, key, shape, STATEMENT_BYTES + key.length, `the statement '${shownName(name)}'`)
+    prepared.set(detachText(key), statementOf(shared, access))
   }
   return {
     get values () { return values },
@@ -111,7 +123,8 @@
       const present = prepared.get(key)
       if (present !== undefined) {
         prepared.delete(key)
-        drop(present)
+        texts.release(present.shared)
+        hold.give(STATEMENT_BYTES + key.length)
       }
     },
     isPrepared: (name) => prepared.has(fingerprintOf(name)),
@@ -125,7 +138,7 @@
       return { type: 'execute', requestId, access: statementToRun.access, prepared: statementToRun, parameters }
     },
     close: () => {
-      [...values.values(), ...prepared.values()].forEach(drop)
+      [...values.values(), ...prepared.values()].forEach(({ shared }) => texts.release(shared))
       values = new Map()
       prepared.clear()
       hold.close()
